--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Entry points for people and CI. `make demo` and `make check` work on a fresh machine.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
+PACKAGES := $(shell cat .ci/packages.txt)
+
+.PHONY: packages build check demo bench format lint layers proto
+
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+		($(SUDO) apt-get update -q && DEBIAN_FRONTEND=noninteractive $(SUDO) apt-get install -q -y $(PACKAGES))
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+check: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	testing/demo.sh $(BUILD)
+
+bench: build
+	for bench in $(BUILD)/bench/*Bench; do $$bench || exit 1; done
+
+format:
+	git ls-files '*.cpp' '*.h' | grep -v '\.pb\.' | xargs clang-format -i
+
+lint: build
+	.ci/lint $(BUILD)
+
+layers:
+	.ci/layers
+
+# Regenerates the committed protobuf code.
+proto:
+	protoc -I packages/protocol/proto --cpp_out=packages/protocol/generated packages/protocol/proto/kingcup.proto
--- /dev/null
+++ b/packages/coordination/include/kingcup/EntryConfiguration.h
@@ -0,0 +1,63 @@
+/** @file EntryConfiguration.h The configuration in force on an entry VM and the lease under which it serves. */
+#pragma once
+
+#include "kingcup/ManifestTypes.h"
+#include "kingcup/ReplicatedLogTypes.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kingcup {
+
+/** Immutable copy of the configuration for the request path. */
+struct ConfigurationSnapshot {
+    LogIndex index = 0; ///< Log index up to which it is complete.
+    uint64_t manifestNumber = 0; ///< Manifest in force.
+    std::string manifestDigest; ///< Its digest.
+    std::map<std::string, std::shared_ptr<const Service>> services; ///< By name.
+    std::map<std::string, std::vector<wire::TargetRecord>> targets; ///< By service name; no gone ones.
+    std::map<std::pair<std::string, std::string>, wire::Quarantine> quarantines; ///< By service and fingerprint.
+};
+
+/** Merges changes from control and keeps the lease. Not thread-safe; publishes immutable snapshots. */
+class EntryConfiguration {
+public:
+    EntryConfiguration(std::string entryVm, uint64_t incarnation, std::string availabilityZone, Milliseconds leaseTerm);
+
+    /** Builds the next session request. The lease of its answer counts from `now`. @param requestId Id under which it is sent. */
+    wire::SessionRequest sessionRequest(uint64_t requestId, TimePoint now);
+
+    /** Merges an answer. Returns whether the configuration changed. Answers without a known request id extend no lease. */
+    bool receive(uint64_t requestId, const wire::SessionAnswer& answer, TimePoint now);
+
+    /** Merges a push. Returns whether the configuration changed. Older or non-adjacent pushes change nothing. */
+    bool receive(const wire::ConfigurationPush& push);
+
+    /** Returns whether this VM knows that its configuration is current. */
+    bool leaseValid(TimePoint now) const;
+
+    /** Returns the live entry VMs named in the last answer; 0 when not known or the lease has lapsed. */
+    uint32_t liveEntryVms(TimePoint now) const;
+
+    /** Returns the configuration in force. */
+    std::shared_ptr<const ConfigurationSnapshot> snapshot() const;
+
+    TimePoint leaseEnd() const; ///< End of the lease.
+
+private:
+    bool merge(const wire::ConfigurationChanges& changes);
+
+    std::string entryVm; ///< Own name.
+    uint64_t incarnation; ///< Start of this process.
+    std::string availabilityZone; ///< Own zone.
+    Milliseconds leaseTerm; ///< Upper bound of a lease.
+    std::map<uint64_t, TimePoint> sentRequests; ///< When open session requests were sent.
+    TimePoint leaseEndTime {}; ///< End of the lease.
+    uint32_t liveVms = 0; ///< From the last answer.
+    std::shared_ptr<const ConfigurationSnapshot> current; ///< In force.
+};
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/Headers.cpp
@@ -0,0 +1,11 @@
+/** @file Headers.cpp Compiles every public header of the package on its own. */
+#include "kingcup/Admission.h"
+#include "kingcup/ControlStateMachine.h"
+#include "kingcup/CrashContainment.h"
+#include "kingcup/EntryConfiguration.h"
+#include "kingcup/ProbeBudget.h"
+#include "kingcup/ReplicatedLog.h"
+#include "kingcup/ReplicatedLogTypes.h"
+#include "kingcup/RetryPolicy.h"
+#include "kingcup/Router.h"
+#include "kingcup/SessionTable.h"
--- /dev/null
+++ b/packages/state/include/kingcup/ResultCode.h
@@ -0,0 +1,131 @@
+/** @file ResultCode.h The numbered result codes of all programs and answers. */
+#pragma once
+
+#include <span>
+#include <string_view>
+#include <system_error>
+
+namespace kingcup {
+
+/** Numbered results. The number is part of the public interface and never reused. */
+enum class ResultCode : int {
+    Ok = 0,
+
+    // 1xxx: refusals; no byte of the request reached a target.
+    NoService = 1001,
+    NoKind = 1002,
+    QueueFull = 1003,
+    WaitTooLong = 1004,
+    NoTarget = 1005,
+    ConnectFailed = 1006,
+    Isolated = 1007,
+    Stopping = 1008,
+    ClaimUnavailable = 1009,
+    KeyRequired = 1010,
+    KeyMismatch = 1011,
+    KeyRunning = 1012,
+    Quarantined = 1013,
+    DeadlineBeforeSend = 1014,
+    BadRequest = 1015,
+    BodyTooLarge = 1016,
+    HeaderTooLarge = 1017,
+    SlowSender = 1018,
+    DepthExceeded = 1019,
+    NotRunByTarget = 1020,
+
+    // 2xxx: the request may have run.
+    ConnectionLost = 2001,
+    DeadlineAfterSend = 2002,
+    AnswerTruncated = 2003,
+    KeyOutcomeUnknown = 2004,
+    KeyFinished = 2005,
+    AnswerInvalid = 2006,
+
+    // 3xxx: manifest and commands.
+    ManifestSyntax = 3001,
+    ManifestUnknownKey = 3002,
+    ManifestWrongType = 3003,
+    ManifestOutOfRange = 3004,
+    ManifestOverlap = 3005,
+    ManifestConflict = 3006,
+    ManifestOutdated = 3007,
+    ManifestSuperseded = 3008,
+    ManifestBaseChanged = 3009,
+    UnknownTarget = 3010,
+    OldIncarnation = 3011,
+    CommandMalformed = 3012,
+    ManifestMissingKey = 3013,
+    ManifestTooLarge = 3014,
+    ClaimReleased = 3015,
+
+    // 4xxx: replicated log and durable state.
+    NotLeader = 4001,
+    NoQuorum = 4002,
+    NotBootstrapped = 4003,
+    AlreadyBootstrapped = 4004,
+    MembershipChangePending = 4005,
+    NotCaughtUp = 4006,
+    UnknownVm = 4007,
+    JournalDamaged = 4101,
+    ForeignDataFolder = 4102,
+    DiskFull = 4103,
+    SyncFailed = 4104,
+    DataFolderLocked = 4105,
+    SnapshotVersion = 4106,
+    FileError = 4107,
+    CommandTooLarge = 4108,
+    CommandTimeout = 4109,
+    CommandAbandoned = 4110,
+
+    // 5xxx: settings, command line, access.
+    SettingsSyntax = 5001,
+    SettingsUnknownKey = 5002,
+    SettingsWrongType = 5003,
+    SettingsOutOfRange = 5004,
+    SettingsMissingKey = 5005,
+    Unauthorized = 5101,
+    NotFound = 5102,
+    MethodNotAllowed = 5103,
+    ListenFailed = 5104,
+    LinkFailed = 5105,
+    Unreachable = 5106,
+};
+
+/** What a result says about the execution of the request it answers. */
+enum class RunState {
+    NotRun, ///< No byte reached a target, or the target promised that it did not run.
+    Unknown, ///< It may have run.
+    Ran, ///< It ran once and its outcome is known.
+    NotApplicable, ///< The code does not answer a caller's request.
+};
+
+/** One row of the table of result codes. */
+struct ResultCodeRow {
+    ResultCode code; ///< Number.
+    std::string_view name; ///< Name in headers, logs and JSON.
+    int httpStatus; ///< Status of an HTTP answer that carries it.
+    RunState runState; ///< What a caller may conclude.
+    bool retryAfter; ///< Whether the answer carries Retry-After.
+    std::string_view text; ///< Meaning, one sentence.
+};
+
+/** Returns the whole table, ordered by number. */
+std::span<const ResultCodeRow> resultCodeTable();
+
+/** Returns the row of a code; every enumerator has one. */
+const ResultCodeRow& resultCodeRow(ResultCode code);
+
+/** Returns the name of a run state as it stands in the header Kingcup-Run. */
+std::string_view runStateName(RunState state);
+
+/** Returns the error category of result codes, named "kingcup". */
+const std::error_category& resultCategory();
+
+/** Makes an std::error_code from a result code. */
+std::error_code make_error_code(ResultCode code); // NOLINT(readability-identifier-naming) name set by <system_error>
+
+} // namespace kingcup
+
+template <>
+struct std::is_error_code_enum<kingcup::ResultCode> : std::true_type {
+};
--- /dev/null
+++ b/programs/kingcupctl/main.cpp
@@ -0,0 +1,6 @@
+/** @file main.cpp Entry point of kingcupctl. */
+
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/programs/kingcupswitchd/main.cpp
@@ -0,0 +1,6 @@
+/** @file main.cpp Entry point of kingcupswitchd. */
+
+int main()
+{
+    return 0;
+}
