--- a/packages/coordination/include/kingcup/ReplicatedLogTypes.h
+++ b/packages/coordination/include/kingcup/ReplicatedLogTypes.h
@@ -1,6 +1,7 @@
 /** @file ReplicatedLogTypes.h Small types of the replicated log. */
 #pragma once
 
+#include "kingcup/EnumNames.h"
 #include "kingcup/MillisecondClock.h"
 
 #include <cstdint>
@@ -25,6 +26,13 @@
     Leader, ///< Orders the entries.
 };
 
+constexpr EnumName<LogRole> logRoleNames[] = {
+    { LogRole::Follower, "follower" },
+    { LogRole::PreCandidate, "pre-candidate" },
+    { LogRole::Candidate, "candidate" },
+    { LogRole::Leader, "leader" },
+};
+
 /** Timing and size limits of the replicated log. */
 struct ReplicatedLogOptions {
     GroupId group = 0; ///< Which log this is.
--- /dev/null
+++ b/programs/kingcupswitchd/BearerToken.cpp
@@ -0,0 +1,46 @@
+/** @file BearerToken.cpp Implementation of the token check. */
+#include "BearerToken.h"
+
+#include "kingcup/ResultCode.h"
+
+#include <fstream>
+
+namespace kingcup {
+
+namespace {
+
+constexpr size_t minTokenLength = 16;
+constexpr std::string_view scheme = "Bearer ";
+
+/** Compares two texts in a time that depends on their lengths only. */
+bool equalInConstantTime(std::string_view given, std::string_view expected)
+{
+    unsigned difference = given.size() == expected.size() ? 0 : 1;
+    for (size_t position = 0; position < given.size(); position++)
+        difference |= static_cast<unsigned char>(given[position]) ^ static_cast<unsigned char>(expected[position % expected.size()]);
+    return difference == 0;
+}
+
+} // namespace
+
+std::error_code BearerToken::load(const std::string& file)
+{
+    std::ifstream stream(file);
+    std::string line;
+    if (!std::getline(stream, line))
+        return ResultCode::FileError;
+    if (line.size() < minTokenLength)
+        return ResultCode::Unauthorized;
+    this->token = line;
+    return {};
+}
+
+bool BearerToken::matches(const HttpHeaders& headers) const
+{
+    std::string_view value = headers.find("Authorization").value_or("");
+    if (this->token.empty() || !value.starts_with(scheme))
+        return false;
+    return equalInConstantTime(value.substr(scheme.size()), this->token);
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/CallAnswer.cpp
@@ -0,0 +1,176 @@
+/** @file CallAnswer.cpp The answer of a call: whole or streamed, and the end of the call. */
+#include "Call.h"
+
+#include "kingcup/JsonLog.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+namespace {
+
+constexpr Milliseconds stallCheckInterval { 500 };
+constexpr int stallChecks = 4; ///< Checks without a byte after which a download goes on elsewhere.
+constexpr int maxResumes = 3;
+constexpr Milliseconds defaultRetryAfter { 1000 };
+
+} // namespace
+
+/** Makes an attempt the source of the answer and sends what was held so far. */
+void Call::streamFrom(const AttemptPointer& attempt)
+{
+    this->winner = attempt;
+    this->winnerStarted = attempt->started;
+    this->cancelOthers(attempt);
+    if (this->match.kind->repeatable)
+        this->resume = resumePoint(this->exchange->head(), attempt->head);
+    bool notRun = this->promisedNotRun(attempt->head.status);
+    this->exchange->startAnswer(callerHead(attempt->head, notRun ? ResultCode::NotRunByTarget : ResultCode::Ok, notRun ? RunState::NotRun : RunState::Ran));
+    std::string held;
+    held.swap(attempt->held);
+    if (!held.empty())
+        this->deliver(held);
+    if (this->resume)
+        this->scheduleStallCheck();
+}
+
+void Call::deliver(const std::string& data)
+{
+    this->delivered += data.size();
+    if (!this->callerPresent)
+        return;
+    if (!this->exchange->write(data))
+        this->answerBlocked.store(true);
+}
+
+/** Answers with an attempt's whole answer. */
+void Call::answerWhole(const AttemptPointer& attempt)
+{
+    this->winner = attempt;
+    this->cancelOthers(attempt);
+    bool notRun = this->promisedNotRun(attempt->head.status) && !this->anySent;
+    ResultCode code = notRun ? ResultCode::NotRunByTarget : ResultCode::Ok;
+    if (this->callerPresent)
+        this->exchange->answer(callerHead(attempt->head, code, notRun ? RunState::NotRun : RunState::Ran), attempt->held);
+    this->conclude(code);
+}
+
+/** The source of a streamed answer ended: cleanly, or the download goes on elsewhere, or the caller sees an error. */
+void Call::streamEnded(const AttemptPointer& attempt, const UpstreamResult& result)
+{
+    bool wholeLength = !this->resume || this->delivered == this->resume->length;
+    if (result.outcome == UpstreamOutcome::Complete && wholeLength) {
+        this->targetTime = MillisecondClock::now() - this->winnerStarted;
+        if (this->callerPresent)
+            this->exchange->finish();
+        bool notRun = this->promisedNotRun(attempt->head.status);
+        this->conclude(notRun ? ResultCode::NotRunByTarget : ResultCode::Ok);
+        return;
+    }
+    this->anySent = true;
+    if (this->resumeElsewhere())
+        return;
+    if (this->callerPresent)
+        this->exchange->abort();
+    this->conclude(ResultCode::AnswerTruncated);
+}
+
+/** Goes on with a download on another target. Returns false when that cannot be done. */
+bool Call::resumeElsewhere()
+{
+    bool possible = this->resume && this->callerPresent && this->resumes < maxResumes && this->delivered < this->resume->length;
+    if (!possible || MillisecondClock::now() >= this->deadline)
+        return false;
+    if (!this->startAttempt(false, this->delivered))
+        return false;
+    this->resumes++;
+    this->winner = this->attempts.back();
+    this->gateway.metrics.count("kingcup_resumes_total", this->match.service->name);
+    this->scheduleStallCheck();
+    return true;
+}
+
+void Call::scheduleStallCheck()
+{
+    this->gateway.timers.cancel(this->stallTimer);
+    uint64_t seen = this->delivered;
+    TimePoint when = MillisecondClock::now() + stallCheckInterval * stallChecks;
+    this->stallTimer = this->gateway.timers.schedule(when, [self = this->shared_from_this(), seen] {
+        self->serial.post([self, seen] { self->stallCheck(seen); });
+    });
+}
+
+/** Ends the source of a download that has brought no byte since the last check, unless the caller is the slow side. */
+void Call::stallCheck(uint64_t seenBytes)
+{
+    this->stallTimer = 0;
+    if (this->over || !this->winner)
+        return;
+    bool stalled = this->delivered == seenBytes && !this->answerBlocked.load();
+    if (stalled && this->resumes < maxResumes) {
+        this->winner->stalled = true;
+        this->gateway.upstream.cancel(this->winner->handle);
+        return;
+    }
+    this->scheduleStallCheck();
+}
+
+/** Answers with a result of this VM. When some attempt may have run, the code says so. */
+void Call::refuse(ResultCode code, Milliseconds retryAfter)
+{
+    if (this->over)
+        return;
+    if (this->callerPresent) {
+        auto [head, text] = ownAnswer(code, retryAfter);
+        this->exchange->answer(std::move(head), std::move(text));
+    }
+    this->conclude(code);
+}
+
+/** Ends the call: gives back its place, reports the claim's outcome, counts. */
+void Call::conclude(ResultCode code)
+{
+    if (this->over)
+        return;
+    this->over = true;
+    this->gateway.timers.cancel(this->hedgeTimer);
+    this->gateway.timers.cancel(this->stallTimer);
+    Milliseconds total = MillisecondClock::now() - this->arrived;
+    if (this->isAdmitted)
+        this->match.runtime->finish(this->targetTime.count() > 0 ? this->targetTime : total, this->overloaded);
+    if (this->claimed)
+        this->finishClaim(code);
+    this->cancelOthers(nullptr);
+    std::string service = this->match.service ? this->match.service->name : "";
+    this->gateway.metrics.call(service, this->match.kind ? this->match.kind->name : "", code);
+    if (this->targetTime.count() > 0)
+        this->gateway.metrics.callDuration(service, total.count(), (total - this->targetTime).count());
+}
+
+/** Reports the outcome of a claimed request. */
+void Call::finishClaim(ResultCode code)
+{
+    RunState run = resultCodeRow(code).runState;
+    if (code == ResultCode::Ok && this->winner) {
+        wire::RecordedAnswer answer;
+        answer.set_status(static_cast<uint32_t>(this->winner->head.status));
+        answer.set_content_type(std::string(this->winner->head.headers.find("Content-Type").value_or("")));
+        bool small = !this->delivered && this->winner->held.size() <= this->match.service->limits.maxRecordedAnswerBytes;
+        answer.set_complete(small);
+        if (small)
+            answer.set_body(this->winner->held);
+        this->gateway.claims.finish(this->ticket, wire::OUTCOME_FINISHED, std::move(answer));
+        return;
+    }
+    bool notRun = run == RunState::NotRun && !this->anySent && !this->anyActive();
+    this->gateway.claims.finish(this->ticket, notRun ? wire::OUTCOME_NOT_RUN : wire::OUTCOME_UNKNOWN, {});
+}
+
+/** Returns whether the manifest names this status as the target's promise that it did not run the request. */
+bool Call::promisedNotRun(int status) const
+{
+    const std::vector<int>& statuses = this->match.kind->notRunStatuses;
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/CallAttempt.cpp
@@ -0,0 +1,66 @@
+/** @file CallAttempt.cpp Tables that translate the ends of attempts. */
+#include "CallAttempt.h"
+
+#include "kingcup/ResultCode.h"
+
+namespace kingcup {
+
+namespace {
+
+constexpr int statusTooManyRequests = 429;
+constexpr int firstServerErrorStatus = 500;
+constexpr int overloadStatuses[] = { statusTooManyRequests, 502, 503, 504 };
+
+/** What an outcome means to the router and to the caller. */
+struct OutcomeRow {
+    UpstreamOutcome outcome; ///< Outcome of the upstream client.
+    AttemptOutcome router; ///< Seen by the router.
+    ResultCode sentCode; ///< Result when the request may have reached the target.
+    ResultCode notSentCode; ///< Result when it cannot have.
+};
+
+constexpr OutcomeRow outcomeTable[] = {
+    { UpstreamOutcome::Complete, AttemptOutcome::Answered, ResultCode::Ok, ResultCode::Ok },
+    { UpstreamOutcome::ConnectFailed, AttemptOutcome::ConnectFailed, ResultCode::ConnectionLost, ResultCode::ConnectFailed },
+    { UpstreamOutcome::ConnectionLost, AttemptOutcome::ConnectionLost, ResultCode::ConnectionLost, ResultCode::ConnectFailed },
+    { UpstreamOutcome::Truncated, AttemptOutcome::ConnectionLost, ResultCode::AnswerTruncated, ResultCode::ConnectFailed },
+    { UpstreamOutcome::TimedOut, AttemptOutcome::TimedOut, ResultCode::DeadlineAfterSend, ResultCode::DeadlineBeforeSend },
+    { UpstreamOutcome::Cancelled, AttemptOutcome::Cancelled, ResultCode::ConnectionLost, ResultCode::ConnectFailed },
+    { UpstreamOutcome::Invalid, AttemptOutcome::ServerError, ResultCode::AnswerInvalid, ResultCode::ConnectFailed },
+};
+
+const OutcomeRow& outcomeRow(UpstreamOutcome outcome)
+{
+    for (const OutcomeRow& row : outcomeTable) {
+        if (row.outcome == outcome)
+            return row;
+    }
+    return outcomeTable[0];
+}
+
+} // namespace
+
+AttemptOutcome routerOutcome(const UpstreamResult& result, const CallAttempt& attempt)
+{
+    if (attempt.stalled)
+        return AttemptOutcome::TimedOut;
+    bool serverError = result.outcome == UpstreamOutcome::Complete && (attempt.head.status >= firstServerErrorStatus || attempt.head.status == statusTooManyRequests);
+    return serverError ? AttemptOutcome::ServerError : outcomeRow(result.outcome).router;
+}
+
+ResultCode failureCode(const UpstreamResult& result)
+{
+    const OutcomeRow& row = outcomeRow(result.outcome);
+    return result.maybeSent ? row.sentCode : row.notSentCode;
+}
+
+bool isOverloadStatus(int status)
+{
+    for (int overload : overloadStatuses) {
+        if (status == overload)
+            return true;
+    }
+    return false;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/CallAttempts.cpp
@@ -0,0 +1,340 @@
+/** @file CallAttempts.cpp The attempts of a call: placing, hedging, retrying and crash containment. */
+#include "Call.h"
+
+#include "kingcup/HttpRules.h"
+#include "kingcup/JsonLog.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace kingcup {
+
+namespace {
+
+constexpr Milliseconds maxConnectTimeout { 1000 };
+constexpr Milliseconds suspicionTimeout { 500 }; ///< With control unreachable, the local count of suspicions decides after this time.
+constexpr Milliseconds defaultRetryAfter { 1000 };
+
+} // namespace
+
+/** Places an attempt on a target. Returns false when there is none, or the request must not run again. */
+bool Call::startAttempt(bool hedge, uint64_t resumeOffset)
+{
+    TimePoint now = MillisecondClock::now();
+    const std::string& service = this->match.service->name;
+    ContainmentVerdict verdict = this->gateway.containment.verdict(service, this->fingerprint, MillisecondClock::wallTimeMs());
+    if (verdict == ContainmentVerdict::Refuse)
+        return false;
+    std::vector<std::string> excluded = this->excludedTargets(verdict);
+    std::optional<Pick> pick = this->match.runtime->router.pick(excluded, now);
+    if (!pick)
+        return false;
+    auto attempt = std::make_shared<CallAttempt>();
+    attempt->pick = *pick;
+    attempt->started = now;
+    attempt->hedge = hedge;
+    attempt->resumeOffset = resumeOffset;
+    this->attempts.push_back(attempt);
+    this->gateway.containment.started(service, this->fingerprint, pick->address);
+    attempt->handle = this->gateway.upstream.start(this->upstreamRequest(attempt));
+    if (this->attempts.size() == 1)
+        this->scheduleHedge();
+    return true;
+}
+
+/** Returns the targets that this call used, and for a suspect those on which other suspects run. */
+std::vector<std::string> Call::excludedTargets(ContainmentVerdict verdict) const
+{
+    std::vector<std::string> excluded;
+    if (verdict == ContainmentVerdict::RunAlone)
+        excluded = this->gateway.containment.targetsWithSuspects(this->match.service->name);
+    for (const AttemptPointer& attempt : this->attempts)
+        excluded.push_back(attempt->pick.address);
+    return excluded;
+}
+
+UpstreamRequest Call::upstreamRequest(const AttemptPointer& attempt)
+{
+    const HttpRequestHead& head = this->exchange->head();
+    Milliseconds remaining = this->deadline - attempt->started;
+    UpstreamRequest request;
+    request.address = attempt->pick.address;
+    request.method = head.method;
+    request.target = head.target;
+    request.headers = targetHeaders(head, remaining, this->parameters.depth);
+    if (attempt->resumeOffset)
+        addRangeHeaders(request.headers, *this->resume, attempt->resumeOffset);
+    request.repeatable = this->match.kind->repeatable;
+    request.connectTimeout = std::min(maxConnectTimeout, remaining);
+    request.deadline = this->deadline;
+    request.hasBody = !this->body->empty() || head.contentLength.has_value() || !this->bodyComplete;
+    auto self = this->shared_from_this();
+    if (this->bodyComplete) {
+        request.body = this->body;
+    } else {
+        request.bodyLength = head.contentLength;
+        request.bodySource = [self](char* buffer, size_t size) { return self->nextBodyBytes(buffer, size); };
+    }
+    request.onHead = [self, attempt](const HttpAnswerHead& answer) {
+        self->serial.post([self, attempt, answer] { self->headArrived(attempt, answer); });
+    };
+    request.onData = [self, attempt](std::string_view data) {
+        self->serial.post([self, attempt, bytes = std::string(data)] { self->dataArrived(attempt, bytes); });
+        return !self->answerBlocked.load();
+    };
+    request.onEnd = [self, attempt](const UpstreamResult& result) {
+        self->serial.post([self, attempt, result] { self->attemptEnded(attempt, result); });
+    };
+    return request;
+}
+
+/** Gives the next bytes of a streamed body: first what was read before the attempt, then what arrives. */
+int Call::nextBodyBytes(char* buffer, size_t size)
+{
+    this->bodyConsumed.store(true);
+    if (this->bodySent < this->body->size()) {
+        size_t count = std::min(size, this->body->size() - this->bodySent);
+        std::memcpy(buffer, this->body->data() + this->bodySent, count);
+        this->bodySent += count;
+        return static_cast<int>(count);
+    }
+    std::string chunk;
+    switch (this->exchange->readBody(chunk, size)) {
+    case HttpExchange::BodyState::Wait:
+        return bodyPause;
+    case HttpExchange::BodyState::Broken:
+        return bodyAbort;
+    default:
+        std::memcpy(buffer, chunk.data(), chunk.size());
+        return static_cast<int>(chunk.size());
+    }
+}
+
+void Call::scheduleHedge()
+{
+    const Kind& kind = *this->match.kind;
+    if (!kind.repeatable || !kind.hedge || !this->bodyComplete || this->parameters.depth > 0)
+        return;
+    TimePoint now = MillisecondClock::now();
+    std::optional<Milliseconds> delay = this->match.runtime->retries.hedgeDelay(kind, now);
+    if (!delay || now + *delay >= this->deadline)
+        return;
+    this->hedgeTimer = this->gateway.timers.schedule(now + *delay, [self = this->shared_from_this()] {
+        self->serial.post([self] { self->hedgeDue(); });
+    });
+}
+
+/** Starts a second attempt when the first has not begun to answer. */
+void Call::hedgeDue()
+{
+    this->hedgeTimer = 0;
+    bool waiting = this->attempts.size() == 1 && !this->attempts[0]->headSeen && !this->attempts[0]->ended;
+    if (this->over || this->winner || !waiting)
+        return;
+    if (!this->match.runtime->retries.mayHedge(*this->match.kind, MillisecondClock::now()))
+        return;
+    if (this->startAttempt(true, 0))
+        this->gateway.metrics.count("kingcup_hedges_total", this->match.service->name);
+}
+
+void Call::headArrived(const AttemptPointer& attempt, const HttpAnswerHead& head)
+{
+    attempt->head = head;
+    attempt->headSeen = true;
+    TimePoint now = MillisecondClock::now();
+    if (std::optional<std::string_view> value = head.headers.find(headerLoad)) {
+        if (std::optional<LoadReport> load = parseLoadReport(*value))
+            this->match.runtime->router.report(attempt->pick.address, *load, Milliseconds(0), now);
+    }
+    if (this->over || attempt->discarded)
+        return;
+    if (attempt->resumeOffset) {
+        if (!continuesAt(head, *this->resume, attempt->resumeOffset))
+            this->gateway.upstream.cancel(attempt->handle);
+        return;
+    }
+    if (this->retryAfterStatus(attempt))
+        return;
+    uint64_t heldLimit = this->match.service->limits.maxHeldAnswerBytes;
+    if (!this->winner && head.contentLength.value_or(0) > heldLimit)
+        this->streamFrom(attempt);
+}
+
+/** Tries another target when this one says that it is overloaded and the request may run again. Returns whether the answer is discarded. */
+bool Call::retryAfterStatus(const AttemptPointer& attempt)
+{
+    bool notRun = this->promisedNotRun(attempt->head.status);
+    if (this->winner || !(notRun || (isOverloadStatus(attempt->head.status) && this->match.kind->repeatable)))
+        return false;
+    this->overloaded = true;
+    attempt->discarded = true;
+    if (this->anyActive() || this->retryAllowed(!notRun, AttemptOutcome::ServerError)) {
+        if (this->anyActive() || this->startAttempt(false, 0)) {
+            this->fallback = attempt;
+            this->anySent = this->anySent || !notRun;
+            return true;
+        }
+    }
+    attempt->discarded = false;
+    return false;
+}
+
+void Call::dataArrived(const AttemptPointer& attempt, const std::string& data)
+{
+    bool unwanted = attempt->discarded && attempt != this->fallback;
+    if (this->over || unwanted || attempt->ended)
+        return;
+    if (this->winner == attempt) {
+        this->deliver(data);
+        return;
+    }
+    if (this->winner)
+        return;
+    attempt->held += data;
+    if (attempt->held.size() <= this->match.service->limits.maxHeldAnswerBytes)
+        return;
+    if (!attempt->discarded) {
+        this->streamFrom(attempt);
+        return;
+    }
+    this->fallback.reset();
+    this->gateway.upstream.cancel(attempt->handle);
+}
+
+/** Tells router, retry policy and containment of the end of an attempt, once. */
+void Call::noteEnd(const AttemptPointer& attempt, const UpstreamResult& result)
+{
+    attempt->ended = true;
+    attempt->complete = result.outcome == UpstreamOutcome::Complete;
+    TimePoint now = MillisecondClock::now();
+    AttemptOutcome outcome = routerOutcome(result, *attempt);
+    this->match.runtime->router.finish(attempt->pick, outcome, result.firstByte, now);
+    const std::string& service = this->match.service->name;
+    if (result.outcome == UpstreamOutcome::Complete) {
+        this->match.runtime->retries.latency(result.total, now);
+        if (this->gateway.containment.succeeded(service, this->fingerprint, attempt->pick.address)) {
+            wire::Command command;
+            command.mutable_clear_suspicion()->set_service(service);
+            command.mutable_clear_suspicion()->set_fingerprint(this->fingerprint);
+            this->gateway.leader.command(std::move(command), suspicionTimeout, [](const wire::CommandResult&) {});
+        }
+        return;
+    }
+    bool lostUnanswered = result.outcome == UpstreamOutcome::ConnectionLost && result.maybeSent;
+    if (!lostUnanswered)
+        this->gateway.containment.ended(service, this->fingerprint, attempt->pick.address);
+    else if (this->gateway.containment.connectionLost(service, this->fingerprint, attempt->pick.address))
+        this->reportSuspicion(attempt);
+}
+
+/** Has the leader record that a target was lost while it ran this request; the call goes on when that is done. */
+void Call::reportSuspicion(const AttemptPointer& attempt)
+{
+    this->pendingSuspicions++;
+    wire::Command command;
+    wire::Suspicion* suspicion = command.mutable_suspicion();
+    suspicion->set_service(this->match.service->name);
+    suspicion->set_fingerprint(this->fingerprint);
+    suspicion->set_target(attempt->pick.address);
+    suspicion->set_target_incarnation(attempt->pick.incarnation);
+    suspicion->set_quarantine_ms(static_cast<uint64_t>(this->match.service->limits.quarantine.count()));
+    this->gateway.metrics.count("kingcup_suspicions_total", this->match.service->name);
+    this->gateway.leader.command(std::move(command), suspicionTimeout, [self = this->shared_from_this()](const wire::CommandResult& result) {
+        self->serial.post([self, result] {
+            self->pendingSuspicions--;
+            self->quarantined = self->quarantined || result.suspected_targets() >= 2;
+            if (!self->over && !self->winner)
+                self->retryOrFail();
+        });
+    });
+}
+
+void Call::attemptEnded(const AttemptPointer& attempt, const UpstreamResult& result)
+{
+    if (attempt->ended)
+        return;
+    this->noteEnd(attempt, result);
+    if (this->over || attempt->discarded)
+        return;
+    if (this->winner == attempt) {
+        this->streamEnded(attempt, result);
+        return;
+    }
+    if (this->winner)
+        return;
+    if (result.outcome == UpstreamOutcome::Complete) {
+        this->targetTime = result.total;
+        this->answerWhole(attempt);
+        return;
+    }
+    this->attemptFailed(attempt, result);
+}
+
+void Call::attemptFailed(const AttemptPointer& attempt, const UpstreamResult& result)
+{
+    // "Not run" of a later attempt must not hide that an earlier one may have run.
+    if (result.maybeSent || !this->anySent)
+        this->lastFailure = failureCode(result);
+    this->lastOutcome = routerOutcome(result, *attempt);
+    this->lastSent = result.maybeSent;
+    this->anySent = this->anySent || result.maybeSent;
+    this->overloaded = this->overloaded || result.outcome == UpstreamOutcome::TimedOut;
+    this->retryOrFail();
+}
+
+/** Starts another attempt if policy, budget and containment allow it; otherwise answers at once. */
+void Call::retryOrFail()
+{
+    if (this->anyActive() || this->pendingSuspicions > 0)
+        return;
+    if (this->retryAllowed(this->lastSent, this->lastOutcome) && this->startAttempt(false, 0))
+        return;
+    // A target's promise that it did not run the request says nothing about an attempt that was sent elsewhere.
+    bool staleNotRun = this->fallback && this->anySent && this->promisedNotRun(this->fallback->head.status);
+    if (!this->fallback || staleNotRun) {
+        this->refuse(this->lastFailure, defaultRetryAfter);
+        return;
+    }
+    AttemptPointer answer = this->fallback;
+    this->fallback.reset();
+    answer->discarded = false;
+    if (answer->complete)
+        this->answerWhole(answer);
+    else if (answer->ended)
+        this->refuse(ResultCode::ConnectionLost, defaultRetryAfter);
+}
+
+/** Asks policy, budget and containment whether the request may run on another target. */
+bool Call::retryAllowed(bool sent, AttemptOutcome outcome)
+{
+    bool bodyGone = this->bodyConsumed.load();
+    if (this->quarantined || bodyGone || !this->gateway.leaseValid() || !this->callerPresent)
+        return false;
+    RetryQuestion question;
+    question.repeatable = this->match.kind->repeatable;
+    question.sent = sent;
+    question.attempts = static_cast<uint32_t>(this->attempts.size());
+    question.depth = this->parameters.depth;
+    question.outcome = outcome;
+    question.deadline = this->deadline;
+    if (!this->match.runtime->retries.mayRetry(question, MillisecondClock::now()))
+        return false;
+    this->gateway.metrics.count("kingcup_retries_total", this->match.service->name);
+    return true;
+}
+
+bool Call::anyActive() const
+{
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [](const AttemptPointer& attempt) { return !attempt->ended && !attempt->discarded; });
+}
+
+/** Cancels all attempts but one. */
+void Call::cancelOthers(const AttemptPointer& keep)
+{
+    for (const AttemptPointer& attempt : this->attempts) {
+        if (attempt != keep && !attempt->ended)
+            this->gateway.upstream.cancel(attempt->handle);
+    }
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/CallHeaders.h
@@ -0,0 +1,33 @@
+/** @file CallHeaders.h Header fields that an entry VM forwards, adds and removes. */
+#pragma once
+
+#include "kingcup/HttpTypes.h"
+#include "kingcup/MillisecondClock.h"
+#include "kingcup/ResultCode.h"
+
+#include <optional>
+#include <string>
+
+namespace kingcup {
+
+/** What the caller's header fields say about the call. */
+struct CallParameters {
+    ResultCode code = ResultCode::Ok; ///< BadRequest or DepthExceeded when a field is malformed or too large.
+    std::optional<Milliseconds> deadline; ///< Remaining time that the caller states.
+    uint32_t depth = 0; ///< Call depth.
+    std::string idempotencyKey; ///< Empty: none.
+};
+
+/** Reads the deadline, depth and idempotency key of a request. */
+CallParameters parseCallParameters(const HttpHeaders& headers);
+
+/** Returns the fields for the target: end-to-end fields of the caller, remaining deadline and the next depth. */
+HttpHeaders targetHeaders(const HttpRequestHead& head, Milliseconds remaining, uint32_t depth);
+
+/** Returns the answer's head for the caller: end-to-end fields of the target and the result. */
+HttpAnswerHead callerHead(const HttpAnswerHead& targetHead, ResultCode result, RunState run);
+
+/** Returns the head and JSON body of an answer that this VM gives itself. @param retryAfter When the caller should come back; used by codes that ask for it. */
+std::pair<HttpAnswerHead, std::string> ownAnswer(ResultCode code, Milliseconds retryAfter);
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/Gateway.cpp
@@ -0,0 +1,134 @@
+/** @file Gateway.cpp Implementation of the shared part of calls. */
+#include "Gateway.h"
+
+#include "Call.h"
+
+#include "kingcup/JsonLog.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+namespace {
+
+constexpr uint32_t idleConnectionsPerThread = 2000;
+constexpr uint32_t assumedEntryVms = 32; ///< Divisor of probe budgets while the number is unknown; above the 17 entry VMs of the largest deployment.
+
+/** Orders rows so that the first match is the most specific one. */
+bool moreSpecific(const RequestTableRow& one, const RequestTableRow& other)
+{
+    bool oneHasHost = !one.service->host.empty();
+    bool otherHasHost = !other.service->host.empty();
+    if (oneHasHost != otherHasHost)
+        return oneHasHost;
+    if (one.service->pathPrefix.size() != other.service->pathPrefix.size())
+        return one.service->pathPrefix.size() > other.service->pathPrefix.size();
+    return one.service->name < other.service->name;
+}
+
+/** Returns an empty table. */
+std::unique_ptr<const RequestTable> emptyTable()
+{
+    auto table = std::make_unique<RequestTable>();
+    table->configuration = std::make_shared<ConfigurationSnapshot>();
+    return table;
+}
+
+} // namespace
+
+Gateway::Gateway(const Settings& settings, LeaderClient& leader, ClaimClient& claims, Metrics& metrics, uint64_t seed)
+    : entryVm(settings.vm)
+    , leader(leader)
+    , claims(claims)
+    , metrics(metrics)
+    , upstream(settings.upstreamThreads, idleConnectionsPerThread)
+    , table(emptyTable())
+    , zone(settings.availabilityZone)
+    , leaseTerm(settings.leaseTerm)
+    , assumedVms(assumedEntryVms)
+    , seed(seed)
+{
+}
+
+void Gateway::handle(std::shared_ptr<HttpExchange> exchange)
+{
+    auto call = std::make_shared<Call>(*this, std::move(exchange));
+    call->start();
+}
+
+void Gateway::configure(std::shared_ptr<const ConfigurationSnapshot> configuration)
+{
+    std::lock_guard<std::mutex> lock(this->configureMutex);
+    std::map<std::string, std::shared_ptr<ServiceRuntime>> runtimes;
+    for (const RequestTableRow& row : this->services())
+        runtimes[row.service->name] = row.runtime;
+    TimePoint now = MillisecondClock::now();
+    auto next = std::make_unique<RequestTable>();
+    for (const auto& [name, service] : configuration->services) {
+        std::shared_ptr<ServiceRuntime>& runtime = runtimes[name];
+        if (!runtime)
+            runtime = std::make_shared<ServiceRuntime>(*service, this->entryVm, this->zone, this->assumedVms, this->seed ^ std::hash<std::string>()(name), this->timers);
+        auto targets = configuration->targets.find(name);
+        runtime->update(*service, targets == configuration->targets.end() ? std::vector<wire::TargetRecord>() : targets->second, now);
+        next->rows.push_back({ service, runtime });
+    }
+    std::sort(next->rows.begin(), next->rows.end(), moreSpecific);
+    this->containment.update(*configuration);
+    next->configuration = std::move(configuration);
+    logLine(LogLevel::Info, "configuration_in_force", { { "index", next->configuration->index }, { "manifest", next->configuration->manifestNumber } });
+    this->metrics.gauge("kingcup_manifest_number", static_cast<double>(next->configuration->manifestNumber));
+    this->table.replace(std::move(next));
+}
+
+void Gateway::setLease(TimePoint end, uint32_t liveVms)
+{
+    this->leaseEndMs.store(end.time_since_epoch().count());
+    TimePoint now = MillisecondClock::now();
+    for (const RequestTableRow& row : this->services())
+        row.runtime->setLiveVms(liveVms, this->leaseTerm, now);
+}
+
+std::vector<RequestTableRow> Gateway::services() const
+{
+    RcuReadGuard guard;
+    return this->table.read(guard).rows;
+}
+
+void Gateway::reportLoads(const std::vector<wire::TargetLoad>& loads)
+{
+    std::map<std::string, std::shared_ptr<ServiceRuntime>> runtimes;
+    for (const RequestTableRow& row : this->services())
+        runtimes[row.service->name] = row.runtime;
+    TimePoint now = MillisecondClock::now();
+    for (const wire::TargetLoad& load : loads) {
+        auto runtime = runtimes.find(load.target().service());
+        if (runtime == runtimes.end())
+            continue;
+        LoadReport report { load.in_flight(), load.target().slots(), load.latency_ms() };
+        runtime->second->router.report(load.target().address(), report, Milliseconds(load.age_ms()), now);
+    }
+}
+
+void Gateway::stop()
+{
+    this->upstream.stop();
+    this->timers.stop();
+}
+
+nlohmann::json Gateway::dump() const
+{
+    TimePoint now = MillisecondClock::now();
+    nlohmann::json services;
+    for (const RequestTableRow& row : this->services())
+        services[row.service->name] = row.runtime->dump(now);
+    std::shared_ptr<const ConfigurationSnapshot> configuration;
+    {
+        RcuReadGuard guard;
+        configuration = this->table.read(guard).configuration;
+    }
+    return { { "services", services }, { "configurationIndex", configuration->index }, { "manifestNumber", configuration->manifestNumber },
+        { "manifestDigest", configuration->manifestDigest }, { "quarantines", configuration->quarantines.size() }, { "activeCalls", this->activeCalls.load() },
+        { "leaseMs", this->leaseEndMs.load() - now.time_since_epoch().count() }, { "claimReportsOpen", this->claims.unreported() }, { "stopping", this->stopping.load() } };
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/LeaderClient.cpp
@@ -0,0 +1,157 @@
+/** @file LeaderClient.cpp Implementation of the client of the control group. */
+#include "LeaderClient.h"
+
+#include <optional>
+
+namespace kingcup {
+
+namespace {
+
+constexpr Milliseconds repeatInterval { 300 }; ///< Without an answer, the next control VM is tried after this time.
+constexpr Milliseconds redirectPause { 30 }; ///< Pause before the next try when nobody knows the leader.
+
+/** What an answer says about the leader. */
+struct LeaderHint {
+    int32_t code = 0; ///< Result code of the answer.
+    uint32_t leader = 0; ///< Leader named; 0 for none.
+};
+
+/** Returns the result code and leader of an answer; empty for other messages. */
+std::optional<LeaderHint> leaderHint(const wire::Envelope& answer)
+{
+    switch (answer.body_case()) {
+    case wire::Envelope::kCommandAnswer:
+        return LeaderHint { answer.command_answer().result().result_code(), answer.command_answer().leader_vm() };
+    case wire::Envelope::kQueryAnswer:
+        return LeaderHint { answer.query_answer().result_code(), answer.query_answer().leader_vm() };
+    case wire::Envelope::kAdminAnswer:
+        return LeaderHint { answer.admin_answer().result_code(), answer.admin_answer().leader_vm() };
+    case wire::Envelope::kHeartbeatAnswer:
+        return LeaderHint { answer.heartbeat_answer().result_code(), 0 };
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+LeaderClient::LeaderClient(LinkHub& hub, std::vector<uint32_t> controlVms)
+    : hub(hub)
+    , controlVms(std::move(controlVms))
+    , lastRequestId(static_cast<uint64_t>(MillisecondClock::wallTimeMs()) << 20)
+{
+}
+
+void LeaderClient::request(wire::Envelope envelope, Milliseconds timeout, Done done)
+{
+    uint64_t id = this->nextRequestId();
+    envelope.set_request_id(id);
+    TimePoint deadline = MillisecondClock::now() + timeout;
+    this->hub.post([this, id, deadline, envelope = std::move(envelope), done = std::move(done)]() mutable {
+        Pending& entry = this->pending[id];
+        entry.envelope = std::move(envelope);
+        entry.done = std::move(done);
+        entry.deadline = deadline;
+        this->send(entry, MillisecondClock::now());
+    });
+}
+
+void LeaderClient::command(wire::Command command, Milliseconds timeout, std::function<void(const wire::CommandResult&)> done)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_command_request()->mutable_command() = std::move(command);
+    this->request(std::move(envelope), timeout, [done = std::move(done)](ResultCode code, const wire::Envelope& answer) {
+        if (code == ResultCode::Ok && answer.has_command_answer()) {
+            done(answer.command_answer().result());
+            return;
+        }
+        wire::CommandResult failed;
+        failed.set_result_code(static_cast<int>(ResultCode::CommandTimeout));
+        done(failed);
+    });
+}
+
+/** Sends a request to the leader, or to the next control VM while none is known. */
+void LeaderClient::send(Pending& pending, TimePoint now)
+{
+    pending.repeatAt = now + repeatInterval;
+    this->hub.send(this->preferredVm(), pending.envelope);
+}
+
+uint32_t LeaderClient::preferredVm() const
+{
+    uint32_t leader = this->knownLeader.load();
+    return leader ? leader : this->controlVms[this->position % this->controlVms.size()];
+}
+
+void LeaderClient::setLeader(uint32_t vm)
+{
+    this->knownLeader.store(vm);
+}
+
+void LeaderClient::tryNextVm()
+{
+    this->knownLeader.store(0);
+    this->position++;
+}
+
+/** Handles an answer of a control VM that does not lead. Returns whether the request goes on. */
+bool LeaderClient::redirect(const wire::Envelope& answer, Pending& pending)
+{
+    std::optional<LeaderHint> hint = leaderHint(answer);
+    if (!hint)
+        return false;
+    ResultCode code = static_cast<ResultCode>(hint->code);
+    bool goOn = code == ResultCode::NotLeader || code == ResultCode::NotBootstrapped || code == ResultCode::CommandAbandoned || code == ResultCode::NoQuorum;
+    if (!goOn)
+        return false;
+    TimePoint now = MillisecondClock::now();
+    if (hint->leader && hint->leader != answer.sender_vm()) {
+        this->setLeader(hint->leader);
+        this->send(pending, now);
+        return true;
+    }
+    this->tryNextVm();
+    pending.repeatAt = now + redirectPause;
+    return true;
+}
+
+bool LeaderClient::receive(const wire::Envelope& envelope)
+{
+    auto entry = this->pending.find(envelope.request_id());
+    if (entry == this->pending.end())
+        return false;
+    if (this->redirect(envelope, entry->second))
+        return true;
+    if (envelope.sender_vm() && leaderHint(envelope))
+        this->setLeader(envelope.sender_vm());
+    Done done = std::move(entry->second.done);
+    this->pending.erase(entry);
+    done(ResultCode::Ok, envelope);
+    return true;
+}
+
+void LeaderClient::tick(TimePoint now)
+{
+    bool unanswered = false;
+    std::vector<Done> expired;
+    for (auto entry = this->pending.begin(); entry != this->pending.end();) {
+        Pending& pending = entry->second;
+        if (now >= pending.deadline) {
+            expired.push_back(std::move(pending.done));
+            entry = this->pending.erase(entry);
+            continue;
+        }
+        if (now >= pending.repeatAt) {
+            if (!unanswered)
+                this->tryNextVm();
+            unanswered = true;
+            this->send(pending, now);
+        }
+        ++entry;
+    }
+    for (Done& done : expired)
+        done(ResultCode::CommandTimeout, wire::Envelope());
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/LeaderClient.h
@@ -0,0 +1,72 @@
+/** @file LeaderClient.h Sends requests to the leader of the control group and repeats them until they are answered. */
+#pragma once
+
+#include "kingcup/Link.h"
+#include "kingcup/MillisecondClock.h"
+#include "kingcup/ResultCode.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace kingcup {
+
+/**
+ * Client side of the links. A request is sent again, to another control VM if need be, until an answer
+ * comes or its time is over; so only requests that are idempotent may be given. Runs on the thread of the hub.
+ */
+class LeaderClient {
+public:
+    /** Called once. With Ok the envelope holds the answer; otherwise the code is CommandTimeout. */
+    using Done = std::function<void(ResultCode, const wire::Envelope&)>;
+
+    /** @param hub Hub whose thread runs this client. @param controlVms Ids to try. */
+    LeaderClient(LinkHub& hub, std::vector<uint32_t> controlVms);
+
+    /** Starts a request. Thread-safe; `done` is called on the thread of the hub. @param timeout Time until it is given up. */
+    void request(wire::Envelope envelope, Milliseconds timeout, Done done);
+
+    /** Wraps a command in a request. A timeout is reported as a result with CommandTimeout. */
+    void command(wire::Command command, Milliseconds timeout, std::function<void(const wire::CommandResult&)> done);
+
+    /** Takes an answer. Returns false when the envelope is none of an open request. Thread of the hub only. */
+    bool receive(const wire::Envelope& envelope);
+
+    /** Repeats and gives up requests. Thread of the hub only. */
+    void tick(TimePoint now);
+
+    /** Returns the control VM that last answered as leader; 0 for none. */
+    uint32_t leader() const { return this->knownLeader.load(); }
+
+    /** Takes a hint about the leader from another message. Thread of the hub only. */
+    void setLeader(uint32_t vm);
+
+    /** Forgets the leader and turns to the next control VM. Thread of the hub only. */
+    void tryNextVm();
+
+    /** Returns the control VM to send the next request to. Thread of the hub only. */
+    uint32_t preferredVm() const;
+
+    /** Returns a new request id. Thread-safe. */
+    uint64_t nextRequestId() { return ++this->lastRequestId; }
+
+private:
+    struct Pending {
+        wire::Envelope envelope; ///< Request.
+        Done done; ///< Called once.
+        TimePoint deadline {}; ///< Given up then.
+        TimePoint repeatAt {}; ///< Sent again then.
+    };
+    void send(Pending& pending, TimePoint now);
+    bool redirect(const wire::Envelope& answer, Pending& pending);
+
+    LinkHub& hub; ///< Sends.
+    std::vector<uint32_t> controlVms; ///< Ids to try.
+    size_t position = 0; ///< Next id to try without a known leader.
+    std::atomic<uint32_t> knownLeader { 0 }; ///< Last leader heard of.
+    std::atomic<uint64_t> lastRequestId; ///< Last id given; starts at the wall time, so that ids of an earlier process do not come again.
+    std::map<uint64_t, Pending> pending; ///< By request id.
+};
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/OperatorApi.cpp
@@ -0,0 +1,308 @@
+/** @file OperatorApi.cpp Implementation of the operators' interface. */
+#include "OperatorApi.h"
+
+#include "kingcup/JsonLog.h"
+#include "kingcup/ManifestParser.h"
+
+#include <absl/strings/str_split.h>
+
+namespace kingcup {
+
+namespace {
+
+constexpr Milliseconds queryTimeout { 2000 };
+constexpr Milliseconds commandTimeout { 8000 };
+constexpr size_t bodyChunkBytes = 64u << 10;
+constexpr int statusOk = 200;
+constexpr uint32_t listenerThreads = 1;
+constexpr uint32_t maxConnections = 1000;
+
+void answerText(const std::shared_ptr<HttpExchange>& exchange, int status, std::string_view contentType, std::string text)
+{
+    HttpAnswerHead head;
+    head.status = status;
+    head.headers.add("Content-Type", contentType);
+    exchange->answer(std::move(head), std::move(text));
+}
+
+void answerJson(const std::shared_ptr<HttpExchange>& exchange, int status, const nlohmann::ordered_json& body)
+{
+    answerText(exchange, status, jsonContentType, body.dump() + "\n");
+}
+
+/** Returns the fields with which every JSON answer begins. */
+nlohmann::ordered_json resultFields(ResultCode code, const std::string& detail)
+{
+    const ResultCodeRow& row = resultCodeRow(code);
+    return { { "code", static_cast<int>(code) }, { "name", row.name }, { "detail", detail.empty() ? std::string(row.text) : detail } };
+}
+
+void answerResult(const std::shared_ptr<HttpExchange>& exchange, ResultCode code, const std::string& detail = {})
+{
+    answerJson(exchange, resultCodeRow(code).httpStatus, resultFields(code, detail));
+}
+
+/** Returns the value of a query parameter; empty when it is missing. */
+std::string queryParameter(const std::string& target, std::string_view name)
+{
+    size_t question = target.find('?');
+    if (question == std::string::npos)
+        return {};
+    for (std::string_view pair : absl::StrSplit(std::string_view(target).substr(question + 1), '&')) {
+        if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
+            return std::string(pair.substr(name.size() + 1));
+    }
+    return {};
+}
+
+HttpListenerOptions operatorListenerOptions(const Settings& settings)
+{
+    HttpListenerOptions options;
+    options.address = settings.operatorListener;
+    options.threads = listenerThreads;
+    options.maxConnections = maxConnections;
+    options.maxHeaderBytes = settings.maxHeaderBytes;
+    options.maxBodyBytes = maxManifestBytes;
+    options.slowSenderTimeout = settings.slowSenderTimeout;
+    return options;
+}
+
+} // namespace
+
+const OperatorApi::Route OperatorApi::routes[] = {
+    { "GET", "/healthz", Access::Open, &OperatorApi::health },
+    { "GET", "/readyz", Access::Open, &OperatorApi::readiness },
+    { "GET", "/metrics", Access::Open, &OperatorApi::exposeMetrics },
+    { "GET", "/v1/dump", Access::Operator, &OperatorApi::dump },
+    { "GET", "/v1/status", Access::Operator, &OperatorApi::status },
+    { "GET", "/v1/targets", Access::Operator, &OperatorApi::targets },
+    { "GET", "/v1/manifest", Access::Operator, &OperatorApi::showManifest },
+    { "POST", "/v1/manifest", Access::Operator, &OperatorApi::applyManifest },
+    { "POST", "/v1/bootstrap", Access::Operator, &OperatorApi::bootstrap },
+    { "POST", "/v1/replace-control", Access::Operator, &OperatorApi::replaceControl },
+    { "POST", "/v1/targets/announce", Access::Target, &OperatorApi::announceTarget },
+};
+
+OperatorApi::OperatorApi(const Settings& settings, LeaderClient& leader, TargetAnnouncements& announcements, Metrics& metrics, OperatorApiHooks hooks)
+    : settings(settings)
+    , leader(leader)
+    , announcements(announcements)
+    , metrics(metrics)
+    , hooks(std::move(hooks))
+    , listener(operatorListenerOptions(settings), [this](const Exchange& exchange) { this->handle(exchange); })
+{
+}
+
+std::error_code OperatorApi::start()
+{
+    if (std::error_code error = this->operatorToken.load(this->settings.operatorTokenFile))
+        return error;
+    if (std::error_code error = this->targetToken.load(this->settings.targetTokenFile))
+        return error;
+    return this->listener.start();
+}
+
+void OperatorApi::stop()
+{
+    this->listener.stop();
+}
+
+void OperatorApi::handle(const Exchange& exchange)
+{
+    ResultCode code = ResultCode::Ok;
+    const Route* route = this->findRoute(exchange->head(), code);
+    if (!route) {
+        answerResult(exchange, code);
+        return;
+    }
+    if (!this->permitted(route->access, exchange->head().headers)) {
+        answerResult(exchange, ResultCode::Unauthorized);
+        return;
+    }
+    auto body = std::make_shared<std::string>();
+    exchange->setReadableHook([this, exchange, route, body] { this->readBody(exchange, *route, body); });
+    this->readBody(exchange, *route, body);
+}
+
+/** Returns the route of a request, or null with NotFound or MethodNotAllowed. */
+const OperatorApi::Route* OperatorApi::findRoute(const HttpRequestHead& head, ResultCode& code) const
+{
+    code = ResultCode::NotFound;
+    for (const Route& route : routes) {
+        if (route.path != head.path)
+            continue;
+        if (route.method == head.method)
+            return &route;
+        code = ResultCode::MethodNotAllowed;
+    }
+    return nullptr;
+}
+
+bool OperatorApi::permitted(Access access, const HttpHeaders& headers) const
+{
+    switch (access) {
+    case Access::Open:
+        return true;
+    case Access::Operator:
+        return this->operatorToken.matches(headers);
+    case Access::Target:
+        return this->targetToken.matches(headers);
+    }
+    return false;
+}
+
+/** Reads what has arrived of the body and calls the handler at its end. */
+void OperatorApi::readBody(const Exchange& exchange, const Route& route, const std::shared_ptr<std::string>& body)
+{
+    for (;;) {
+        std::string chunk;
+        HttpExchange::BodyState state = exchange->readBody(chunk, bodyChunkBytes);
+        body->append(chunk);
+        if (state == HttpExchange::BodyState::Wait)
+            return;
+        if (state == HttpExchange::BodyState::Broken) {
+            answerResult(exchange, ResultCode::BadRequest);
+            return;
+        }
+        if (state == HttpExchange::BodyState::End) {
+            (this->*route.handler)(exchange, *body);
+            return;
+        }
+    }
+}
+
+void OperatorApi::health(const Exchange& exchange, const std::string&)
+{
+    answerText(exchange, statusOk, "text/plain", "ok\n");
+}
+
+void OperatorApi::readiness(const Exchange& exchange, const std::string&)
+{
+    bool ready = this->hooks.ready();
+    answerText(exchange, ready ? statusOk : resultCodeRow(ResultCode::Isolated).httpStatus, "text/plain", ready ? "ready\n" : "not ready\n");
+}
+
+void OperatorApi::exposeMetrics(const Exchange& exchange, const std::string&)
+{
+    answerText(exchange, statusOk, "text/plain; version=0.0.4", this->metrics.expose());
+}
+
+void OperatorApi::dump(const Exchange& exchange, const std::string&)
+{
+    this->hooks.dump([exchange](const nlohmann::json& state) { answerJson(exchange, statusOk, state); });
+}
+
+/** Answers with the leader's view, or with this VM's own one when no leader answers. */
+void OperatorApi::status(const Exchange& exchange, const std::string&)
+{
+    wire::Envelope envelope;
+    envelope.mutable_query_request()->set_subject("status");
+    this->leader.request(std::move(envelope), queryTimeout, [this, exchange](ResultCode code, const wire::Envelope& answer) {
+        if (code == ResultCode::Ok && answer.query_answer().result_code() == 0) {
+            answerText(exchange, statusOk, jsonContentType, answer.query_answer().json() + "\n");
+            return;
+        }
+        this->hooks.localStatus([exchange](const nlohmann::json& state) { answerJson(exchange, statusOk, state); });
+    });
+}
+
+void OperatorApi::targets(const Exchange& exchange, const std::string&)
+{
+    this->query(exchange, "targets");
+}
+
+void OperatorApi::showManifest(const Exchange& exchange, const std::string&)
+{
+    std::string number = queryParameter(exchange->head().target, "number");
+    this->query(exchange, number.empty() ? "manifest" : "manifest:" + number);
+}
+
+/** Asks the leader and passes its answer on. */
+void OperatorApi::query(const Exchange& exchange, const std::string& subject)
+{
+    wire::Envelope envelope;
+    envelope.mutable_query_request()->set_subject(subject);
+    this->leader.request(std::move(envelope), queryTimeout, [exchange](ResultCode code, const wire::Envelope& answer) {
+        if (code != ResultCode::Ok)
+            answerResult(exchange, ResultCode::NoQuorum);
+        else
+            answerText(exchange, statusOk, jsonContentType, answer.query_answer().json() + "\n");
+    });
+}
+
+/** Checks a manifest here, so that errors need no leader, and hands it to the leader. */
+void OperatorApi::applyManifest(const Exchange& exchange, const std::string& body)
+{
+    auto parsed = parseManifest(body);
+    if (const DocumentError* error = std::get_if<DocumentError>(&parsed)) {
+        answerResult(exchange, error->code, error->pointer + ": " + error->text);
+        return;
+    }
+    wire::Envelope envelope;
+    envelope.mutable_command_request()->set_manifest_json(body);
+    this->leader.request(std::move(envelope), commandTimeout, [this, exchange](ResultCode code, const wire::Envelope& answer) {
+        if (code != ResultCode::Ok)
+            answerResult(exchange, code);
+        else
+            this->answerManifest(exchange, answer.command_answer().result());
+    });
+}
+
+/** Answers an accepted or refused manifest; an accepted one with how far it is in force. */
+void OperatorApi::answerManifest(const Exchange& exchange, const wire::CommandResult& result)
+{
+    ResultCode code = static_cast<ResultCode>(result.result_code());
+    nlohmann::ordered_json fields = resultFields(code, result.detail());
+    fields["number"] = result.manifest_number();
+    fields["digest"] = result.manifest_digest();
+    fields["index"] = result.index();
+    int status = resultCodeRow(code).httpStatus;
+    logLine(LogLevel::Info, "manifest_answered", { { "result", resultCodeRow(code).name }, { "number", result.manifest_number() } });
+    if (code != ResultCode::Ok) {
+        answerJson(exchange, status, fields);
+        return;
+    }
+    wire::Envelope envelope;
+    envelope.mutable_query_request()->set_subject("manifest:" + std::to_string(result.manifest_number()));
+    this->leader.request(std::move(envelope), queryTimeout, [exchange, fields, status](ResultCode queryCode, const wire::Envelope& answer) mutable {
+        if (queryCode == ResultCode::Ok)
+            fields["inForce"] = nlohmann::json::parse(answer.query_answer().json())["inForce"];
+        answerJson(exchange, status, fields);
+    });
+}
+
+void OperatorApi::bootstrap(const Exchange& exchange, const std::string&)
+{
+    if (!this->hooks.bootstrap) {
+        answerResult(exchange, ResultCode::NotFound, "this VM has no role control");
+        return;
+    }
+    this->hooks.bootstrap([exchange](ResultCode code, const std::string& detail) { answerResult(exchange, code, detail); });
+}
+
+void OperatorApi::replaceControl(const Exchange& exchange, const std::string& body)
+{
+    nlohmann::json object = nlohmann::json::parse(body, nullptr, false);
+    if (!object.is_object() || !object.contains("id") || !object["id"].is_number_unsigned()) {
+        answerResult(exchange, ResultCode::CommandMalformed, "/id: must be the id of a control VM");
+        return;
+    }
+    wire::Envelope envelope;
+    envelope.mutable_replace_control_request()->mutable_member()->set_vm_id(object["id"].get<uint32_t>());
+    this->leader.request(std::move(envelope), commandTimeout, [exchange](ResultCode code, const wire::Envelope& answer) {
+        answerResult(exchange, code == ResultCode::Ok ? static_cast<ResultCode>(answer.admin_answer().result_code()) : code);
+    });
+}
+
+void OperatorApi::announceTarget(const Exchange& exchange, const std::string& body)
+{
+    auto parsed = parseAnnouncement(body);
+    if (const std::string* error = std::get_if<std::string>(&parsed)) {
+        answerResult(exchange, ResultCode::CommandMalformed, *error);
+        return;
+    }
+    this->announcements.add(std::get<wire::TargetLoad>(std::move(parsed)));
+    answerResult(exchange, ResultCode::Ok);
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/ServiceRuntime.cpp
@@ -0,0 +1,117 @@
+/** @file ServiceRuntime.cpp Implementation of the runtime state of a service. */
+#include "ServiceRuntime.h"
+
+namespace kingcup {
+
+namespace {
+
+constexpr Milliseconds farAway { 60000 }; ///< Events later than this need no timer.
+
+} // namespace
+
+ServiceRuntime::ServiceRuntime(const Service& service, const std::string& entryVm, const std::string& zone, uint32_t assumedVms, uint64_t seed, TimerQueue& timers)
+    : router(RoutingPolicy::Adaptive, entryVm, zone, RandomSource(seed))
+    , retries(service.limits)
+    , timers(timers)
+    , admission(service.limits)
+    , probeBudget(service.measuringBudget, assumedVms)
+{
+}
+
+void ServiceRuntime::update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now)
+{
+    this->router.update(service, targets, now);
+    this->retries.setLimits(service.limits);
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->probeBudget.setBudget(service.measuringBudget);
+    this->admission.setLimits(service.limits, this->router.usableSlots(now));
+    this->dispatch(this->admission.tick(now), std::move(lock));
+}
+
+void ServiceRuntime::admit(AdmissionRequest request, AdmissionHook hook)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->waiting.emplace(request.id, std::move(hook));
+    this->dispatch(this->admission.request(request, MillisecondClock::now()), std::move(lock));
+}
+
+bool ServiceRuntime::cancelAdmission(uint64_t id)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->admission.cancel(id))
+        return false;
+    this->waiting.erase(id);
+    return true;
+}
+
+void ServiceRuntime::finish(Milliseconds latency, bool overloaded)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->dispatch(this->admission.finish(latency, overloaded, MillisecondClock::now()), std::move(lock));
+}
+
+bool ServiceRuntime::takeProbe(const std::string& address, size_t bytes, TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->probeBudget.take(address, bytes, now);
+}
+
+void ServiceRuntime::setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->probeBudget.setLiveVms(liveVms, leaseTerm, now);
+}
+
+/** Calls the hooks of decided requests without the lock. */
+void ServiceRuntime::dispatch(const std::vector<AdmissionDecision>& decisions, std::unique_lock<std::mutex> lock)
+{
+    std::vector<std::pair<AdmissionHook, AdmissionDecision>> calls;
+    for (const AdmissionDecision& decision : decisions) {
+        auto entry = this->waiting.find(decision.id);
+        if (entry == this->waiting.end())
+            continue;
+        calls.emplace_back(std::move(entry->second), decision);
+        this->waiting.erase(entry);
+    }
+    this->scheduleTick();
+    lock.unlock();
+    for (auto& [hook, decision] : calls)
+        hook(decision);
+}
+
+/** Makes sure that a timer runs for the next event of the queue. Called with the lock held. */
+void ServiceRuntime::scheduleTick()
+{
+    if (this->waiting.empty())
+        return;
+    TimePoint now = MillisecondClock::now();
+    TimePoint when = std::min(this->admission.nextEvent(), now + farAway);
+    if (this->tickTimer && this->tickTime <= when)
+        return;
+    this->timers.cancel(this->tickTimer);
+    this->tickTime = when;
+    this->tickTimer = this->timers.schedule(when, [weak = this->weak_from_this()] {
+        std::shared_ptr<ServiceRuntime> runtime = weak.lock();
+        if (!runtime)
+            return;
+        std::unique_lock<std::mutex> lock(runtime->mutex);
+        runtime->tickTimer = 0;
+        runtime->dispatch(runtime->admission.tick(MillisecondClock::now()), std::move(lock));
+    });
+}
+
+nlohmann::json ServiceRuntime::dump(TimePoint now)
+{
+    nlohmann::json result;
+    result["targets"] = nlohmann::json::parse(this->router.dump(now));
+    result["outstanding"] = this->router.outstanding();
+    std::lock_guard<std::mutex> lock(this->mutex);
+    result["inFlight"] = this->admission.inFlight();
+    result["waiting"] = this->admission.waiting();
+    result["limit"] = this->admission.limit();
+    result["probesGranted"] = this->probeBudget.granted();
+    result["probesDenied"] = this->probeBudget.denied();
+    return result;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/TargetAnnouncements.cpp
@@ -0,0 +1,142 @@
+/** @file TargetAnnouncements.cpp Implementation of the collection of announcements. */
+#include "TargetAnnouncements.h"
+
+#include "kingcup/TargetStates.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace kingcup {
+
+namespace {
+
+constexpr Milliseconds batchInterval { 1000 };
+constexpr Milliseconds batchTimeout { 900 }; ///< A batch that was not answered is superseded by the next one.
+constexpr size_t maxNameBytes = 255;
+constexpr uint32_t maxSlots = 100000;
+
+/** Returns a string field; empty when it is missing, too long or no string. */
+std::string stringField(const nlohmann::json& object, const char* name)
+{
+    auto field = object.find(name);
+    if (field == object.end() || !field->is_string() || field->get_ref<const std::string&>().size() > maxNameBytes)
+        return {};
+    return field->get<std::string>();
+}
+
+/** Returns an unsigned field; `fallback` when it is missing or no unsigned number. */
+uint64_t numberField(const nlohmann::json& object, const char* name, uint64_t fallback)
+{
+    auto field = object.find(name);
+    return field != object.end() && field->is_number_unsigned() ? field->get<uint64_t>() : fallback;
+}
+
+/** Returns whether a text is host:port with an IPv4 host. */
+bool isHostAndPort(const std::string& text)
+{
+    size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0 || colon + 1 == text.size())
+        return false;
+    bool hostOk = text.find_first_not_of("0123456789.") >= colon;
+    bool portOk = text.find_first_not_of("0123456789", colon + 1) == std::string::npos;
+    return hostOk && portOk;
+}
+
+} // namespace
+
+std::variant<wire::TargetLoad, std::string> parseAnnouncement(std::string_view json)
+{
+    nlohmann::json object = nlohmann::json::parse(json, nullptr, false);
+    if (!object.is_object())
+        return std::string("not a JSON object");
+    wire::TargetLoad load;
+    wire::TargetRecord* target = load.mutable_target();
+    target->set_service(stringField(object, "service"));
+    target->set_address(stringField(object, "address"));
+    target->set_availability_zone(stringField(object, "availabilityZone"));
+    if (target->service().empty())
+        return std::string("/service: missing or malformed");
+    if (!isHostAndPort(target->address()))
+        return std::string("/address: must be IP:port");
+    std::optional<wire::TargetState> state = valueOf(targetStateNames, stringField(object, "state"));
+    if (!state)
+        return std::string("/state: must be starting, serving, draining or gone");
+    target->set_state(*state);
+    uint64_t slots = numberField(object, "slots", 0);
+    uint64_t incarnation = numberField(object, "incarnation", 0);
+    if (slots == 0 || slots > maxSlots)
+        return std::string("/slots: must be a whole number from 1 to 100000");
+    if (incarnation == 0)
+        return std::string("/incarnation: must be a whole number above 0");
+    target->set_slots(static_cast<uint32_t>(slots));
+    target->set_incarnation(incarnation);
+    load.set_in_flight(static_cast<uint32_t>(std::min<uint64_t>(numberField(object, "inFlight", 0), maxSlots)));
+    auto latency = object.find("latencyMs");
+    if (latency != object.end() && latency->is_number())
+        load.set_latency_ms(latency->get<double>());
+    return load;
+}
+
+TargetAnnouncements::TargetAnnouncements(LeaderClient& leader, DigestHook digestHook)
+    : leader(leader)
+    , digestHook(std::move(digestHook))
+{
+}
+
+void TargetAnnouncements::add(wire::TargetLoad load)
+{
+    std::pair<std::string, std::string> key(load.target().service(), load.target().address());
+    std::pair<uint64_t, wire::TargetState> state(load.target().incarnation(), load.target().state());
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto known = this->sent.find(key);
+    if (known == this->sent.end() || known->second != state)
+        this->urgent = true;
+    Waiting& entry = this->waiting[key];
+    if (entry.load.target().incarnation() > load.target().incarnation())
+        return;
+    entry.load = std::move(load);
+    entry.received = MillisecondClock::now();
+}
+
+void TargetAnnouncements::tick(TimePoint now)
+{
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        bool due = this->urgent || now >= this->nextBatch;
+        if (!due || this->waiting.empty())
+            return;
+        this->urgent = false;
+        this->nextBatch = now + batchInterval;
+    }
+    this->send(now);
+}
+
+/** Sends everything that waits. What the leader does not confirm is sent again as a new state when announced again. */
+void TargetAnnouncements::send(TimePoint now)
+{
+    wire::Envelope envelope;
+    std::vector<std::pair<std::string, std::string>> keys;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        for (auto& [key, entry] : this->waiting) {
+            entry.load.set_age_ms(static_cast<uint32_t>((now - entry.received).count()));
+            *envelope.mutable_heartbeat_batch()->add_targets() = entry.load;
+            this->sent[key] = { entry.load.target().incarnation(), entry.load.target().state() };
+            keys.push_back(key);
+        }
+        this->waiting.clear();
+    }
+    this->leader.request(std::move(envelope), batchTimeout, [this, keys](ResultCode code, const wire::Envelope& answer) {
+        if (code == ResultCode::Ok && answer.has_heartbeat_answer()) {
+            const auto& digest = answer.heartbeat_answer().digest();
+            this->digestHook({ digest.begin(), digest.end() });
+            return;
+        }
+        std::lock_guard<std::mutex> lock(this->mutex);
+        for (const auto& key : keys)
+            this->sent.erase(key);
+    });
+}
+
+} // namespace kingcup
