Add: HTTP listener and upstream client, plain path

The listener runs libmicrohttpd with suspended connections; the client runs libcurl's multi interface with epoll socket actions. A test forwards requests from a raw caller to a raw target. Refusals, limits and shutdown are not tested yet.

--- /dev/null
+++ b/packages/transport/src/AnswerParser.cpp
@@ -0,0 +1,83 @@
+/** @file AnswerParser.cpp Checks the header lines of a target's answer. */
+#include "AnswerParser.h"
+
+#include "HttpFraming.h"
+#include "HttpText.h"
+
+namespace kingcup {
+
+namespace {
+
+constexpr size_t statusOffset = 9; ///< Length of "HTTP/1.1 ".
+constexpr size_t statusDigits = 3;
+constexpr int switchingProtocols = 101;
+constexpr int noContent = 204;
+constexpr int notModified = 304;
+
+} // namespace
+
+AnswerParser::AnswerParser(std::string_view requestMethod, uint64_t headerLimit)
+    : headRequest(requestMethod == "HEAD")
+    , maxHeaderBytes(headerLimit)
+{
+}
+
+AnswerParser::Progress AnswerParser::takeLine(std::string_view line)
+{
+    this->headerBytes += line.size();
+    if (this->headerBytes > this->maxHeaderBytes || !line.ends_with('\n'))
+        return Progress::Invalid;
+    line.remove_suffix(line.ends_with("\r\n") ? 2 : 1);
+    if (this->answerHead.status == 0)
+        return this->takeStatus(line);
+    return line.empty() ? this->endHeader() : this->takeField(line);
+}
+
+void AnswerParser::restart()
+{
+    this->headerBytes = 0;
+    this->answerHead = {};
+}
+
+AnswerParser::Progress AnswerParser::takeStatus(std::string_view line)
+{
+    bool versionKnown = line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ");
+    bool statusEnds = line.size() == statusOffset + statusDigits || (line.size() > statusOffset + statusDigits && line[statusOffset + statusDigits] == ' ');
+    if (!versionKnown || !statusEnds)
+        return Progress::Invalid;
+    uint64_t status = parseDigits(line.substr(statusOffset, statusDigits)).value_or(0);
+    if (status < 100 || status > 599 || status == switchingProtocols)
+        return Progress::Invalid;
+    this->answerHead.status = static_cast<int>(status);
+    return Progress::More;
+}
+
+AnswerParser::Progress AnswerParser::takeField(std::string_view line)
+{
+    size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) || !isFieldValue(line.substr(colon + 1)))
+        return Progress::Invalid;
+    this->answerHead.headers.add(line.substr(0, colon), trimBlanks(line.substr(colon + 1)));
+    return Progress::More;
+}
+
+AnswerParser::Progress AnswerParser::endHeader()
+{
+    int status = this->answerHead.status;
+    if (status < 200) {
+        this->answerHead = {};
+        return Progress::More;
+    }
+    std::optional<BodyFraming> framing = bodyFraming(this->answerHead.headers);
+    if (!framing)
+        return Progress::Invalid;
+    bool bodyless = this->headRequest || status == noContent || status == notModified;
+    // A body that ends with the connection looks the same when the target crashes halfway.
+    if (!bodyless && !framing->chunked && !framing->contentLength)
+        return Progress::Invalid;
+    this->answerHead.contentLength = framing->contentLength;
+    this->isComplete = true;
+    return Progress::Complete;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/transport/src/HttpListener.cpp
@@ -0,0 +1,267 @@
+/** @file HttpListener.cpp Runs libmicrohttpd's daemon and hands its requests to exchanges. */
+#include "kingcup/HttpListener.h"
+
+#include "ConnectionWatcher.h"
+#include "ServedExchange.h"
+#include "SocketAddress.h"
+
+#include <cmath>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <unordered_set>
+#include <utility>
+
+namespace kingcup {
+
+namespace {
+
+/** Connections that wait for accept(). */
+constexpr int listenBacklog = 4096;
+
+/** Pool of a connection beyond its header: the parsed fields and the answer's header. */
+constexpr size_t poolExtraBytes = 32u << 10;
+
+using ExchangeHolder = std::shared_ptr<ServedExchange>;
+using CallerHolder = std::shared_ptr<CallerConnection>;
+
+/** Returns the caller that the watcher made for a connection. */
+CallerHolder callerOf(MHD_Connection* connection)
+{
+    const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return *static_cast<CallerHolder*>(info->socket_context);
+}
+
+/** Adds one header field to a RawHead. */
+MHD_Result addRawField(void* raw, MHD_ValueKind, const char* name, size_t nameSize, const char* value, size_t valueSize)
+{
+    std::string_view valueText = value ? std::string_view(value, valueSize) : std::string_view();
+    static_cast<RawHead*>(raw)->fields.emplace_back(std::string_view(name, nameSize), valueText);
+    return MHD_YES;
+}
+
+/** Reads the request's URI without changing it: targets are forwarded undecoded. */
+size_t keepEscapes(void*, MHD_Connection*, char* text)
+{
+    return std::char_traits<char>::length(text);
+}
+
+} // namespace
+
+/** The daemon and what its callbacks need. */
+struct HttpListener::State : ExchangeContext {
+    HttpListener::Handler handler; ///< Of the user.
+    MHD_Daemon* daemon = nullptr; ///< Null before start() and after stop().
+    int socket = -1; ///< Listening socket, -1 once closed.
+    uint16_t port = 0; ///< Port of the socket.
+    std::unordered_set<ServedExchange*> exchanges; ///< Open ones, guarded by `mutex`.
+    std::weak_ptr<State> self; ///< For the exchanges.
+
+    /** Opens the listening socket. */
+    bool listen();
+
+    /** Starts the daemon. */
+    bool startDaemon();
+
+    /** Closes the listening socket. */
+    void stopAccepting();
+
+    /** Makes the exchange of a request whose request line was received. */
+    ExchangeHolder* openExchange(const char* target, MHD_Connection* connection);
+
+    /** Handles the first call for a request: its header is complete. */
+    MHD_Result beginRequest(const ExchangeHolder& exchange, RawHead raw);
+
+    /** Ends all exchanges, so that no connection stays suspended. */
+    void dropExchanges();
+};
+
+/** The callbacks of libmicrohttpd; `state` is the listener's state. A template, because the state is a private type. */
+template <typename State>
+struct DaemonCallbacks {
+    static void* target(void* state, const char* uri, MHD_Connection* connection)
+    {
+        return static_cast<State*>(state)->openExchange(uri, connection);
+    }
+
+    static MHD_Result access(void* state, MHD_Connection* connection, const char*, const char* method, const char* version, const char* bytes, size_t* size, void** request)
+    {
+        auto* exchange = static_cast<ExchangeHolder*>(*request);
+        if (!exchange)
+            return MHD_NO;
+        if ((*exchange)->headSeen)
+            return (*exchange)->onBody(bytes, size);
+        RawHead raw;
+        raw.method = method;
+        raw.version = version;
+        raw.target = (*exchange)->targetText;
+        raw.targetStart = (*exchange)->targetStart;
+        raw.size = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)->header_size;
+        MHD_get_connection_values_n(connection, MHD_HEADER_KIND, addRawField, &raw);
+        return static_cast<State*>(state)->beginRequest(*exchange, std::move(raw));
+    }
+
+    static void completed(void* state, MHD_Connection*, void** request, MHD_RequestTerminationCode reason)
+    {
+        std::unique_ptr<ExchangeHolder> exchange(static_cast<ExchangeHolder*>(std::exchange(*request, nullptr)));
+        if (!exchange)
+            return;
+        {
+            std::lock_guard lock(static_cast<State*>(state)->mutex);
+            static_cast<State*>(state)->exchanges.erase(exchange->get());
+        }
+        (*exchange)->onCompleted(reason);
+    }
+
+    static void connectionChanged(void* state, MHD_Connection* connection, void** socketContext, MHD_ConnectionNotificationCode change)
+    {
+        ConnectionWatcher& watcher = *static_cast<State*>(state)->watcher;
+        if (change == MHD_CONNECTION_NOTIFY_STARTED) {
+            int socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+            *socketContext = new CallerHolder(watcher.add(socket));
+            return;
+        }
+        std::unique_ptr<CallerHolder> caller(static_cast<CallerHolder*>(std::exchange(*socketContext, nullptr)));
+        if (caller)
+            watcher.remove((*caller)->id);
+    }
+};
+
+bool HttpListener::State::listen()
+{
+    std::optional<SocketAddress> address = SocketAddress::parse(this->options.address);
+    if (!address)
+        return false;
+    this->socket = ::socket(address->family(), SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    int on = 1;
+    setsockopt(this->socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    bool listening = bind(this->socket, address->data(), address->size()) == 0 && ::listen(this->socket, listenBacklog) == 0;
+    if (!listening) {
+        close(std::exchange(this->socket, -1));
+        return false;
+    }
+    this->port = SocketAddress::ofSocket(this->socket).port();
+    return true;
+}
+
+bool HttpListener::State::startDaemon()
+{
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+    auto timeoutSeconds = static_cast<unsigned>(std::ceil(this->options.slowSenderTimeout.count() / 1000));
+    size_t poolBytes = 2 * this->options.maxHeaderBytes + poolExtraBytes;
+    unsigned poolThreads = this->options.threads > 1 ? this->options.threads : 0;
+    this->daemon = MHD_start_daemon(flags, 0, nullptr, nullptr, &DaemonCallbacks<State>::access, this,
+        MHD_OPTION_LISTEN_SOCKET, this->socket,
+        MHD_OPTION_THREAD_POOL_SIZE, poolThreads,
+        MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(this->options.maxConnections),
+        MHD_OPTION_CONNECTION_TIMEOUT, timeoutSeconds,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, poolBytes,
+        MHD_OPTION_STRICT_FOR_CLIENT, 1,
+        MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr,
+        MHD_OPTION_URI_LOG_CALLBACK, &DaemonCallbacks<State>::target, this,
+        MHD_OPTION_NOTIFY_COMPLETED, &DaemonCallbacks<State>::completed, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &DaemonCallbacks<State>::connectionChanged, this,
+        MHD_OPTION_END);
+    return this->daemon != nullptr;
+}
+
+ExchangeHolder* HttpListener::State::openExchange(const char* target, MHD_Connection* connection)
+{
+    auto exchange = std::make_shared<ServedExchange>(this->self.lock(), connection, callerOf(connection));
+    exchange->targetText = target;
+    exchange->targetStart = target;
+    std::lock_guard lock(this->mutex);
+    this->exchanges.insert(exchange.get());
+    return new ExchangeHolder(std::move(exchange));
+}
+
+MHD_Result HttpListener::State::beginRequest(const ExchangeHolder& exchange, RawHead raw)
+{
+    exchange->headSeen = true;
+    bool accepted = exchange->onHead(raw);
+    if (accepted && !exchange->watchCaller())
+        return MHD_NO;
+    if (accepted && !this->stopping)
+        this->handler(exchange);
+    return exchange->onHandedOver();
+}
+
+void HttpListener::State::dropExchanges()
+{
+    std::vector<std::shared_ptr<ServedExchange>> open;
+    {
+        std::lock_guard lock(this->mutex);
+        for (ServedExchange* exchange : this->exchanges)
+            open.push_back(exchange->shared_from_this());
+    }
+    for (const std::shared_ptr<ServedExchange>& exchange : open)
+        exchange->onGone(true);
+}
+
+void HttpListener::State::stopAccepting()
+{
+    if (!this->daemon || this->socket < 0)
+        return;
+    MHD_quiesce_daemon(this->daemon);
+    close(std::exchange(this->socket, -1));
+}
+
+HttpListener::HttpListener(HttpListenerOptions options, Handler handler, RefusedHook refusedHook)
+    : state(std::make_shared<State>())
+{
+    this->state->options = std::move(options);
+    this->state->handler = std::move(handler);
+    this->state->refusedHook = std::move(refusedHook);
+    this->state->watcher = std::make_shared<ConnectionWatcher>();
+    this->state->self = this->state;
+}
+
+HttpListener::~HttpListener()
+{
+    this->stop();
+}
+
+std::error_code HttpListener::start()
+{
+    bool started = this->state->listen() && this->state->startDaemon();
+    return started ? std::error_code() : make_error_code(ResultCode::ListenFailed);
+}
+
+uint16_t HttpListener::port() const
+{
+    return this->state->port;
+}
+
+void HttpListener::announceClose()
+{
+    this->state->closing = true;
+}
+
+void HttpListener::stopAccepting()
+{
+    this->state->stopAccepting();
+}
+
+uint32_t HttpListener::openExchanges() const
+{
+    std::lock_guard lock(this->state->mutex);
+    return this->state->open;
+}
+
+bool HttpListener::waitIdle(Milliseconds limit)
+{
+    std::unique_lock lock(this->state->mutex);
+    return this->state->idle.wait_for(lock, limit, [this] { return this->state->open == 0; });
+}
+
+void HttpListener::stop()
+{
+    this->state->stopping = true;
+    this->state->stopAccepting();
+    this->state->dropExchanges();
+    if (MHD_Daemon* daemon = std::exchange(this->state->daemon, nullptr))
+        MHD_stop_daemon(daemon);
+    this->state->watcher->stop();
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/transport/src/ServedAnswer.cpp
@@ -0,0 +1,182 @@
+/** @file ServedAnswer.cpp Answer side of an exchange. */
+#include "HttpText.h"
+#include "ServedExchange.h"
+
+#include "kingcup/HttpRules.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+namespace {
+
+/** Block that libmicrohttpd allocates for each streamed answer. */
+constexpr size_t streamBlockBytes = 32u << 10;
+
+/** Reads a streamed answer. */
+ssize_t readStream(void* exchange, uint64_t, char* buffer, size_t limit)
+{
+    return (*static_cast<std::shared_ptr<ServedExchange>*>(exchange))->onRead(buffer, limit);
+}
+
+/** Releases the exchange of a streamed answer. */
+void freeStream(void* exchange)
+{
+    delete static_cast<std::shared_ptr<ServedExchange>*>(exchange);
+}
+
+/** Releases the body of a whole answer. */
+void freeBody(void* body)
+{
+    delete static_cast<std::string*>(body);
+}
+
+/** Adds the end-to-end fields of an answer. The body's framing is libmicrohttpd's. */
+void addFields(MHD_Response* response, const HttpHeaders& headers)
+{
+    std::string_view connectionValue = headers.find("Connection").value_or("");
+    for (const HttpHeader& field : headers.fields) {
+        if (isHopByHop(field.name, connectionValue) || equalsIgnoreCase(field.name, "Content-Length"))
+            continue;
+        // libmicrohttpd refuses tabs, which mean the same as a blank.
+        std::string value = field.value;
+        std::replace(value.begin(), value.end(), '\t', ' ');
+        MHD_add_response_header(response, field.name.c_str(), value.c_str());
+    }
+}
+
+} // namespace
+
+bool ServedExchange::answer(HttpAnswerHead head, std::string bodyText)
+{
+    Lock lock(this->mutex);
+    if (this->over || this->answerState != AnswerState::None)
+        return false;
+    this->answerHead = std::move(head);
+    this->answerBody = std::move(bodyText);
+    this->answerState = AnswerState::Whole;
+    this->body.clear();
+    this->resume();
+    return true;
+}
+
+bool ServedExchange::startAnswer(HttpAnswerHead head)
+{
+    Lock lock(this->mutex);
+    if (this->over || this->answerState != AnswerState::None)
+        return false;
+    this->answerHead = std::move(head);
+    this->answerState = AnswerState::Streaming;
+    this->body.clear();
+    this->resume();
+    return true;
+}
+
+bool ServedExchange::write(std::string_view bytes)
+{
+    Lock lock(this->mutex);
+    if (this->over || this->answerState != AnswerState::Streaming)
+        return true;
+    this->stream.append(bytes);
+    this->streamBytes += bytes.size();
+    if (this->queued)
+        this->resume();
+    this->writerWaits = this->stream.size() >= this->context->options.answerBufferBytes;
+    return !this->writerWaits;
+}
+
+void ServedExchange::finish()
+{
+    Lock lock(this->mutex);
+    if (this->over || this->answerState != AnswerState::Streaming)
+        return;
+    bool complete = this->streamBytes == this->answerHead.contentLength.value_or(this->streamBytes);
+    bool bodyless = this->requestHead.method == "HEAD";
+    this->answerState = complete || bodyless ? AnswerState::Finished : AnswerState::Aborted;
+    this->resume();
+}
+
+void ServedExchange::abort()
+{
+    Lock lock(this->mutex);
+    if (this->over || this->answerState == AnswerState::Whole || this->answerState == AnswerState::Finished)
+        return;
+    this->answerState = AnswerState::Aborted;
+    this->resume();
+}
+
+ssize_t ServedExchange::onRead(char* buffer, size_t limit)
+{
+    Lock lock(this->mutex);
+    if (this->gone || this->answerState == AnswerState::Aborted) {
+        this->reset();
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (this->stream.size() == 0) {
+        if (this->answerState == AnswerState::Finished)
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        this->suspend();
+        return 0;
+    }
+    size_t count = this->stream.take(buffer, limit);
+    if (this->writerWaits && this->stream.size() <= this->context->options.answerBufferBytes / 2) {
+        this->writerWaits = false;
+        this->due.writable = true;
+        this->callHooks(lock);
+    }
+    return static_cast<ssize_t>(count);
+}
+
+void ServedExchange::refuse(ResultCode code)
+{
+    const ResultCodeRow& row = resultCodeRow(code);
+    std::string number = std::to_string(static_cast<int>(code));
+    this->answerHead = { row.httpStatus, {}, std::nullopt };
+    this->answerHead.headers.add("Content-Type", jsonContentType);
+    this->answerHead.headers.add(headerResult, number + " " + std::string(row.name));
+    this->answerHead.headers.add(headerRun, runStateName(row.runState));
+    this->answerBody = "{\"code\":" + number + ",\"result\":\"" + std::string(row.name) + "\",\"text\":\"" + std::string(row.text) + "\"}\n";
+    this->answerState = AnswerState::Whole;
+    this->closeAfterAnswer = true;
+    if (this->context->refusedHook)
+        this->context->refusedHook(code);
+}
+
+MHD_Response* ServedExchange::makeResponse()
+{
+    bool bodyless = this->requestHead.method == "HEAD";
+    bool whole = this->answerState == AnswerState::Whole && !(bodyless && this->answerHead.contentLength);
+    if (whole) {
+        auto bodyText = std::make_unique<std::string>(std::move(this->answerBody));
+        MHD_Response* response = MHD_create_response_from_buffer_with_free_callback_cls(bodyText->size(), bodyText->data(), freeBody, bodyText.get());
+        if (response)
+            (void)bodyText.release();
+        return response;
+    }
+    uint64_t size = this->answerHead.contentLength.value_or(MHD_SIZE_UNKNOWN);
+    auto self = std::make_unique<std::shared_ptr<ServedExchange>>(this->shared_from_this());
+    MHD_Response* response = MHD_create_response_from_callback(size, streamBlockBytes, readStream, self.get(), freeStream);
+    if (response)
+        (void)self.release();
+    return response;
+}
+
+MHD_Result ServedExchange::queueAnswer()
+{
+    if (this->answerState == AnswerState::Aborted) {
+        this->reset();
+        return MHD_NO;
+    }
+    MHD_Response* response = this->makeResponse();
+    if (!response)
+        return MHD_NO;
+    addFields(response, this->answerHead.headers);
+    if (this->context->closing || this->closeAfterAnswer)
+        MHD_add_response_header(response, "Connection", "close");
+    this->queued = true;
+    MHD_Result result = MHD_queue_response(this->connection, static_cast<unsigned>(this->answerHead.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/transport/src/ServedExchange.cpp
@@ -0,0 +1,238 @@
+/** @file ServedExchange.cpp Request side and life cycle of an exchange. */
+#include "ServedExchange.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace kingcup {
+
+ServedExchange::ServedExchange(std::shared_ptr<ExchangeContext> exchangeContext, MHD_Connection* usedConnection, std::shared_ptr<CallerConnection> usedCaller)
+    : context(std::move(exchangeContext))
+    , caller(std::move(usedCaller))
+    , connection(usedConnection)
+{
+    std::lock_guard lock(this->context->mutex);
+    ++this->context->open;
+}
+
+ServedExchange::~ServedExchange() = default;
+
+HttpExchange::BodyState ServedExchange::readBody(std::string& bytes, size_t limit)
+{
+    Lock lock(this->mutex);
+    if (this->bodyBroken || (this->over && !this->bodyEnded))
+        return BodyState::Broken;
+    if (this->body.size() == 0)
+        return this->bodyEnded ? BodyState::End : BodyState::Wait;
+    bytes.resize(std::min(limit, this->body.size()));
+    this->body.take(bytes.data(), bytes.size());
+    if (!this->bodyEnded && this->body.size() < this->context->options.bodyBufferBytes)
+        this->resume();
+    return BodyState::More;
+}
+
+void ServedExchange::setReadableHook(std::function<void()> hook)
+{
+    Lock lock(this->mutex);
+    this->readableHook.swap(hook);
+    lock.unlock();
+}
+
+void ServedExchange::setWritableHook(std::function<void()> hook)
+{
+    Lock lock(this->mutex);
+    this->writableHook.swap(hook);
+    lock.unlock();
+}
+
+void ServedExchange::setClosedHook(std::function<void(bool completed)> hook)
+{
+    Lock lock(this->mutex);
+    this->closedHook.swap(hook);
+    if (!this->over)
+        return;
+    // A hook set after the end runs on another thread, because the caller of this function may hold a lock.
+    this->due.closed = true;
+    this->context->watcher->post([self = this->shared_from_this()] {
+        Lock taskLock(self->mutex);
+        self->callHooks(taskLock);
+    });
+}
+
+void ServedExchange::callHooks(Lock& lock)
+{
+    if (this->callingHooks)
+        return;
+    this->callingHooks = true;
+    while (std::function<void()> hook = this->nextHook()) {
+        lock.unlock();
+        hook();
+        hook = nullptr;
+        lock.lock();
+    }
+    this->callingHooks = false;
+}
+
+std::function<void()> ServedExchange::nextHook()
+{
+    if (this->due.closed) {
+        this->due = {};
+        // The other hooks are released with the closed hook: they usually hold this exchange.
+        return [hook = std::move(this->closedHook), wasCompleted = this->completed, readable = std::move(this->readableHook), writable = std::move(this->writableHook)] {
+            if (hook)
+                hook(wasCompleted);
+        };
+    }
+    if (std::exchange(this->due.readable, false) && this->readableHook)
+        return this->readableHook;
+    if (std::exchange(this->due.writable, false) && this->writableHook)
+        return this->writableHook;
+    return {};
+}
+
+void ServedExchange::resume()
+{
+    if (!this->connection || !std::exchange(this->suspended, false))
+        return;
+    MHD_resume_connection(this->connection);
+}
+
+void ServedExchange::suspend()
+{
+    MHD_suspend_connection(this->connection);
+    this->suspended = true;
+}
+
+void ServedExchange::markOver(bool wasCompleted)
+{
+    if (std::exchange(this->over, true))
+        return;
+    this->completed = wasCompleted;
+    this->due.closed = true;
+    this->body.clear();
+    this->stream.clear();
+}
+
+void ServedExchange::reset()
+{
+    // Dissolving the association of a TCP socket makes Linux send RST at once. Closing it would send FIN first, which
+    // ends a body that is delimited by the end of the connection.
+    sockaddr none {};
+    none.sa_family = AF_UNSPEC;
+    connect(this->caller->socket, &none, sizeof(none));
+}
+
+bool ServedExchange::onHead(const RawHead& raw)
+{
+    const MHD_ConnectionInfo* address = MHD_get_connection_info(this->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    char text[INET6_ADDRSTRLEN] = "";
+    if (address && address->client_addr->sa_family == AF_INET)
+        inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in*>(address->client_addr)->sin_addr, text, sizeof(text));
+    else if (address && address->client_addr->sa_family == AF_INET6)
+        inet_ntop(AF_INET6, &reinterpret_cast<const sockaddr_in6*>(address->client_addr)->sin6_addr, text, sizeof(text));
+    this->requestHead.peer = text;
+    ResultCode code = raw.size > this->context->options.maxHeaderBytes
+        ? ResultCode::HeaderTooLarge
+        : checkRequestHead(raw, this->context->options.maxBodyBytes, this->requestHead, this->framing);
+    bool hasBody = this->framing.chunked || this->framing.contentLength.value_or(0) > 0;
+    Lock lock(this->mutex);
+    this->bodyEnded = !hasBody;
+    if (code == ResultCode::Ok)
+        return true;
+    this->refuse(code);
+    return false;
+}
+
+bool ServedExchange::watchCaller()
+{
+    std::lock_guard lock(this->caller->mutex);
+    this->caller->goneHook = [weak = this->weak_from_this()] {
+        if (auto self = weak.lock())
+            self->onGone(false);
+    };
+    return !this->caller->peerGone;
+}
+
+MHD_Result ServedExchange::onHandedOver()
+{
+    Lock lock(this->mutex);
+    if (this->gone)
+        return MHD_NO;
+    // An early answer saves the caller from sending its body. Without a body the next call queues the answer.
+    bool answered = this->answerState != AnswerState::None;
+    return answered && !this->bodyEnded ? this->queueAnswer() : MHD_YES;
+}
+
+MHD_Result ServedExchange::onBody(const char* bytes, size_t* size)
+{
+    Lock lock(this->mutex);
+    if (this->gone)
+        return MHD_NO;
+    if (*size > 0) {
+        MHD_Result result = this->takeBody(bytes, size);
+        this->callHooks(lock);
+        return result;
+    }
+    if (!std::exchange(this->bodyEnded, true))
+        this->due.readable = true;
+    this->callHooks(lock);
+    if (this->gone)
+        return MHD_NO;
+    if (this->answerState != AnswerState::None)
+        return this->queueAnswer();
+    this->suspend();
+    return MHD_YES;
+}
+
+MHD_Result ServedExchange::takeBody(const char* bytes, size_t* size)
+{
+    std::string_view received(bytes, std::exchange(*size, 0));
+    this->bodyBytes += received.size();
+    if (this->bodyBytes > this->context->options.maxBodyBytes && !std::exchange(this->bodyBroken, true))
+        this->refuse(ResultCode::BodyTooLarge);
+    this->due.readable = true;
+    bool unwanted = this->bodyBroken || this->answerState != AnswerState::None;
+    if (unwanted)
+        return MHD_YES;
+    this->body.append(received);
+    if (this->body.size() >= this->context->options.bodyBufferBytes)
+        this->suspend();
+    return MHD_YES;
+}
+
+void ServedExchange::onCompleted(MHD_RequestTerminationCode reason)
+{
+    {
+        std::lock_guard callerLock(this->caller->mutex);
+        this->caller->goneHook = nullptr;
+    }
+    Lock lock(this->mutex);
+    this->connection = nullptr;
+    bool slow = reason == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED && !this->bodyEnded;
+    this->markOver(reason == MHD_REQUEST_TERMINATED_COMPLETED_OK && this->queued);
+    this->due.readable = false;
+    this->callHooks(lock);
+    lock.unlock();
+    if (slow && this->context->refusedHook)
+        this->context->refusedHook(ResultCode::SlowSender);
+    std::lock_guard contextLock(this->context->mutex);
+    if (--this->context->open == 0)
+        this->context->idle.notify_all();
+}
+
+void ServedExchange::onGone(bool force)
+{
+    Lock lock(this->mutex);
+    bool answered = this->answerState == AnswerState::Whole || this->answerState == AnswerState::Finished;
+    // Once the whole answer was given, libmicrohttpd itself learns whether it could be sent.
+    if (this->over || (answered && !force))
+        return;
+    this->gone = true;
+    this->markOver(false);
+    this->resume();
+    this->callHooks(lock);
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/transport/src/SocketAddress.h
@@ -0,0 +1,29 @@
+/** @file SocketAddress.h Numeric socket addresses. */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <sys/socket.h>
+
+namespace kingcup {
+
+/** An IPv4 or IPv6 address with a port. */
+class SocketAddress {
+public:
+    /** Parses `host:port` or `[host]:port`; the host is numeric. */
+    static std::optional<SocketAddress> parse(const std::string& text);
+
+    /** Returns the local address of a socket. */
+    static SocketAddress ofSocket(int socket);
+
+    int family() const { return this->storage.ss_family; } ///< AF_INET or AF_INET6.
+    uint16_t port() const; ///< In host order.
+    const sockaddr* data() const { return reinterpret_cast<const sockaddr*>(&this->storage); } ///< For bind() and connect().
+    socklen_t size() const { return this->length; } ///< Bytes of data().
+
+private:
+    sockaddr_storage storage {}; ///< Address.
+    socklen_t length = sizeof(sockaddr_storage); ///< Bytes used.
+};
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -0,0 +1,261 @@
+/** @file UpstreamAttempt.cpp Sets up a transfer of libcurl and interprets its result. */
+#include "UpstreamAttempt.h"
+
+#include "HttpFraming.h"
+#include "HttpText.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kingcup {
+
+namespace {
+
+/** Fields of requests that libcurl would add by itself. An empty value keeps it from doing so. */
+constexpr std::string_view unwantedDefaults[] = { "Accept", "Content-Type", "User-Agent" };
+
+/** Receive buffer of one transfer, in bytes. */
+constexpr long receiveBufferBytes = 32 << 10;
+
+/** Returns whether the client itself decides about a field. */
+bool isOwnField(std::string_view name)
+{
+    return equalsIgnoreCase(name, "Content-Length") || equalsIgnoreCase(name, "Expect");
+}
+
+/** Returns whether servers expect a Content-Length even without a body (RFC 9110, 8.6). */
+bool announcesEmptyBody(std::string_view method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+/** Returns whole milliseconds, at least 1: libcurl takes 0 for no limit. */
+long wholeMilliseconds(Milliseconds duration)
+{
+    return std::max(1L, static_cast<long>(std::ceil(duration.count())));
+}
+
+} // namespace
+
+UpstreamAttempt::UpstreamAttempt(UpstreamClient::AttemptHandle handle, UpstreamRequest attemptRequest, TimePoint attemptStart)
+    : id(handle)
+    , request(std::move(attemptRequest))
+    , parser(this->request.method, this->request.maxHeaderBytes)
+    , startTime(attemptStart)
+{
+}
+
+UpstreamAttempt::~UpstreamAttempt()
+{
+    curl_slist_free_all(this->headerLines);
+}
+
+bool UpstreamAttempt::prepare(CURL* handle)
+{
+    this->curl = handle;
+    bool wellFormed = isToken(this->request.method) && isOriginForm(this->request.target) && this->setHeaders();
+    if (!wellFormed || this->isLate()) {
+        this->invalid = !wellFormed;
+        return false;
+    }
+    this->setBody();
+    this->setConnection();
+    curl_easy_setopt(this->curl, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(this->curl, CURLOPT_HTTPHEADER, this->headerLines);
+    curl_easy_setopt(this->curl, CURLOPT_HEADERFUNCTION, &UpstreamAttempt::onHeaderLine);
+    curl_easy_setopt(this->curl, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(this->curl, CURLOPT_WRITEFUNCTION, &UpstreamAttempt::onBodyBytes);
+    curl_easy_setopt(this->curl, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(this->curl, CURLOPT_READFUNCTION, &UpstreamAttempt::onReadBody);
+    curl_easy_setopt(this->curl, CURLOPT_READDATA, this);
+    curl_easy_setopt(this->curl, CURLOPT_PREREQFUNCTION, &UpstreamAttempt::onBeforeSend);
+    curl_easy_setopt(this->curl, CURLOPT_PREREQDATA, this);
+    return true;
+}
+
+void UpstreamAttempt::setBody()
+{
+    if (this->request.method == "HEAD")
+        curl_easy_setopt(this->curl, CURLOPT_NOBODY, 1L);
+    else if (!this->request.hasBody)
+        curl_easy_setopt(this->curl, CURLOPT_HTTPGET, 1L);
+    else if (this->request.body) {
+        curl_easy_setopt(this->curl, CURLOPT_POST, 1L);
+        curl_easy_setopt(this->curl, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(this->request.body->size()));
+        curl_easy_setopt(this->curl, CURLOPT_POSTFIELDS, this->request.body->data());
+    } else {
+        curl_off_t length = this->request.bodyLength ? static_cast<curl_off_t>(*this->request.bodyLength) : -1;
+        curl_easy_setopt(this->curl, CURLOPT_UPLOAD, 1L);
+        curl_easy_setopt(this->curl, CURLOPT_INFILESIZE_LARGE, length);
+    }
+    curl_easy_setopt(this->curl, CURLOPT_CUSTOMREQUEST, this->request.method.c_str());
+}
+
+void UpstreamAttempt::setConnection()
+{
+    curl_easy_setopt(this->curl, CURLOPT_URL, ("http://" + this->request.address + "/").c_str());
+    curl_easy_setopt(this->curl, CURLOPT_REQUEST_TARGET, this->request.target.c_str());
+    curl_easy_setopt(this->curl, CURLOPT_PROXY, "");
+    curl_easy_setopt(this->curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(this->curl, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(this->curl, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(this->curl, CURLOPT_BUFFERSIZE, receiveBufferBytes);
+    curl_easy_setopt(this->curl, CURLOPT_CONNECTTIMEOUT_MS, wholeMilliseconds(this->request.connectTimeout));
+    if (this->request.deadline != TimePoint {})
+        curl_easy_setopt(this->curl, CURLOPT_TIMEOUT_MS, wholeMilliseconds(this->request.deadline - MillisecondClock::now()));
+    // libcurl repeats a request by itself if a reused connection closes before the answer. A streamed body cannot be
+    // repeated at all.
+    bool streamed = this->request.hasBody && !this->request.body;
+    if (!this->request.repeatable || streamed)
+        curl_easy_setopt(this->curl, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+bool UpstreamAttempt::setHeaders()
+{
+    const HttpHeaders& headers = this->request.headers;
+    std::string_view connectionValue = headers.find("Connection").value_or("");
+    for (const HttpHeader& field : headers.fields) {
+        if (!isToken(field.name) || !isFieldValue(field.value))
+            return false;
+        if (isHopByHop(field.name, connectionValue) || isOwnField(field.name))
+            continue;
+        // libcurl drops a field with an empty value unless the name ends with a semicolon.
+        this->addHeaderLine(field.value.empty() ? field.name + ";" : field.name + ": " + field.value);
+    }
+    for (std::string_view name : unwantedDefaults) {
+        if (!headers.find(name))
+            this->addHeaderLine(std::string(name) + ":");
+    }
+    this->addHeaderLine("Expect:");
+    if (!this->request.hasBody && announcesEmptyBody(this->request.method))
+        this->addHeaderLine("Content-Length: 0");
+    return true;
+}
+
+void UpstreamAttempt::addHeaderLine(const std::string& line)
+{
+    this->headerLines = curl_slist_append(this->headerLines, line.c_str());
+}
+
+size_t UpstreamAttempt::onHeaderLine(char* bytes, size_t size, size_t count, void* self)
+{
+    bool accepted = static_cast<UpstreamAttempt*>(self)->takeHeaderLine({ bytes, size * count });
+    return accepted ? size * count : 0;
+}
+
+bool UpstreamAttempt::takeHeaderLine(std::string_view line)
+{
+    if (this->parser.complete())
+        return true; // Trailer fields are not forwarded.
+    if (!this->parser.sawBytes())
+        this->firstByteTime = MillisecondClock::now();
+    AnswerParser::Progress progress = this->parser.takeLine(line);
+    this->invalid = progress == AnswerParser::Progress::Invalid;
+    if (progress == AnswerParser::Progress::Complete && this->request.onHead)
+        this->request.onHead(this->parser.head());
+    return !this->invalid;
+}
+
+size_t UpstreamAttempt::onBodyBytes(char* bytes, size_t size, size_t count, void* self)
+{
+    auto* attempt = static_cast<UpstreamAttempt*>(self);
+    if (attempt->receivingPaused)
+        return CURL_WRITEFUNC_PAUSE;
+    attempt->receivedBodyBytes += size * count;
+    if (attempt->request.onData)
+        attempt->receivingPaused = !attempt->request.onData({ bytes, size * count });
+    return size * count;
+}
+
+size_t UpstreamAttempt::onReadBody(char* buffer, size_t size, size_t count, void* self)
+{
+    return static_cast<UpstreamAttempt*>(self)->readBody(buffer, size * count);
+}
+
+size_t UpstreamAttempt::readBody(char* buffer, size_t size)
+{
+    int given = this->request.bodySource ? this->request.bodySource(buffer, size) : bodyAbort;
+    if (given == bodyPause) {
+        this->sendingPaused = true;
+        return CURL_READFUNC_PAUSE;
+    }
+    this->sentBodyBytes += static_cast<uint64_t>(std::max(given, 0));
+    // A body shorter than announced must not end with a complete request.
+    bool isShort = given == 0 && this->sentBodyBytes < this->request.bodyLength.value_or(0);
+    bool isLong = this->request.bodyLength && this->sentBodyBytes > *this->request.bodyLength;
+    if (given < 0 || isShort || isLong) {
+        this->bodyAborted = true;
+        return CURL_READFUNC_ABORT;
+    }
+    return static_cast<size_t>(given);
+}
+
+int UpstreamAttempt::onBeforeSend(void* self, char*, char*, int, int)
+{
+    auto* attempt = static_cast<UpstreamAttempt*>(self);
+    attempt->maybeSent = true;
+    attempt->parser.restart();
+    return CURL_PREREQFUNC_OK;
+}
+
+void UpstreamAttempt::resumeReceiving()
+{
+    if (std::exchange(this->receivingPaused, false))
+        this->applyPauses();
+}
+
+void UpstreamAttempt::resumeSending()
+{
+    if (std::exchange(this->sendingPaused, false))
+        this->applyPauses();
+}
+
+void UpstreamAttempt::applyPauses()
+{
+    int paused = (this->receivingPaused ? CURLPAUSE_RECV : 0) | (this->sendingPaused ? CURLPAUSE_SEND : 0);
+    curl_easy_pause(this->curl, paused);
+}
+
+bool UpstreamAttempt::isLate() const
+{
+    return this->request.deadline != TimePoint {} && MillisecondClock::now() >= this->request.deadline;
+}
+
+UpstreamOutcome UpstreamAttempt::outcomeOf(CURLcode code) const
+{
+    if (this->bodyAborted)
+        return UpstreamOutcome::Cancelled;
+    if (this->invalid || code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY)
+        return UpstreamOutcome::Invalid;
+    if (code == CURLE_OK && this->parser.complete())
+        return UpstreamOutcome::Complete;
+    if (code == CURLE_OPERATION_TIMEDOUT && (this->maybeSent || this->isLate()))
+        return UpstreamOutcome::TimedOut;
+    if (!this->maybeSent)
+        return UpstreamOutcome::ConnectFailed;
+    return this->parser.sawBytes() ? UpstreamOutcome::Truncated : UpstreamOutcome::ConnectionLost;
+}
+
+void UpstreamAttempt::end(CURLcode code)
+{
+    this->endWith(this->outcomeOf(code));
+}
+
+void UpstreamAttempt::endWith(UpstreamOutcome outcome)
+{
+    UpstreamResult result;
+    long connections = 0;
+    if (this->curl)
+        curl_easy_getinfo(this->curl, CURLINFO_NUM_CONNECTS, &connections);
+    result.outcome = outcome;
+    result.maybeSent = this->maybeSent;
+    result.total = MillisecondClock::now() - this->startTime;
+    if (this->firstByteTime != TimePoint {})
+        result.firstByte = this->firstByteTime - this->startTime;
+    result.newConnection = connections > 0;
+    if (this->request.onEnd)
+        this->request.onEnd(result);
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/transport/tests/RawSocket.h
@@ -0,0 +1,242 @@
+/** @file RawSocket.h Callers and targets that write HTTP byte by byte. */
+#pragma once
+
+#include "kingcup/MillisecondClock.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace kingcup::testing {
+
+constexpr int waitLimitMs = 10000; ///< Longest wait for a condition, far above what a loaded machine needs.
+
+/** A value that one thread sets and another waits for. */
+template <typename Value>
+class Signal {
+public:
+    /** Changes the value. */
+    void update(const std::function<void(Value&)>& change)
+    {
+        std::lock_guard lock(this->mutex);
+        change(this->value);
+        this->changed.notify_all();
+    }
+
+    /** Waits until the condition holds. Returns false when the limit passed first. */
+    bool wait(const std::function<bool(const Value&)>& condition, int limitMs = waitLimitMs)
+    {
+        std::unique_lock lock(this->mutex);
+        return this->changed.wait_for(lock, std::chrono::milliseconds(limitMs), [&] { return condition(this->value); });
+    }
+
+    /** Returns a copy of the value. */
+    Value get()
+    {
+        std::lock_guard lock(this->mutex);
+        return this->value;
+    }
+
+private:
+    std::mutex mutex; ///< Guards the value.
+    std::condition_variable changed; ///< Signalled by update().
+    Value value {}; ///< Current value.
+};
+
+/** A connected TCP socket. */
+class RawSocket {
+public:
+    explicit RawSocket(int connected)
+        : descriptor(connected)
+    {
+        int on = 1;
+        setsockopt(this->descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
+
+    RawSocket(RawSocket&& other) noexcept
+        : descriptor(std::exchange(other.descriptor, -1))
+        , received(std::move(other.received))
+    {
+    }
+
+    ~RawSocket() { this->close(); }
+
+    /** Connects to a port on loopback. @param receiveBuffer Bytes of the socket's receive buffer; 0: default. */
+    static RawSocket connectTo(uint16_t port, int receiveBuffer = 0)
+    {
+        int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (receiveBuffer > 0)
+            setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        return RawSocket(descriptor);
+    }
+
+    /** Sends all bytes. Returns false if the peer closed. */
+    bool send(std::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            ssize_t count = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (count <= 0)
+                return false;
+            bytes.remove_prefix(static_cast<size_t>(count));
+        }
+        return true;
+    }
+
+    /** Sends what fits without waiting. Returns the number of bytes. */
+    size_t sendSome(std::string_view bytes) const
+    {
+        ssize_t count = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return count > 0 ? static_cast<size_t>(count) : 0;
+    }
+
+    /** Receives more bytes. Returns false at the end, on an error or when the limit passed. */
+    bool receive(int limitMs = waitLimitMs)
+    {
+        pollfd waited { this->descriptor, POLLIN, 0 };
+        char buffer[65536];
+        if (poll(&waited, 1, limitMs) <= 0)
+            return false;
+        ssize_t count = recv(this->descriptor, buffer, sizeof(buffer), 0);
+        this->wasReset = count < 0;
+        if (count > 0)
+            this->received.append(buffer, static_cast<size_t>(count));
+        return count > 0;
+    }
+
+    /** Receives until the text has come, and takes everything up to its end. Returns nothing if it does not come. */
+    std::string takeUntil(std::string_view text)
+    {
+        size_t place = 0;
+        while ((place = this->received.find(text)) == std::string::npos) {
+            if (!this->receive())
+                return {};
+        }
+        return this->takeBytes(place + text.size());
+    }
+
+    /** Receives and takes an exact number of bytes; fewer if the peer closes. */
+    std::string takeBytes(size_t count)
+    {
+        while (this->received.size() < count && this->receive()) { }
+        std::string taken = this->received.substr(0, count);
+        this->received.erase(0, count);
+        return taken;
+    }
+
+    /** Receives one message with Content-Length or without body. */
+    std::string takeMessage()
+    {
+        std::string head = this->takeUntil("\r\n\r\n");
+        size_t place = head.find("Content-Length: ");
+        return place == std::string::npos ? head : head + this->takeBytes(std::stoul(head.substr(place + 16)));
+    }
+
+    /** Receives until the peer closes, and takes everything. */
+    std::string takeAll()
+    {
+        while (this->receive()) { }
+        return std::exchange(this->received, {});
+    }
+
+    /** Returns whether the peer closes within the limit. */
+    bool waitClosed()
+    {
+        pollfd waited { this->descriptor, POLLRDHUP, 0 };
+        return poll(&waited, 1, waitLimitMs) > 0;
+    }
+
+    /** Returns whether the end came with RST rather than with FIN. */
+    bool reset() const { return this->wasReset; }
+
+    /** Closes the socket. */
+    void close()
+    {
+        if (this->descriptor >= 0)
+            ::close(std::exchange(this->descriptor, -1));
+    }
+
+private:
+    int descriptor = -1; ///< Owned.
+    std::string received; ///< Not taken yet.
+    bool wasReset = false; ///< recv() failed.
+};
+
+/** A target that runs a script for each connection, on its own thread. */
+class RawServer {
+public:
+    using Script = std::function<void(RawSocket& socket, int connection)>;
+
+    explicit RawServer(Script connectionScript)
+        : script(std::move(connectionScript))
+        , listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        bind(this->listener, reinterpret_cast<sockaddr*>(&address), size);
+        listen(this->listener, 1024);
+        getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
+        this->boundPort = ntohs(address.sin_port);
+        this->acceptor = std::thread([this] { this->accept(); });
+    }
+
+    ~RawServer()
+    {
+        shutdown(this->listener, SHUT_RDWR);
+        this->acceptor.join();
+        ::close(this->listener);
+        for (std::thread& worker : this->workers)
+            worker.join();
+    }
+
+    uint16_t port() const { return this->boundPort; } ///< On loopback.
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->boundPort); } ///< For UpstreamRequest.
+    int connections() const { return this->accepted; } ///< So far.
+
+private:
+    /** Accepts until the listener is shut down. */
+    void accept()
+    {
+        for (;;) {
+            int descriptor = ::accept(this->listener, nullptr, nullptr);
+            if (descriptor < 0)
+                return;
+            this->workers.emplace_back([this, descriptor, number = ++this->accepted] {
+                RawSocket connection(descriptor);
+                this->script(connection, number);
+            });
+        }
+    }
+
+    Script script; ///< Of each connection.
+    int listener; ///< Listening socket.
+    uint16_t boundPort = 0; ///< Its port.
+    std::atomic<int> accepted = 0; ///< Connections so far.
+    std::list<std::thread> workers; ///< One per connection.
+    std::thread acceptor; ///< Runs accept().
+};
+
+/** Returns an answer with Content-Length. */
+inline std::string answerText(const std::string& body, const std::string& fields = {})
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace kingcup::testing
