--- a/packages/coordination/src/Headers.cpp
+++ b/packages/coordination/src/Headers.cpp
@@ -3,6 +3,7 @@
 #include "kingcup/ControlStateMachine.h"
 #include "kingcup/CrashContainment.h"
 #include "kingcup/EntryConfiguration.h"
+#include "kingcup/LogStorage.h"
 #include "kingcup/ProbeBudget.h"
 #include "kingcup/ReplicatedLog.h"
 #include "kingcup/ReplicatedLogTypes.h"
--- /dev/null
+++ b/packages/coordination/src/LogEntries.cpp
@@ -0,0 +1,112 @@
+/** @file LogEntries.cpp Bookkeeping of the entries held in memory. */
+#include "LogEntries.h"
+
+namespace kingcup {
+
+LogEntries::LogEntries(SnapshotMeta snapshot, std::vector<wire::LogEntry> entries)
+{
+    this->reset(snapshot);
+    for (wire::LogEntry& entry : entries)
+        this->append(std::move(entry));
+}
+
+LogIndex LogEntries::lastIndex() const
+{
+    return this->base.lastIndex + this->entries.size();
+}
+
+Term LogEntries::lastTerm() const
+{
+    return this->entries.empty() ? this->base.lastTerm : this->entries.back().term();
+}
+
+const SnapshotMeta& LogEntries::snapshot() const
+{
+    return this->base;
+}
+
+std::optional<Term> LogEntries::termAt(LogIndex index) const
+{
+    if (index == this->base.lastIndex)
+        return this->base.lastTerm;
+    if (index < this->base.lastIndex || index > this->lastIndex())
+        return std::nullopt;
+    return this->at(index).term();
+}
+
+const wire::LogEntry& LogEntries::at(LogIndex index) const
+{
+    return this->entries[index - this->base.lastIndex - 1];
+}
+
+void LogEntries::append(wire::LogEntry entry)
+{
+    if (entry.type() == wire::ENTRY_MEMBERSHIP) {
+        wire::Membership membership;
+        membership.ParseFromString(entry.payload());
+        this->memberships.emplace_back(entry.index(), std::move(membership));
+    }
+    this->entries.push_back(std::move(entry));
+}
+
+void LogEntries::truncateFrom(LogIndex index)
+{
+    while (this->lastIndex() >= index && !this->entries.empty())
+        this->entries.pop_back();
+    while (this->memberships.size() > 1 && this->memberships.back().first >= index)
+        this->memberships.pop_back();
+}
+
+void LogEntries::compact(const SnapshotMeta& meta)
+{
+    while (this->base.lastIndex < meta.lastIndex && !this->entries.empty()) {
+        this->entries.pop_front();
+        ++this->base.lastIndex;
+    }
+    this->base = meta;
+    while (this->memberships.size() > 1 && this->memberships[1].first <= meta.lastIndex)
+        this->memberships.pop_front();
+    this->memberships.front() = { meta.lastIndex, meta.membership };
+}
+
+void LogEntries::reset(const SnapshotMeta& meta)
+{
+    this->base = meta;
+    this->entries.clear();
+    this->memberships.clear();
+    this->memberships.emplace_back(meta.lastIndex, meta.membership);
+}
+
+std::vector<wire::LogEntry> LogEntries::slice(LogIndex from, size_t maxEntries, size_t maxBytes) const
+{
+    std::vector<wire::LogEntry> result;
+    size_t bytes = 0;
+    for (LogIndex index = from; index <= this->lastIndex() && result.size() < maxEntries; ++index) {
+        const wire::LogEntry& entry = this->at(index);
+        bytes += entry.payload().size();
+        if (!result.empty() && bytes > maxBytes)
+            break;
+        result.push_back(entry);
+    }
+    return result;
+}
+
+const wire::Membership& LogEntries::membership() const
+{
+    return this->memberships.back().second;
+}
+
+LogIndex LogEntries::membershipIndex() const
+{
+    return this->memberships.back().first;
+}
+
+const wire::Membership& LogEntries::membershipAt(LogIndex index) const
+{
+    size_t position = this->memberships.size() - 1;
+    while (position > 0 && this->memberships[position].first > index)
+        --position;
+    return this->memberships[position].second;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -0,0 +1,233 @@
+/** @file ReplicatedLog.cpp Public operations of a member of the replicated log. */
+#include "kingcup/ReplicatedLog.h"
+
+#include "ReplicatedLogState.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+namespace {
+
+/** Runs a step on a member and reports whether it changed the role or the known leader. */
+template <typename Member, typename Step>
+LogOutput observed(Member& member, Step step)
+{
+    LogRole role = member.role;
+    VmId leader = member.leader;
+    LogOutput output;
+    step(output);
+    output.roleChanged = role != member.role || leader != member.leader;
+    return output;
+}
+
+} // namespace
+
+ReplicatedLog::State::State(ReplicatedLogOptions options, DurableLogState durable, RandomSource random, SnapshotReader snapshotReader, TimePoint now)
+    : options(options)
+    , random(random)
+    , snapshotReader(std::move(snapshotReader))
+    , log(durable.snapshot, std::move(durable.entries))
+    , hardState(durable.hardState)
+    , commitIndex(durable.snapshot.lastIndex)
+    , syncedIndex(log.lastIndex())
+    , lastLeaderContact(now)
+{
+    this->resetElectionTimer(now);
+}
+
+ReplicatedLog::ReplicatedLog(ReplicatedLogOptions options, DurableLogState durable, RandomSource random, SnapshotReader snapshotReader, TimePoint now)
+    : state(std::make_unique<State>(options, std::move(durable), random, std::move(snapshotReader), now))
+{
+}
+
+ReplicatedLog::~ReplicatedLog() = default;
+ReplicatedLog::ReplicatedLog(ReplicatedLog&&) noexcept = default;
+ReplicatedLog& ReplicatedLog::operator=(ReplicatedLog&&) noexcept = default;
+
+ResultCode ReplicatedLog::bootstrap(const wire::Membership& membership, TimePoint now, LogOutput& output)
+{
+    State& member = *this->state;
+    if (member.hardState.term || member.log.lastIndex())
+        return ResultCode::AlreadyBootstrapped;
+    ResultCode code = member.checkFirstMembership(membership);
+    if (code != ResultCode::Ok)
+        return code;
+    member.setHardState(1, 0, output);
+    member.appendMembership(membership, output);
+    member.resetElectionTimer(now);
+    return ResultCode::Ok;
+}
+
+LogOutput ReplicatedLog::tick(TimePoint now)
+{
+    State& member = *this->state;
+    return observed(member, [&](LogOutput& output) {
+        if (member.role == LogRole::Leader)
+            member.tickLeader(now, output);
+        else if (now >= member.electionDeadline && member.selfIsVoter())
+            member.startPreVote(now, output);
+    });
+}
+
+LogOutput ReplicatedLog::receive(VmId from, uint64_t fromIncarnation, const wire::LogMessage& message, TimePoint now)
+{
+    State& member = *this->state;
+    return observed(member, [&](LogOutput& output) {
+        if (member.role == LogRole::Leader && member.lostQuorum(now))
+            member.becomeFollower(member.hardState.term, 0, now, output);
+        member.dispatch({ from, fromIncarnation }, message, now, output);
+    });
+}
+
+void ReplicatedLog::State::dispatch(const MemberId& from, const wire::LogMessage& message, TimePoint now, LogOutput& output)
+{
+    switch (message.body_case()) {
+    case wire::LogMessage::kVoteRequest:
+        return this->receiveVoteRequest(from, message.vote_request(), now, output);
+    case wire::LogMessage::kVoteAnswer:
+        return this->receiveVoteAnswer(from, message.vote_answer(), now, output);
+    case wire::LogMessage::kAppendRequest:
+        return this->receiveAppend(from, message.append_request(), now, output);
+    case wire::LogMessage::kAppendAnswer:
+        return this->receiveAppendAnswer(from, message.append_answer(), now, output);
+    case wire::LogMessage::kSnapshotRequest:
+        return this->receiveSnapshot(from, message.snapshot_request(), now, output);
+    case wire::LogMessage::kSnapshotAnswer:
+        return this->receiveSnapshotAnswer(from, message.snapshot_answer(), now, output);
+    case wire::LogMessage::kTimeoutNow:
+        return this->receiveTimeoutNow(from, message.timeout_now(), now, output);
+    case wire::LogMessage::BODY_NOT_SET:
+        return;
+    }
+}
+
+LogOutput ReplicatedLog::propose(const std::vector<std::string>& payloads, TimePoint now, Proposal& proposal)
+{
+    State& member = *this->state;
+    LogOutput output;
+    proposal = {};
+    size_t bytes = 0;
+    size_t largest = 0;
+    for (const std::string& payload : payloads) {
+        bytes += payload.size();
+        largest = std::max(largest, payload.size());
+    }
+    proposal.code = member.checkProposal(now);
+    if (proposal.code != ResultCode::Ok)
+        return output;
+    if (largest > member.options.maxBytesPerMessage)
+        proposal.code = ResultCode::CommandTooLarge;
+    else if (member.uncommittedBytes + bytes > member.options.maxUncommittedBytes)
+        proposal.code = ResultCode::NoQuorum;
+    if (proposal.code != ResultCode::Ok || payloads.empty())
+        return output;
+    proposal.index = member.log.lastIndex() + 1;
+    proposal.term = member.hardState.term;
+    for (const std::string& payload : payloads)
+        member.appendOwn(wire::ENTRY_COMMAND, payload, output);
+    member.sendAll(false, output);
+    return output;
+}
+
+LogOutput ReplicatedLog::proposeMembership(const wire::Membership& next, TimePoint now, Proposal& proposal)
+{
+    State& member = *this->state;
+    LogOutput output;
+    proposal = {};
+    proposal.code = member.checkMembershipChange(next, now);
+    if (proposal.code != ResultCode::Ok)
+        return output;
+    proposal.index = member.appendMembership(next, output);
+    proposal.term = member.hardState.term;
+    member.rebuildPeers(proposal.index);
+    member.sendAll(false, output);
+    return output;
+}
+
+LogOutput ReplicatedLog::synced(LogIndex index, Term term, TimePoint now)
+{
+    State& member = *this->state;
+    return observed(member, [&](LogOutput& output) {
+        bool leads = member.role == LogRole::Leader && term == member.hardState.term;
+        member.termSynced = member.termSynced || leads;
+        if (leads || member.log.termAt(index) == term)
+            member.syncedIndex = std::max(member.syncedIndex, std::min(index, member.log.lastIndex()));
+        if (member.role == LogRole::Leader)
+            member.advanceCommit(now, output);
+    });
+}
+
+void ReplicatedLog::compacted(const SnapshotMeta& meta)
+{
+    State& member = *this->state;
+    if (meta.lastIndex > member.log.snapshot().lastIndex && meta.lastIndex <= member.commitIndex)
+        member.log.compact(meta);
+}
+
+void ReplicatedLog::setDiskFull(bool full)
+{
+    this->state->diskFull = full;
+}
+
+LogOutput ReplicatedLog::handOver(TimePoint now)
+{
+    LogOutput output;
+    this->state->startHandOver(now, output);
+    return output;
+}
+
+bool ReplicatedLog::hasQuorum(TimePoint now) const
+{
+    return this->state->hasQuorum(now);
+}
+
+LogRole ReplicatedLog::role() const
+{
+    return this->state->role;
+}
+
+Term ReplicatedLog::term() const
+{
+    return this->state->hardState.term;
+}
+
+VmId ReplicatedLog::leader() const
+{
+    return this->state->leader;
+}
+
+LogIndex ReplicatedLog::commitIndex() const
+{
+    return this->state->commitIndex;
+}
+
+LogIndex ReplicatedLog::lastIndex() const
+{
+    return this->state->log.lastIndex();
+}
+
+const wire::Membership& ReplicatedLog::membership() const
+{
+    return this->state->log.membership();
+}
+
+bool ReplicatedLog::membershipCommitted() const
+{
+    return this->state->log.membershipIndex() <= this->state->commitIndex;
+}
+
+LogIndex ReplicatedLog::matchIndex(VmId vm) const
+{
+    if (vm == this->state->options.self)
+        return this->state->syncedIndex;
+    const LogPeer* peer = this->state->findPeerOf(vm);
+    return peer ? peer->match : 0;
+}
+
+bool ReplicatedLog::caughtUp(VmId vm) const
+{
+    return this->state->caughtUp(vm);
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/ReplicatedLogElection.cpp
@@ -0,0 +1,168 @@
+/** @file ReplicatedLogElection.cpp Roles, pre-votes, votes and the hand-over at its receiver. */
+#include "ReplicatedLogState.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+void ReplicatedLog::State::setHardState(Term term, VmId votedFor, LogOutput& output)
+{
+    this->hardState = { term, votedFor };
+    output.write.hardState = this->hardState;
+}
+
+void ReplicatedLog::State::send(const MemberId& to, wire::LogMessage message, bool beforeSync, LogOutput& output) const
+{
+    auto& messages = beforeSync ? output.messagesBeforeSync : output.messagesAfterSync;
+    messages.push_back({ to.vm, to.incarnation, std::move(message) });
+}
+
+void ReplicatedLog::State::resetElectionTimer(TimePoint now)
+{
+    this->electionDeadline = now + this->options.electionTimeout * (1 + this->random.fraction());
+}
+
+void ReplicatedLog::State::becomeFollower(Term newTerm, VmId newLeader, TimePoint now, LogOutput& output)
+{
+    if (newTerm > this->hardState.term)
+        this->setHardState(newTerm, 0, output);
+    // A follower keeps its timer; otherwise requests of higher terms could keep it from ever standing for election.
+    if (this->role != LogRole::Follower)
+        this->resetElectionTimer(now);
+    this->role = LogRole::Follower;
+    this->leader = newLeader;
+    this->votes.clear();
+    this->peers.clear();
+    this->handOver.reset();
+}
+
+void ReplicatedLog::State::startPreVote(TimePoint now, LogOutput& output)
+{
+    this->votes = { this->self() };
+    if (!this->options.preVote || this->isQuorum(this->votes)) {
+        this->startElection(false, now, output);
+        return;
+    }
+    this->role = LogRole::PreCandidate;
+    this->leader = 0;
+    this->resetElectionTimer(now);
+    this->sendVoteRequests(true, false, output);
+}
+
+void ReplicatedLog::State::startElection(bool handOver, TimePoint now, LogOutput& output)
+{
+    this->role = LogRole::Candidate;
+    this->leader = 0;
+    this->votes = { this->self() };
+    this->setHardState(this->hardState.term + 1, this->options.self, output);
+    this->resetElectionTimer(now);
+    this->termSynced = false;
+    if (this->isQuorum(this->votes))
+        this->becomeLeader(now, output);
+    else
+        this->sendVoteRequests(false, handOver, output);
+}
+
+void ReplicatedLog::State::sendVoteRequests(bool preVote, bool handOver, LogOutput& output) const
+{
+    for (const wire::Member& member : this->log.membership().members()) {
+        if (!member.voter() || this->sameMember(member, this->self()))
+            continue;
+        wire::LogMessage message;
+        wire::VoteRequest& request = *message.mutable_vote_request();
+        request.set_pre_vote(preVote);
+        request.set_term(this->hardState.term + (preVote ? 1 : 0));
+        request.set_last_index(this->log.lastIndex());
+        request.set_last_term(this->log.lastTerm());
+        request.set_hand_over(handOver);
+        this->send({ member.vm_id(), member.incarnation() }, std::move(message), false, output);
+    }
+}
+
+bool ReplicatedLog::State::logIsUpToDate(const wire::VoteRequest& request) const
+{
+    return std::pair(request.last_term(), request.last_index()) >= std::pair(this->log.lastTerm(), this->log.lastIndex());
+}
+
+bool ReplicatedLog::State::hearsLeader(TimePoint now) const
+{
+    return this->role == LogRole::Leader || now - this->lastLeaderContact < this->options.electionTimeout;
+}
+
+void ReplicatedLog::State::receiveVoteRequest(const MemberId& from, const wire::VoteRequest& request, TimePoint now, LogOutput& output)
+{
+    // A member that no membership lists has no vote. A learner votes, because it may have been promoted without knowing.
+    if (!this->findMember(this->self()))
+        return;
+    wire::LogMessage message;
+    wire::VoteAnswer& answer = *message.mutable_vote_answer();
+    answer.set_pre_vote(request.pre_vote());
+    bool refused = this->hearsLeader(now) && !request.hand_over();
+    if (request.pre_vote()) {
+        answer.set_granted(!refused && request.term() > this->hardState.term && this->logIsUpToDate(request));
+        answer.set_term(answer.granted() ? request.term() : this->hardState.term);
+        this->send(from, std::move(message), false, output);
+        return;
+    }
+    if (refused)
+        return;
+    if (request.term() > this->hardState.term)
+        this->becomeFollower(request.term(), 0, now, output);
+    bool free = !this->hardState.votedFor || this->hardState.votedFor == from.vm;
+    answer.set_granted(request.term() == this->hardState.term && free && this->logIsUpToDate(request));
+    answer.set_term(this->hardState.term);
+    if (answer.granted()) {
+        if (!this->hardState.votedFor)
+            this->setHardState(this->hardState.term, from.vm, output);
+        this->resetElectionTimer(now);
+    }
+    this->send(from, std::move(message), false, output);
+}
+
+void ReplicatedLog::State::receiveVoteAnswer(const MemberId& from, const wire::VoteAnswer& answer, TimePoint now, LogOutput& output)
+{
+    if (!answer.granted() && answer.term() > this->hardState.term && this->findMember(from)) {
+        this->becomeFollower(answer.term(), 0, now, output);
+        return;
+    }
+    LogRole expectedRole = answer.pre_vote() ? LogRole::PreCandidate : LogRole::Candidate;
+    Term expectedTerm = this->hardState.term + (answer.pre_vote() ? 1 : 0);
+    if (!answer.granted() || this->role != expectedRole || answer.term() != expectedTerm)
+        return;
+    this->votes.insert(from);
+    if (!this->isQuorum(this->votes))
+        return;
+    if (answer.pre_vote()) {
+        this->startElection(false, now, output);
+        return;
+    }
+    // Vote requests leave only after the sync, so an answer proves that term and log are synced.
+    this->termSynced = true;
+    this->syncedIndex = this->log.lastIndex();
+    this->becomeLeader(now, output);
+}
+
+void ReplicatedLog::State::becomeLeader(TimePoint now, LogOutput& output)
+{
+    this->role = LogRole::Leader;
+    this->leader = this->options.self;
+    this->leaderSince = now;
+    this->rounds.clear();
+    this->peers.clear();
+    this->handOver.reset();
+    this->incoming.reset();
+    this->uncommittedBytes = 0;
+    this->firstOwnIndex = this->appendOwn(wire::ENTRY_EMPTY, {}, output);
+    this->rebuildPeers(this->firstOwnIndex);
+    this->startRound(now, output);
+}
+
+void ReplicatedLog::State::receiveTimeoutNow(const MemberId& from, const wire::TimeoutNow& request, TimePoint now, LogOutput& output)
+{
+    if (request.term() != this->hardState.term || this->role != LogRole::Follower || this->leader != from.vm)
+        return;
+    if (this->selfIsVoter())
+        this->startElection(true, now, output);
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -0,0 +1,269 @@
+/** @file ReplicatedLogLeader.cpp Replication, commit, check-quorum and hand-over at the leader. */
+#include "ReplicatedLogState.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+namespace {
+
+constexpr size_t maxMessagesInFlight = 8; ///< Full append messages sent to a member ahead of its answers.
+
+} // namespace
+
+LogIndex ReplicatedLog::State::appendOwn(wire::EntryType type, const std::string& payload, LogOutput& output)
+{
+    wire::LogEntry entry;
+    entry.set_index(this->log.lastIndex() + 1);
+    entry.set_term(this->hardState.term);
+    entry.set_type(type);
+    entry.set_payload(payload);
+    this->uncommittedBytes += payload.size();
+    output.write.entries.push_back(entry);
+    this->log.append(std::move(entry));
+    return this->log.lastIndex();
+}
+
+void ReplicatedLog::State::rebuildPeers(LogIndex next)
+{
+    std::map<MemberId, LogPeer> kept = std::move(this->peers);
+    this->peers.clear();
+    for (const wire::Member& member : this->log.membership().members()) {
+        MemberId id { member.vm_id(), member.incarnation() };
+        if (id == this->self())
+            continue;
+        auto found = kept.find(id);
+        LogPeer& peer = this->peers[id];
+        if (found != kept.end())
+            peer = std::move(found->second);
+        else
+            peer.next = next;
+        peer.voter = member.voter();
+    }
+}
+
+void ReplicatedLog::State::startRound(TimePoint now, LogOutput& output)
+{
+    this->rounds.emplace_back(++this->round, now);
+    while (now - this->rounds.front().second > this->options.electionTimeout)
+        this->rounds.pop_front();
+    this->nextHeartbeat = now + this->options.heartbeatInterval;
+    this->sendAll(true, output);
+}
+
+void ReplicatedLog::State::sendAll(bool heartbeat, LogOutput& output)
+{
+    for (auto& [id, peer] : this->peers)
+        this->sendTo(id, peer, heartbeat, output);
+}
+
+void ReplicatedLog::State::sendTo(const MemberId& id, LogPeer& peer, bool heartbeat, LogOutput& output)
+{
+    if (peer.snapshotData || !this->log.termAt(peer.next - 1)) {
+        if (heartbeat || !peer.snapshotData)
+            this->sendSnapshotChunk(id, peer, output);
+        return;
+    }
+    if (heartbeat)
+        this->sendEntries(id, peer, output);
+    size_t window = maxMessagesInFlight * this->options.maxEntriesPerMessage;
+    while (!peer.probing && peer.next <= this->log.lastIndex() && peer.next <= peer.match + window)
+        this->sendEntries(id, peer, output);
+}
+
+void ReplicatedLog::State::sendEntries(const MemberId& id, LogPeer& peer, LogOutput& output)
+{
+    wire::LogMessage message;
+    wire::AppendRequest& request = *message.mutable_append_request();
+    request.set_term(this->hardState.term);
+    request.set_previous_index(peer.next - 1);
+    request.set_previous_term(*this->log.termAt(peer.next - 1));
+    request.set_commit_index(this->commitIndex);
+    request.set_round(this->round);
+    for (wire::LogEntry& entry : this->log.slice(peer.next, this->options.maxEntriesPerMessage, this->options.maxBytesPerMessage))
+        *request.add_entries() = std::move(entry);
+    if (!peer.probing)
+        peer.next += static_cast<LogIndex>(request.entries_size());
+    this->send(id, std::move(message), this->termSynced, output);
+}
+
+void ReplicatedLog::State::sendSnapshotChunk(const MemberId& id, LogPeer& peer, LogOutput& output)
+{
+    if (!peer.snapshotData) {
+        auto data = std::make_shared<const std::string>(this->snapshotReader());
+        if (data->empty())
+            return;
+        peer.snapshotData = std::move(data);
+        peer.snapshotMeta = this->log.snapshot();
+        peer.snapshotOffset = 0;
+    }
+    wire::LogMessage message;
+    wire::SnapshotRequest& request = *message.mutable_snapshot_request();
+    request.set_term(this->hardState.term);
+    request.set_last_index(peer.snapshotMeta.lastIndex);
+    request.set_last_term(peer.snapshotMeta.lastTerm);
+    *request.mutable_membership() = peer.snapshotMeta.membership;
+    request.set_offset(peer.snapshotOffset);
+    request.set_chunk(peer.snapshotData->substr(peer.snapshotOffset, this->options.snapshotChunkBytes));
+    request.set_last_chunk(peer.snapshotOffset + request.chunk().size() == peer.snapshotData->size());
+    request.set_round(this->round);
+    this->send(id, std::move(message), this->termSynced, output);
+}
+
+void ReplicatedLog::State::noteRound(LogPeer& peer, uint64_t answeredRound)
+{
+    for (const auto& [number, sent] : this->rounds) {
+        if (number == answeredRound && (!peer.answeredRound || *peer.answeredRound < sent))
+            peer.answeredRound = sent;
+    }
+}
+
+void ReplicatedLog::State::receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, LogOutput& output)
+{
+    LogPeer* peer = this->findPeer(from);
+    if (answer.term() > this->hardState.term && this->findMember(from))
+        this->becomeFollower(answer.term(), 0, now, output);
+    if (!peer || this->role != LogRole::Leader || answer.term() != this->hardState.term)
+        return;
+    this->noteRound(*peer, answer.round());
+    if (answer.accepted()) {
+        peer->match = std::max<LogIndex>(peer->match, answer.match_index());
+        peer->next = std::max(peer->next, peer->match + 1);
+        peer->probing = false;
+        this->advanceCommit(now, output);
+    } else if (answer.conflict_index()) {
+        peer->next = std::clamp<LogIndex>(answer.conflict_index(), peer->match + 1, this->log.lastIndex() + 1);
+        peer->probing = true;
+    }
+    if (this->role != LogRole::Leader)
+        return;
+    this->sendTo(from, *peer, !answer.accepted(), output);
+    this->advanceHandOver(now, output);
+}
+
+void ReplicatedLog::State::receiveSnapshotAnswer(const MemberId& from, const wire::SnapshotAnswer& answer, TimePoint now, LogOutput& output)
+{
+    LogPeer* peer = this->findPeer(from);
+    if (answer.term() > this->hardState.term && this->findMember(from))
+        this->becomeFollower(answer.term(), 0, now, output);
+    if (!peer || this->role != LogRole::Leader || answer.term() != this->hardState.term)
+        return;
+    this->noteRound(*peer, answer.round());
+    if (answer.installed()) {
+        peer->match = std::max<LogIndex>(peer->match, answer.last_index());
+        peer->next = peer->match + 1;
+        peer->snapshotData.reset();
+        this->advanceCommit(now, output);
+        if (this->role == LogRole::Leader)
+            this->sendTo(from, *peer, true, output);
+    } else if (peer->snapshotData && peer->snapshotMeta.lastIndex == answer.last_index()) {
+        bool advanced = answer.next_offset() > peer->snapshotOffset;
+        peer->snapshotOffset = std::min<size_t>(answer.next_offset(), peer->snapshotData->size());
+        // A repeated answer starts no second stream of chunks; after a loss the next heartbeat sends the chunk again.
+        if (advanced)
+            this->sendSnapshotChunk(from, *peer, output);
+    }
+}
+
+void ReplicatedLog::State::advanceCommit(TimePoint now, LogOutput& output)
+{
+    std::vector<LogIndex> matches;
+    for (const auto& [id, peer] : this->peers) {
+        if (peer.voter)
+            matches.push_back(peer.match);
+    }
+    if (this->selfIsVoter())
+        matches.push_back(this->syncedIndex);
+    std::sort(matches.rbegin(), matches.rend());
+    LogIndex index = matches[this->quorum() - 1];
+    // Only entries of the own term are committed by counting; earlier ones follow with them.
+    if (index <= this->commitIndex || this->log.termAt(index) != this->hardState.term)
+        return;
+    this->commitTo(index, output);
+    if (this->log.membershipIndex() <= this->commitIndex && !this->selfIsVoter())
+        this->becomeFollower(this->hardState.term, 0, now, output);
+}
+
+std::optional<TimePoint> ReplicatedLog::State::quorumTime(TimePoint now) const
+{
+    std::vector<TimePoint> times;
+    for (const auto& [id, peer] : this->peers) {
+        if (peer.voter && peer.answeredRound)
+            times.push_back(*peer.answeredRound);
+    }
+    if (this->selfIsVoter())
+        times.push_back(now);
+    std::sort(times.rbegin(), times.rend());
+    if (times.size() < this->quorum())
+        return std::nullopt;
+    return times[this->quorum() - 1];
+}
+
+bool ReplicatedLog::State::lostQuorum(TimePoint now) const
+{
+    if (!this->options.checkQuorum)
+        return false;
+    TimePoint time = std::max(this->quorumTime(now).value_or(this->leaderSince), this->leaderSince);
+    return now - time >= this->options.electionTimeout;
+}
+
+bool ReplicatedLog::State::hasQuorum(TimePoint now) const
+{
+    if (this->role != LogRole::Leader || this->commitIndex < this->firstOwnIndex)
+        return false;
+    // Once the target was asked to take over, it may be elected at any moment.
+    if (this->handOver && this->handOver->requested)
+        return false;
+    if (!this->options.checkQuorum)
+        return true;
+    std::optional<TimePoint> time = this->quorumTime(now);
+    return time && now - *time < this->options.electionTimeout;
+}
+
+void ReplicatedLog::State::tickLeader(TimePoint now, LogOutput& output)
+{
+    if (this->lostQuorum(now)) {
+        this->becomeFollower(this->hardState.term, 0, now, output);
+        return;
+    }
+    this->advanceHandOver(now, output);
+    if (this->role == LogRole::Leader && now >= this->nextHeartbeat)
+        this->startRound(now, output);
+}
+
+void ReplicatedLog::State::startHandOver(TimePoint now, LogOutput& output)
+{
+    if (this->role != LogRole::Leader || this->handOver)
+        return;
+    const std::pair<const MemberId, LogPeer>* best = nullptr;
+    for (const auto& row : this->peers) {
+        if (row.second.voter && (!best || row.second.match > best->second.match))
+            best = &row;
+    }
+    if (!best)
+        return;
+    this->handOver = HandOver { best->first, now, false };
+    this->advanceHandOver(now, output);
+}
+
+void ReplicatedLog::State::advanceHandOver(TimePoint now, LogOutput& output)
+{
+    if (!this->handOver)
+        return;
+    if (now - this->handOver->started >= this->options.electionTimeout) {
+        // A delayed request may still start an election, so the lease cannot be taken up again in this term.
+        if (this->handOver->requested)
+            this->becomeFollower(this->hardState.term, 0, now, output);
+        this->handOver.reset();
+        return;
+    }
+    auto target = this->peers.find(this->handOver->target);
+    if (this->handOver->requested || target == this->peers.end() || target->second.match < this->log.lastIndex())
+        return;
+    wire::LogMessage message;
+    message.mutable_timeout_now()->set_term(this->hardState.term);
+    this->send(this->handOver->target, std::move(message), false, output);
+    this->handOver->requested = true;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/ReplicatedLogMembership.cpp
@@ -0,0 +1,193 @@
+/** @file ReplicatedLogMembership.cpp Members, incarnations and the rules for changing them. */
+#include "ReplicatedLogState.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+namespace {
+
+/** Returns whether a membership can form a group: distinct VMs and at least one voter. */
+bool canFormGroup(const wire::Membership& membership)
+{
+    std::set<VmId> vms;
+    bool hasVoter = false;
+    for (const wire::Member& member : membership.members()) {
+        if (!member.vm_id() || !vms.insert(member.vm_id()).second)
+            return false;
+        hasVoter = hasVoter || member.voter();
+    }
+    return hasVoter;
+}
+
+/** Returns the members in a fixed order, so that every member writes the same bytes. */
+wire::Membership ordered(const wire::Membership& membership)
+{
+    wire::Membership result = membership;
+    std::sort(result.mutable_members()->begin(), result.mutable_members()->end(), [](const wire::Member& left, const wire::Member& right) {
+        return std::pair(left.vm_id(), left.incarnation()) < std::pair(right.vm_id(), right.incarnation());
+    });
+    return result;
+}
+
+using MemberMap = std::map<MemberId, wire::Member>;
+
+/** Returns the members by identity. */
+MemberMap membersById(const wire::Membership& membership)
+{
+    MemberMap result;
+    for (const wire::Member& member : membership.members())
+        result[{ member.vm_id(), member.incarnation() }] = member;
+    return result;
+}
+
+/** Returns whether another incarnation of a VM is a voter. */
+bool otherIncarnationVotes(const MemberMap& members, const MemberId& id)
+{
+    return std::any_of(members.begin(), members.end(), [&](const auto& row) {
+        return row.first.vm == id.vm && row.first != id && row.second.voter();
+    });
+}
+
+/** Returns the members that differ between two memberships. */
+std::vector<MemberId> changedMembers(const MemberMap& before, const MemberMap& after)
+{
+    std::vector<MemberId> changed;
+    for (const auto& [id, member] : before) {
+        auto found = after.find(id);
+        if (found == after.end() || found->second.SerializeAsString() != member.SerializeAsString())
+            changed.push_back(id);
+    }
+    for (const auto& [id, member] : after) {
+        if (!before.contains(id))
+            changed.push_back(id);
+    }
+    return changed;
+}
+
+/** Returns whether any member is a voter. */
+bool hasVoter(const MemberMap& members)
+{
+    return std::any_of(members.begin(), members.end(), [](const auto& row) { return row.second.voter(); });
+}
+
+} // namespace
+
+MemberId ReplicatedLog::State::self() const
+{
+    return { this->options.self, this->options.incarnation };
+}
+
+bool ReplicatedLog::State::sameMember(const wire::Member& member, const MemberId& id) const
+{
+    if (member.vm_id() != id.vm)
+        return false;
+    return !this->options.checkIncarnation || member.incarnation() == id.incarnation;
+}
+
+const wire::Member* ReplicatedLog::State::findMember(const MemberId& id) const
+{
+    for (const wire::Member& member : this->log.membership().members()) {
+        if (this->sameMember(member, id))
+            return &member;
+    }
+    return nullptr;
+}
+
+LogPeer* ReplicatedLog::State::findPeer(const MemberId& id)
+{
+    const wire::Member* member = this->findMember(id);
+    if (!member)
+        return nullptr;
+    auto found = this->peers.find({ member->vm_id(), member->incarnation() });
+    return found == this->peers.end() ? nullptr : &found->second;
+}
+
+const LogPeer* ReplicatedLog::State::findPeerOf(VmId vm) const
+{
+    const LogPeer* result = nullptr;
+    for (const auto& [id, peer] : this->peers) {
+        if (id.vm == vm && (!result || !peer.voter))
+            result = &peer;
+    }
+    return result;
+}
+
+bool ReplicatedLog::State::selfIsVoter() const
+{
+    const wire::Member* member = this->findMember(this->self());
+    return member && member->voter();
+}
+
+size_t ReplicatedLog::State::quorum() const
+{
+    const auto& members = this->log.membership().members();
+    return static_cast<size_t>(std::count_if(members.begin(), members.end(), [](const wire::Member& member) { return member.voter(); })) / 2 + 1;
+}
+
+bool ReplicatedLog::State::isQuorum(const std::set<MemberId>& ids) const
+{
+    const auto& members = this->log.membership().members();
+    auto count = std::count_if(members.begin(), members.end(), [&](const wire::Member& member) {
+        return member.voter() && std::any_of(ids.begin(), ids.end(), [&](const MemberId& id) { return this->sameMember(member, id); });
+    });
+    return static_cast<size_t>(count) >= this->quorum();
+}
+
+ResultCode ReplicatedLog::State::checkProposal(TimePoint now) const
+{
+    if (!this->log.lastIndex())
+        return ResultCode::NotBootstrapped;
+    if (this->role != LogRole::Leader || this->handOver || this->lostQuorum(now))
+        return ResultCode::NotLeader;
+    return this->diskFull ? ResultCode::DiskFull : ResultCode::Ok;
+}
+
+ResultCode ReplicatedLog::State::checkFirstMembership(const wire::Membership& membership) const
+{
+    if (!canFormGroup(membership))
+        return ResultCode::CommandMalformed;
+    return membersById(membership).contains(this->self()) ? ResultCode::Ok : ResultCode::UnknownVm;
+}
+
+ResultCode ReplicatedLog::State::checkMembershipChange(const wire::Membership& next, TimePoint now) const
+{
+    ResultCode code = this->checkProposal(now);
+    if (code != ResultCode::Ok)
+        return code;
+    // Until an own entry is committed, a change by an earlier leader may still be undecided.
+    if (this->log.membershipIndex() > this->commitIndex || this->commitIndex < this->firstOwnIndex)
+        return ResultCode::MembershipChangePending;
+    MemberMap before = membersById(this->log.membership());
+    MemberMap after = membersById(next);
+    std::vector<MemberId> changed = changedMembers(before, after);
+    bool distinct = after.size() == static_cast<size_t>(next.members_size());
+    if (changed.size() != 1 || !distinct || !hasVoter(after))
+        return ResultCode::CommandMalformed;
+    const MemberId& id = changed.front();
+    if (!after.contains(id))
+        return ResultCode::Ok;
+    bool wasVoter = before.contains(id) && before[id].voter();
+    if (wasVoter == after[id].voter())
+        return ResultCode::Ok;
+    if (wasVoter || !before.contains(id) || otherIncarnationVotes(after, id))
+        return ResultCode::CommandMalformed;
+    return this->caughtUp(id.vm) ? ResultCode::Ok : ResultCode::NotCaughtUp;
+}
+
+LogIndex ReplicatedLog::State::appendMembership(const wire::Membership& membership, LogOutput& output)
+{
+    return this->appendOwn(wire::ENTRY_MEMBERSHIP, ordered(membership).SerializeAsString(), output);
+}
+
+bool ReplicatedLog::State::caughtUp(VmId vm) const
+{
+    const LogPeer* peer = this->findPeerOf(vm);
+    if (!peer || peer->snapshotData)
+        return false;
+    // It must hold the entry that lists it, and lag by no more than one message.
+    bool lagsLittle = peer->match + this->options.maxEntriesPerMessage >= this->log.lastIndex();
+    return peer->match >= this->log.membershipIndex() && lagsLittle;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -0,0 +1,144 @@
+/** @file ReplicatedLogState.h State of one member of a replicated log, shared by the files that implement it. */
+#pragma once
+
+#include "LogEntries.h"
+#include "kingcup/ReplicatedLog.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace kingcup {
+
+/** Identifies a member: a repaired VM has the same id with another incarnation. */
+struct MemberId {
+    VmId vm = 0; ///< Control VM.
+    uint64_t incarnation = 0; ///< Incarnation of its data folder.
+    auto operator<=>(const MemberId&) const = default;
+};
+
+/** What a leader knows about another member. */
+struct LogPeer {
+    bool voter = false; ///< False for a learner.
+    LogIndex next = 1; ///< Next entry to send.
+    LogIndex match = 0; ///< Last entry known to be synced there.
+    bool probing = true; ///< Its log end is unknown: one message per heartbeat or answer.
+    std::optional<TimePoint> answeredRound; ///< Sending time of the newest round that it answered.
+    std::shared_ptr<const std::string> snapshotData; ///< Snapshot in transfer, null for none.
+    SnapshotMeta snapshotMeta; ///< What it covers.
+    size_t snapshotOffset = 0; ///< Next byte to send.
+};
+
+/** A hand-over of leadership in progress. */
+struct HandOver {
+    MemberId target; ///< Next leader.
+    TimePoint started {}; ///< When it began.
+    bool requested = false; ///< TimeoutNow was sent.
+};
+
+/** A snapshot of which chunks arrive. */
+struct IncomingSnapshot {
+    Term term = 0; ///< Term of the sending leader.
+    SnapshotMeta meta; ///< What it covers.
+    std::string data; ///< Bytes so far.
+};
+
+/** Implementation of ReplicatedLog. */
+struct ReplicatedLog::State {
+    State(ReplicatedLogOptions options, DurableLogState durable, RandomSource random, SnapshotReader snapshotReader, TimePoint now);
+
+    // Members of the group (ReplicatedLogMembership.cpp).
+    /** Returns whether a listed member and a sender are the same, by the incarnation rule. */
+    bool sameMember(const wire::Member& member, const MemberId& id) const;
+    /** Returns the record of a member in the newest membership, or null. */
+    const wire::Member* findMember(const MemberId& id) const;
+    /** Returns the peer that sent a message, or null for a stale or unknown incarnation. */
+    LogPeer* findPeer(const MemberId& id);
+    /** Returns the peer of a VM; during a replacement the learner. */
+    const LogPeer* findPeerOf(VmId vm) const;
+    bool selfIsVoter() const; ///< Whether the newest membership lists this incarnation as a voter.
+    size_t quorum() const; ///< Votes needed in the newest membership.
+    /** Returns whether these members hold a quorum of voters. */
+    bool isQuorum(const std::set<MemberId>& ids) const;
+    MemberId self() const; ///< This member.
+    ResultCode checkProposal(TimePoint now) const;
+    ResultCode checkFirstMembership(const wire::Membership& membership) const;
+    ResultCode checkMembershipChange(const wire::Membership& next, TimePoint now) const;
+    LogIndex appendMembership(const wire::Membership& membership, LogOutput& output);
+    bool caughtUp(VmId vm) const;
+
+    // Roles (ReplicatedLogElection.cpp).
+    void becomeFollower(Term newTerm, VmId newLeader, TimePoint now, LogOutput& output);
+    void becomeLeader(TimePoint now, LogOutput& output);
+    void startPreVote(TimePoint now, LogOutput& output);
+    void startElection(bool handOver, TimePoint now, LogOutput& output);
+    void sendVoteRequests(bool preVote, bool handOver, LogOutput& output) const;
+    void resetElectionTimer(TimePoint now);
+    bool logIsUpToDate(const wire::VoteRequest& request) const;
+    bool hearsLeader(TimePoint now) const;
+    void receiveVoteRequest(const MemberId& from, const wire::VoteRequest& request, TimePoint now, LogOutput& output);
+    void receiveVoteAnswer(const MemberId& from, const wire::VoteAnswer& answer, TimePoint now, LogOutput& output);
+    void receiveTimeoutNow(const MemberId& from, const wire::TimeoutNow& request, TimePoint now, LogOutput& output);
+
+    // Follower (ReplicatedLogFollower.cpp).
+    bool acceptLeader(const MemberId& from, Term leaderTerm, TimePoint now, LogOutput& output);
+    void receiveAppend(const MemberId& from, const wire::AppendRequest& request, TimePoint now, LogOutput& output);
+    LogIndex appendMissing(const wire::AppendRequest& request, LogOutput& output);
+    LogIndex conflictIndex(LogIndex previous) const;
+    void receiveSnapshot(const MemberId& from, const wire::SnapshotRequest& request, TimePoint now, LogOutput& output);
+    bool storeChunk(const wire::SnapshotRequest& request);
+    void install(LogOutput& output);
+
+    // Leader (ReplicatedLogLeader.cpp).
+    LogIndex appendOwn(wire::EntryType type, const std::string& payload, LogOutput& output);
+    void rebuildPeers(LogIndex next);
+    void startRound(TimePoint now, LogOutput& output);
+    void sendAll(bool heartbeat, LogOutput& output);
+    void sendTo(const MemberId& id, LogPeer& peer, bool heartbeat, LogOutput& output);
+    void sendEntries(const MemberId& id, LogPeer& peer, LogOutput& output);
+    void sendSnapshotChunk(const MemberId& id, LogPeer& peer, LogOutput& output);
+    void noteRound(LogPeer& peer, uint64_t answeredRound);
+    void receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, LogOutput& output);
+    void receiveSnapshotAnswer(const MemberId& from, const wire::SnapshotAnswer& answer, TimePoint now, LogOutput& output);
+    void advanceCommit(TimePoint now, LogOutput& output);
+    std::optional<TimePoint> quorumTime(TimePoint now) const;
+    bool lostQuorum(TimePoint now) const;
+    bool hasQuorum(TimePoint now) const;
+    void tickLeader(TimePoint now, LogOutput& output);
+    void startHandOver(TimePoint now, LogOutput& output);
+    void advanceHandOver(TimePoint now, LogOutput& output);
+
+    // Common.
+    void dispatch(const MemberId& from, const wire::LogMessage& message, TimePoint now, LogOutput& output);
+    void setHardState(Term term, VmId votedFor, LogOutput& output);
+    void commitTo(LogIndex index, LogOutput& output);
+    void send(const MemberId& to, wire::LogMessage message, bool beforeSync, LogOutput& output) const;
+
+    ReplicatedLogOptions options;
+    RandomSource random;
+    SnapshotReader snapshotReader;
+    LogEntries log;
+    HardState hardState;
+    LogRole role = LogRole::Follower;
+    VmId leader = 0; ///< Known leader; 0 for none.
+    LogIndex commitIndex = 0;
+    LogIndex syncedIndex = 0; ///< Own entries known to be synced.
+    bool diskFull = false;
+    TimePoint lastLeaderContact; ///< A start counts as contact, because the answers sent before it support the leader's lease.
+    TimePoint electionDeadline;
+    std::set<MemberId> votes; ///< Granted to this candidate or pre-candidate.
+    std::optional<IncomingSnapshot> incoming;
+
+    // Leader only.
+    std::map<MemberId, LogPeer> peers;
+    uint64_t round = 0; ///< Number of the newest heartbeat round.
+    std::deque<std::pair<uint64_t, TimePoint>> rounds; ///< Sending times of recent rounds.
+    TimePoint leaderSince {};
+    TimePoint nextHeartbeat {};
+    LogIndex firstOwnIndex = 0; ///< Empty entry of this leader's term.
+    bool termSynced = false; ///< The term is synced; until then appends wait for the sync as well.
+    size_t uncommittedBytes = 0; ///< Payloads of own entries that are not committed.
+    std::optional<HandOver> handOver;
+};
+
+} // namespace kingcup
--- a/packages/state/include/kingcup/Journal.h
+++ b/packages/state/include/kingcup/Journal.h
@@ -29,7 +29,7 @@
 };
 
 /**
- * Segmented record file. A torn record at the tail is cut off when opening; damage before the tail is refused
+ * Record file. A torn record at the tail is cut off when opening; damage before the tail is refused
  * with JournalDamaged. Not thread-safe.
  */
 class Journal {
--- /dev/null
+++ b/packages/state/src/Journal.cpp
@@ -0,0 +1,257 @@
+/** @file Journal.cpp Record file with checksums. */
+#include "kingcup/Journal.h"
+
+#include "FileIo.h"
+
+#include <algorithm>
+#include <bit>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <optional>
+#include <unistd.h>
+#include <xxhash.h>
+
+namespace kingcup {
+
+namespace {
+
+constexpr char journalFile[] = "journal";
+constexpr std::string_view fileMagic = "KCJRNL01"; ///< First bytes of the file; the number is the version of the format.
+constexpr uint32_t recordMagic = 0x52434b01; ///< First bytes of each record.
+
+static_assert(std::endian::native == std::endian::little, "numbers in the journal are little-endian");
+
+/** Header of a record as it stands in the file. */
+struct RecordHeader {
+    uint32_t magic = recordMagic; ///< Marks a record.
+    uint32_t type = 0; ///< Defined by the owner.
+    uint64_t length = 0; ///< Bytes of data that follow.
+    uint64_t syncedEnd = 0; ///< Size of the file that was known to be synced when this was written.
+    uint64_t checksum = 0; ///< Over the other fields, the position in the file and the data.
+};
+static_assert(sizeof(RecordHeader) == 32, "the header has no padding");
+
+/** Computes the checksum of a record. The position is included, so that a copy inside other data is not taken for a record. */
+uint64_t recordChecksum(const RecordHeader& header, uint64_t position, std::string_view data)
+{
+    uint64_t numbers[] = { header.type, header.length, header.syncedEnd, position };
+    return XXH3_64bits_withSeed(data.data(), data.size(), XXH3_64bits(numbers, sizeof(numbers)));
+}
+
+/** Encodes a record for a position in the file. */
+void encodeRecord(const JournalRecord& record, uint64_t syncedEnd, uint64_t position, std::string& bytes)
+{
+    RecordHeader header;
+    header.type = record.type;
+    header.length = record.data.size();
+    header.syncedEnd = syncedEnd;
+    header.checksum = recordChecksum(header, position, record.data);
+    bytes.append(reinterpret_cast<const char*>(&header), sizeof(header));
+    bytes.append(record.data);
+}
+
+/** Returns the header of an intact record at a position, or nothing. */
+std::optional<RecordHeader> intactRecord(std::string_view content, uint64_t position)
+{
+    RecordHeader header;
+    if (content.size() - position < sizeof(header))
+        return std::nullopt;
+    std::memcpy(&header, content.data() + position, sizeof(header));
+    if (header.magic != recordMagic || header.length > content.size() - position - sizeof(header))
+        return std::nullopt;
+    std::string_view data = content.substr(position + sizeof(header), header.length);
+    if (recordChecksum(header, position, data) != header.checksum)
+        return std::nullopt;
+    return header;
+}
+
+/** Returns the largest synced size that any intact record after a position tells of. */
+uint64_t syncedEndAfter(std::string_view content, uint64_t position)
+{
+    uint64_t result = 0;
+    std::string_view magic(reinterpret_cast<const char*>(&recordMagic), sizeof(recordMagic));
+    for (size_t found = content.find(magic, position); found != std::string_view::npos; found = content.find(magic, found + 1)) {
+        std::optional<RecordHeader> header = intactRecord(content, found);
+        if (header && header->syncedEnd > result)
+            result = header->syncedEnd;
+    }
+    return result;
+}
+
+/**
+ * Reads records up to the first that is not intact.
+ * @return End of the intact part; nothing when bytes that had been synced are damaged.
+ */
+std::optional<uint64_t> readRecords(std::string_view content, std::vector<JournalRecord>& records)
+{
+    uint64_t position = fileMagic.size();
+    uint64_t syncedEnd = 0;
+    while (position < content.size()) {
+        std::optional<RecordHeader> header = intactRecord(content, position);
+        if (!header)
+            break;
+        syncedEnd = std::max(syncedEnd, header->syncedEnd);
+        position += sizeof(RecordHeader);
+        records.push_back({ header->type, std::string(content.substr(position, header->length)) });
+        position += header->length;
+    }
+    // A record that tells of more synced bytes proves that the missing ones are no torn write.
+    if (position < content.size())
+        syncedEnd = std::max(syncedEnd, syncedEndAfter(content, position));
+    if (syncedEnd > position)
+        return std::nullopt;
+    return position;
+}
+
+/** Writes all bytes. Returns 0 or an errno value. */
+int writeAll(int descriptor, std::string_view data)
+{
+    while (!data.empty()) {
+        ssize_t count = ::write(descriptor, data.data(), data.size());
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0)
+            return errno;
+        data.remove_prefix(static_cast<size_t>(count));
+    }
+    return 0;
+}
+
+} // namespace
+
+FileHooks systemFileHooks()
+{
+    return {
+        [](int descriptor) { return ::fdatasync(descriptor) ? errno : 0; },
+        writeAll,
+    };
+}
+
+/** Open file and its ends. */
+struct Journal::State {
+    std::error_code openFile();
+    std::error_code create();
+
+    std::string folder; ///< Holds the file.
+    FileHooks hooks; ///< File operations.
+    Descriptor file; ///< Open for appending.
+    uint64_t end = 0; ///< Size of the file.
+    uint64_t syncedEnd = 0; ///< Size at the last sync.
+    std::error_code failure; ///< After a failure that leaves the content of the disk unknown.
+};
+
+Journal::Journal()
+    : state(std::make_unique<State>())
+{
+}
+
+Journal::~Journal() = default;
+
+std::error_code Journal::State::openFile()
+{
+    std::string path = this->folder + "/" + journalFile;
+    this->file = Descriptor(::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+    return this->file.get() < 0 ? ResultCode::FileError : ResultCode::Ok;
+}
+
+std::error_code Journal::State::create()
+{
+    std::error_code error = replaceFile(this->folder, journalFile, fileMagic, this->hooks);
+    return error ? error : this->openFile();
+}
+
+std::error_code Journal::open(const std::string& folder, FileHooks hooks, std::unique_ptr<Journal>& journal, std::vector<JournalRecord>& records)
+{
+    std::unique_ptr<Journal> opened(new Journal);
+    State& state = *opened->state;
+    state.folder = folder;
+    state.hooks = std::move(hooks);
+    std::string content;
+    records.clear();
+    std::error_code error = readFile(folder + "/" + journalFile, content);
+    if (error == ResultCode::NotFound) {
+        content = fileMagic;
+        error = state.create();
+    } else if (!error) {
+        error = state.openFile();
+    }
+    if (error)
+        return error;
+    if (!content.starts_with(fileMagic))
+        return ResultCode::JournalDamaged;
+    std::optional<uint64_t> end = readRecords(content, records);
+    if (!end)
+        return ResultCode::JournalDamaged;
+    if (*end < content.size() && ::ftruncate(state.file.get(), static_cast<off_t>(*end)))
+        return ResultCode::FileError;
+    state.end = *end;
+    // What was read may be in the page cache only; it must last before anything is decided on it.
+    error = opened->sync();
+    if (!error)
+        journal = std::move(opened);
+    return error;
+}
+
+std::error_code Journal::append(const std::vector<JournalRecord>& records)
+{
+    State& state = *this->state;
+    if (state.failure)
+        return state.failure;
+    std::string bytes;
+    for (const JournalRecord& record : records)
+        encodeRecord(record, state.syncedEnd, state.end + bytes.size(), bytes);
+    int failure = state.hooks.write(state.file.get(), bytes);
+    if (!failure) {
+        state.end += bytes.size();
+        return {};
+    }
+    if (::ftruncate(state.file.get(), static_cast<off_t>(state.end))) {
+        state.failure = ResultCode::FileError;
+        return state.failure;
+    }
+    return writeFailure(failure);
+}
+
+std::error_code Journal::sync()
+{
+    State& state = *this->state;
+    if (state.failure)
+        return state.failure;
+    if (state.hooks.sync(state.file.get())) {
+        state.failure = ResultCode::SyncFailed;
+        return state.failure;
+    }
+    state.syncedEnd = state.end;
+    return {};
+}
+
+std::error_code Journal::rewrite(const std::vector<JournalRecord>& records)
+{
+    State& state = *this->state;
+    if (state.failure)
+        return state.failure;
+    uint64_t size = fileMagic.size();
+    for (const JournalRecord& record : records)
+        size += sizeof(RecordHeader) + record.data.size();
+    // The whole file is synced before it gets its name, so each record can tell of the whole size.
+    std::string content(fileMagic);
+    for (const JournalRecord& record : records)
+        encodeRecord(record, size, content.size(), content);
+    std::error_code error = replaceFile(state.folder, journalFile, content, state.hooks);
+    if (error == ResultCode::SyncFailed)
+        state.failure = error;
+    if (error)
+        return error;
+    state.failure = state.openFile();
+    state.end = content.size();
+    state.syncedEnd = content.size();
+    return state.failure;
+}
+
+uint64_t Journal::sizeBytes() const
+{
+    return this->state->end;
+}
+
+} // namespace kingcup
