Fix: Let RcuPointer compile when it is instantiated

liburcu's rcu_dereference and rcu_assign_pointer cast to void* with reinterpret_cast, which rejects a pointer to const. The template had not been instantiated before.

--- a/packages/state/include/kingcup/Rcu.h
+++ b/packages/state/include/kingcup/Rcu.h
@@ -23,7 +23,7 @@
 public:
     /** @param initial First value; must not be null. */
     explicit RcuPointer(std::unique_ptr<const T> initial)
-        : current(initial.release())
+        : current(const_cast<T*>(initial.release()))
     {
     }
 
@@ -38,14 +38,14 @@
     void replace(std::unique_ptr<const T> next)
     {
         std::lock_guard<std::mutex> lock(this->writerMutex);
-        const T* old = this->current;
-        rcu_assign_pointer(this->current, next.release());
+        T* old = this->current;
+        rcu_assign_pointer(this->current, const_cast<T*>(next.release()));
         urcu_bp_synchronize_rcu();
         delete old;
     }
 
 private:
-    const T* current;
+    T* current; ///< Never written through; not const because liburcu's macros cannot cast a pointer to const.
     std::mutex writerMutex; ///< Serialises writers.
 };
 
