--- /dev/null
+++ b/packages/coordination/src/Admission.cpp
@@ -0,0 +1,235 @@
+/** @file Admission.cpp Queue and concurrency limit of one service on one entry VM. */
+#include "kingcup/Admission.h"
+
+#include "ConcurrencyLimit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace kingcup {
+
+namespace {
+
+constexpr double ageingStepMs = 1000; ///< A request that has waited this long moves up by one priority.
+constexpr uint32_t startsPerOldest = 16; ///< One start in this many goes to the oldest request.
+constexpr Milliseconds shortestRetryAfter { 10 };
+constexpr Milliseconds longestRetryAfter { 60000 };
+
+/** Position in the queue. It does not change while a request waits, so that the queue stays sorted. */
+struct QueueKey {
+    int64_t level; ///< Priority plus the ageing step of arrival; an older request of lower priority gets ahead in time.
+    TimePoint deadline; ///< Earlier first.
+    uint64_t id; ///< Makes keys unique.
+    auto operator<=>(const QueueKey&) const = default;
+};
+
+/** A time and a request, for the orders by arrival and by expiry. */
+struct TimedId {
+    TimePoint time; ///< Arrival or expiry.
+    uint64_t id; ///< Request.
+    auto operator<=>(const TimedId&) const = default;
+};
+
+/** A request that waits. */
+struct Waiting {
+    AdmissionRequest request; ///< As asked.
+    TimePoint arrival; ///< When it was asked.
+    TimePoint expiry; ///< Refused then.
+    QueueKey key; ///< Position.
+};
+
+} // namespace
+
+/** Everything behind the interface. */
+struct Admission::State {
+    explicit State(const ServiceLimits& limits)
+        : limits(limits)
+    {
+    }
+
+    void enqueue(const AdmissionRequest& request, TimePoint now);
+    Waiting remove(uint64_t id);
+    void startWaiting(std::vector<AdmissionDecision>& decisions);
+    void refuseExpired(TimePoint now, std::vector<AdmissionDecision>& decisions);
+    AdmissionDecision refusal(uint64_t id, ResultCode code, TimePoint now);
+    bool makeRoom(const QueueKey& key, TimePoint now, std::vector<AdmissionDecision>& decisions);
+    Milliseconds expectedWait(const QueueKey& key) const;
+    Milliseconds timePerStart() const;
+
+    ServiceLimits limits; ///< From the manifest.
+    ConcurrencyLimit concurrency; ///< Adaptive limit.
+    uint32_t inFlight = 0; ///< Started and not finished.
+    uint32_t starts = 0; ///< From the queue.
+    std::unordered_map<uint64_t, Waiting> waiting; ///< By id.
+    std::set<QueueKey> order; ///< By position.
+    std::set<TimedId> arrivals; ///< Oldest first.
+    std::set<TimedId> expiries; ///< Next to expire first.
+    TimePoint returnsBookedUntil {}; ///< Refused callers were told to come back up to here.
+};
+
+void Admission::State::enqueue(const AdmissionRequest& request, TimePoint now)
+{
+    auto step = static_cast<int64_t>(std::floor(now.time_since_epoch().count() / ageingStepMs));
+    QueueKey key { step + request.priority, request.deadline, request.id };
+    TimePoint expiry = std::min(now + request.mayWait, request.deadline);
+    this->waiting.emplace(request.id, Waiting { request, now, expiry, key });
+    this->order.insert(key);
+    this->arrivals.insert({ now, request.id });
+    this->expiries.insert({ expiry, request.id });
+}
+
+Waiting Admission::State::remove(uint64_t id)
+{
+    Waiting found = this->waiting.at(id);
+    this->waiting.erase(id);
+    this->order.erase(found.key);
+    this->arrivals.erase({ found.arrival, id });
+    this->expiries.erase({ found.expiry, id });
+    return found;
+}
+
+void Admission::State::startWaiting(std::vector<AdmissionDecision>& decisions)
+{
+    while (!this->waiting.empty() && this->inFlight < this->concurrency.limit()) {
+        bool oldestFirst = ++this->starts % startsPerOldest == 0;
+        uint64_t id = oldestFirst ? this->arrivals.begin()->id : this->order.begin()->id;
+        this->remove(id);
+        ++this->inFlight;
+        decisions.push_back({ id, ResultCode::Ok, Milliseconds(0) });
+    }
+}
+
+void Admission::State::refuseExpired(TimePoint now, std::vector<AdmissionDecision>& decisions)
+{
+    while (!this->expiries.empty() && this->expiries.begin()->time <= now) {
+        Waiting expired = this->remove(this->expiries.begin()->id);
+        bool byDeadline = expired.expiry == expired.request.deadline;
+        ResultCode code = byDeadline ? ResultCode::DeadlineBeforeSend : ResultCode::WaitTooLong;
+        decisions.push_back(this->refusal(expired.request.id, code, now));
+    }
+}
+
+Milliseconds Admission::State::timePerStart() const
+{
+    return this->concurrency.typicalLatency() / std::max(this->concurrency.limit(), 1u);
+}
+
+Milliseconds Admission::State::expectedWait(const QueueKey& key) const
+{
+    auto ahead = std::distance(this->order.begin(), this->order.lower_bound(key));
+    return this->timePerStart() * static_cast<double>(ahead + 1);
+}
+
+AdmissionDecision Admission::State::refusal(uint64_t id, ResultCode code, TimePoint now)
+{
+    // Each refused caller is given its own time, after the queue and after those who were refused before it.
+    TimePoint free = now + this->timePerStart() * static_cast<double>(this->waiting.size() + 1);
+    this->returnsBookedUntil = std::max(this->returnsBookedUntil + this->timePerStart(), free);
+    this->returnsBookedUntil = std::min(this->returnsBookedUntil, now + longestRetryAfter);
+    return { id, code, std::max(this->returnsBookedUntil - now, shortestRetryAfter) };
+}
+
+bool Admission::State::makeRoom(const QueueKey& key, TimePoint now, std::vector<AdmissionDecision>& decisions)
+{
+    if (this->waiting.size() < this->limits.queueLength)
+        return true;
+    for (auto last = this->order.rbegin(); last != this->order.rend() && key < *last; ++last) {
+        if (!this->waiting.at(last->id).request.mayRefuse)
+            continue;
+        uint64_t id = last->id;
+        this->remove(id);
+        decisions.push_back(this->refusal(id, ResultCode::QueueFull, now));
+        return true;
+    }
+    return false;
+}
+
+Admission::Admission(const ServiceLimits& limits)
+    : state(std::make_unique<State>(limits))
+{
+}
+
+Admission::~Admission() = default;
+
+void Admission::setLimits(const ServiceLimits& limits, uint32_t usableSlots)
+{
+    this->state->limits = limits;
+    this->state->concurrency.setBounds(usableSlots, limits.maxInFlight);
+}
+
+std::vector<AdmissionDecision> Admission::request(const AdmissionRequest& request, TimePoint now)
+{
+    std::vector<AdmissionDecision> decisions = this->tick(now);
+    State& state = *this->state;
+    if (request.deadline <= now) {
+        decisions.push_back(state.refusal(request.id, ResultCode::DeadlineBeforeSend, now));
+        return decisions;
+    }
+    if (state.waiting.empty() && state.inFlight < state.concurrency.limit()) {
+        ++state.inFlight;
+        decisions.push_back({ request.id, ResultCode::Ok, Milliseconds(0) });
+        return decisions;
+    }
+    auto step = static_cast<int64_t>(std::floor(now.time_since_epoch().count() / ageingStepMs));
+    QueueKey key { step + request.priority, request.deadline, request.id };
+    Milliseconds patience = std::min(request.mayWait, request.deadline - now);
+    if (patience <= Milliseconds(0) || (request.mayRefuse && state.expectedWait(key) > patience)) {
+        decisions.push_back(state.refusal(request.id, ResultCode::WaitTooLong, now));
+        return decisions;
+    }
+    if (!state.makeRoom(key, now, decisions)) {
+        decisions.push_back(state.refusal(request.id, ResultCode::QueueFull, now));
+        return decisions;
+    }
+    state.enqueue(request, now);
+    return decisions;
+}
+
+std::vector<AdmissionDecision> Admission::finish(Milliseconds latency, bool overloaded, TimePoint now)
+{
+    State& state = *this->state;
+    state.concurrency.observe(latency, overloaded, state.inFlight, now);
+    state.inFlight -= state.inFlight > 0;
+    return this->tick(now);
+}
+
+std::vector<AdmissionDecision> Admission::tick(TimePoint now)
+{
+    std::vector<AdmissionDecision> decisions;
+    this->state->refuseExpired(now, decisions);
+    this->state->startWaiting(decisions);
+    return decisions;
+}
+
+bool Admission::cancel(uint64_t id)
+{
+    if (!this->state->waiting.contains(id))
+        return false;
+    this->state->remove(id);
+    return true;
+}
+
+TimePoint Admission::nextEvent() const
+{
+    return this->state->expiries.empty() ? TimePoint::max() : this->state->expiries.begin()->time;
+}
+
+uint32_t Admission::inFlight() const
+{
+    return this->state->inFlight;
+}
+
+uint32_t Admission::waiting() const
+{
+    return static_cast<uint32_t>(this->state->waiting.size());
+}
+
+uint32_t Admission::limit() const
+{
+    return this->state->concurrency.limit();
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/CrashContainment.cpp
@@ -0,0 +1,239 @@
+/** @file CrashContainment.cpp Suspicions against requests that were in flight on lost connections. */
+#include "kingcup/CrashContainment.h"
+
+#include "kingcup/Rcu.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <xxhash.h>
+
+namespace kingcup {
+
+namespace {
+
+constexpr int64_t exonerationMs = 10000; ///< How long a whole answer speaks for a request.
+constexpr int64_t defaultQuarantineMs = 60000;
+constexpr size_t maxRecords = 65536;
+constexpr size_t suspectsForQuarantine = 2;
+
+/** Service and fingerprint. */
+using RequestKey = std::pair<std::string, Fingerprint>;
+
+/** Copies of a request in flight on one target. */
+struct Copies {
+    uint32_t count = 0; ///< In flight.
+    uint64_t firstStarted = 0; ///< Event number of the start of the oldest one.
+};
+
+/** What this VM knows of one request. */
+struct RequestRecord {
+    std::map<std::string, Copies> inFlight; ///< By address.
+    std::set<std::string> lostSinceSuccess; ///< Addresses whose connections were lost after the last whole answer.
+    std::set<std::string> suspectedOn; ///< Addresses that the leader was told of.
+    uint64_t succeededEvent = 0; ///< Event number of the last whole answer; 0: none.
+    int64_t succeededMs = 0; ///< Wall time of it.
+    int64_t suspectedMs = 0; ///< Wall time of the last suspicion.
+    bool clearTold = false; ///< The leader was told to clear; its own record may not be changed yet.
+};
+
+/** Quarantines of the leader. */
+struct LeaderRecords {
+    std::map<RequestKey, wire::Quarantine> quarantines; ///< By service and fingerprint.
+    std::map<std::string, int64_t> periods; ///< Length of a quarantine by service, milliseconds.
+};
+
+} // namespace
+
+/** Everything behind the interface. */
+struct CrashContainment::State {
+    ContainmentVerdict leaderVerdict(const RequestKey& key, int64_t wallMs) const;
+    ContainmentVerdict localVerdict(const RequestKey& key, int64_t wallMs) const;
+    ContainmentVerdict currentVerdict(const RequestKey& key, int64_t wallMs) const;
+    void remove(RequestRecord& record, const std::string& address);
+    void prune();
+    bool exonerated(const RequestRecord& record, const std::string& address) const;
+
+    mutable std::mutex mutex; ///< Guards all below; held for a few map operations only.
+    absl::flat_hash_map<RequestKey, RequestRecord> records; ///< Requests in flight, answered recently or suspected.
+    LeaderRecords leader; ///< As of the last snapshot.
+    uint64_t events = 0; ///< Counts starts and answers.
+    mutable int64_t wallMs = 0; ///< Latest time heard.
+};
+
+ContainmentVerdict CrashContainment::State::leaderVerdict(const RequestKey& key, int64_t wallMs) const
+{
+    auto found = this->leader.quarantines.find(key);
+    if (found == this->leader.quarantines.end() || found->second.cleared())
+        return ContainmentVerdict::Run;
+    if (static_cast<int64_t>(found->second.until_wall_ms()) <= wallMs)
+        return ContainmentVerdict::Run;
+    bool quarantined = found->second.suspected_targets() >= suspectsForQuarantine;
+    return quarantined ? ContainmentVerdict::Refuse : ContainmentVerdict::RunAlone;
+}
+
+ContainmentVerdict CrashContainment::State::localVerdict(const RequestKey& key, int64_t wallMs) const
+{
+    auto found = this->records.find(key);
+    if (found == this->records.end() || found->second.suspectedOn.empty())
+        return ContainmentVerdict::Run;
+    auto period = this->leader.periods.find(key.first);
+    int64_t length = period == this->leader.periods.end() ? defaultQuarantineMs : period->second;
+    if (found->second.suspectedMs + length <= wallMs)
+        return ContainmentVerdict::Run;
+    bool quarantined = found->second.suspectedOn.size() >= suspectsForQuarantine;
+    return quarantined ? ContainmentVerdict::Refuse : ContainmentVerdict::RunAlone;
+}
+
+ContainmentVerdict CrashContainment::State::currentVerdict(const RequestKey& key, int64_t wallMs) const
+{
+    auto found = this->records.find(key);
+    bool cleared = found != this->records.end() && found->second.clearTold;
+    ContainmentVerdict byLeader = cleared ? ContainmentVerdict::Run : this->leaderVerdict(key, wallMs);
+    return std::max(byLeader, this->localVerdict(key, wallMs));
+}
+
+void CrashContainment::State::remove(RequestRecord& record, const std::string& address)
+{
+    auto copies = record.inFlight.find(address);
+    if (copies != record.inFlight.end() && --copies->second.count == 0)
+        record.inFlight.erase(copies);
+}
+
+void CrashContainment::State::prune()
+{
+    if (this->records.size() < maxRecords)
+        return;
+    absl::erase_if(this->records, [&](const auto& item) {
+        const RequestRecord& record = item.second;
+        bool recent = record.succeededMs + exonerationMs > this->wallMs;
+        bool suspect = this->localVerdict(item.first, this->wallMs) != ContainmentVerdict::Run;
+        return record.inFlight.empty() && !suspect && (!recent || this->records.size() >= 2 * maxRecords);
+    });
+}
+
+bool CrashContainment::State::exonerated(const RequestRecord& record, const std::string& address) const
+{
+    if (!record.succeededEvent)
+        return false;
+    // A request that used to be answered may have become harmful: the second target since its last answer counts.
+    if (!record.lostSinceSuccess.empty() && !record.lostSinceSuccess.contains(address))
+        return false;
+    auto copies = record.inFlight.find(address);
+    bool answeredMeanwhile = copies != record.inFlight.end() && record.succeededEvent > copies->second.firstStarted;
+    return answeredMeanwhile || record.succeededMs + exonerationMs > this->wallMs;
+}
+
+Fingerprint requestFingerprint(std::string_view service, std::string_view method, std::string_view target, std::string_view body)
+{
+    XXH3_state_t* hash = XXH3_createState();
+    XXH3_128bits_reset(hash);
+    for (std::string_view part : { service, method, target, body }) {
+        uint64_t size = part.size(); // Keeps two requests apart whose parts are split differently.
+        XXH3_128bits_update(hash, &size, sizeof size);
+        XXH3_128bits_update(hash, part.data(), part.size());
+    }
+    XXH128_canonical_t canonical;
+    XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(hash));
+    XXH3_freeState(hash);
+    return { reinterpret_cast<const char*>(canonical.digest), sizeof canonical.digest };
+}
+
+CrashContainment::CrashContainment()
+    : state(std::make_unique<State>())
+{
+}
+
+CrashContainment::~CrashContainment() = default;
+
+void CrashContainment::update(const ConfigurationSnapshot& snapshot)
+{
+    LeaderRecords next;
+    next.quarantines = snapshot.quarantines;
+    for (const auto& [name, service] : snapshot.services)
+        next.periods[name] = static_cast<int64_t>(service->limits.quarantine.count());
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    this->state->leader = std::move(next);
+    for (auto& [key, record] : this->state->records) {
+        auto found = this->state->leader.quarantines.find(key);
+        if (found == this->state->leader.quarantines.end() || found->second.cleared())
+            record.clearTold = false;
+    }
+}
+
+ContainmentVerdict CrashContainment::verdict(const std::string& service, const Fingerprint& fingerprint, int64_t wallMs) const
+{
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    this->state->wallMs = std::max(this->state->wallMs, wallMs);
+    return this->state->currentVerdict({ service, fingerprint }, wallMs);
+}
+
+void CrashContainment::started(const std::string& service, const Fingerprint& fingerprint, const std::string& address)
+{
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    this->state->prune();
+    Copies& copies = this->state->records[{ service, fingerprint }].inFlight[address];
+    if (copies.count++ == 0)
+        copies.firstStarted = ++this->state->events;
+}
+
+std::vector<std::string> CrashContainment::targetsWithSuspects(const std::string& service) const
+{
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    std::set<std::string> addresses;
+    for (const auto& [key, record] : this->state->records) {
+        if (key.first != service || record.inFlight.empty())
+            continue;
+        if (this->state->currentVerdict(key, this->state->wallMs) == ContainmentVerdict::Run)
+            continue;
+        for (const auto& [address, copies] : record.inFlight)
+            addresses.insert(address);
+    }
+    return { addresses.begin(), addresses.end() };
+}
+
+bool CrashContainment::succeeded(const std::string& service, const Fingerprint& fingerprint, const std::string& address)
+{
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    RequestKey key { service, fingerprint };
+    bool suspect = this->state->currentVerdict(key, this->state->wallMs) != ContainmentVerdict::Run;
+    RequestRecord& record = this->state->records[key];
+    this->state->remove(record, address);
+    record.succeededEvent = ++this->state->events;
+    record.succeededMs = this->state->wallMs;
+    record.lostSinceSuccess.clear();
+    record.suspectedOn.clear();
+    record.clearTold |= suspect;
+    return suspect;
+}
+
+bool CrashContainment::connectionLost(const std::string& service, const Fingerprint& fingerprint, const std::string& address)
+{
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    RequestRecord& record = this->state->records[{ service, fingerprint }];
+    bool innocent = this->state->exonerated(record, address);
+    this->state->remove(record, address);
+    record.lostSinceSuccess.insert(address);
+    if (innocent)
+        return false;
+    record.suspectedOn.insert(address);
+    record.suspectedMs = this->state->wallMs;
+    record.clearTold = false;
+    return true;
+}
+
+void CrashContainment::ended(const std::string& service, const Fingerprint& fingerprint, const std::string& address)
+{
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    auto found = this->state->records.find({ service, fingerprint });
+    if (found == this->state->records.end())
+        return;
+    this->state->remove(found->second, address);
+    bool known = found->second.succeededEvent || !found->second.lostSinceSuccess.empty() || !found->second.suspectedOn.empty();
+    if (!known && found->second.inFlight.empty())
+        this->state->records.erase(found);
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/LoadReport.cpp
@@ -0,0 +1,55 @@
+/** @file LoadReport.cpp Parses the load report of a target. */
+#include "kingcup/Router.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <cmath>
+
+namespace kingcup {
+
+namespace {
+
+// Debian builds Abseil with its own string_view, which does not convert to the one of the standard library.
+constexpr size_t maxReportBytes = 256;
+constexpr uint32_t maxReportedCount = 1'000'000;
+constexpr double maxReportedLatencyMs = 3'600'000;
+
+/** Parses a count; false when it is malformed or absurd. */
+bool parseCount(absl::string_view text, uint32_t& value)
+{
+    return absl::SimpleAtoi(text, &value) && value <= maxReportedCount;
+}
+
+/** Parses a latency in milliseconds; false when it is malformed or absurd. */
+bool parseLatency(absl::string_view text, double& value)
+{
+    return absl::SimpleAtod(text, &value) && std::isfinite(value) && value >= 0 && value <= maxReportedLatencyMs;
+}
+
+} // namespace
+
+std::optional<LoadReport> parseLoadReport(std::string_view value)
+{
+    if (value.size() > maxReportBytes)
+        return std::nullopt;
+    LoadReport report;
+    bool hasInFlight = false;
+    for (absl::string_view item : absl::StrSplit(absl::string_view(value.data(), value.size()), ',')) {
+        std::pair<absl::string_view, absl::string_view> parts = absl::StrSplit(item, absl::MaxSplits('=', 1));
+        absl::string_view name = absl::StripAsciiWhitespace(parts.first);
+        absl::string_view text = absl::StripAsciiWhitespace(parts.second);
+        bool valid = true; // Names that are not known are left to later versions.
+        if (name == "inflight")
+            valid = hasInFlight = parseCount(text, report.inFlight);
+        else if (name == "slots")
+            valid = parseCount(text, report.slots);
+        else if (name == "latency-ms")
+            valid = parseLatency(text, report.latencyMs);
+        if (!valid)
+            return std::nullopt;
+    }
+    return hasInFlight ? std::optional(report) : std::nullopt;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/RetryPolicy.cpp
@@ -0,0 +1,111 @@
+/** @file RetryPolicy.cpp Budgets of retries and hedges. */
+#include "kingcup/RetryPolicy.h"
+
+#include "LatencySketch.h"
+
+#include <algorithm>
+#include <atomic>
+
+namespace kingcup {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+constexpr double retryBurst = 10; ///< Retries that a service with little traffic may make without earning them.
+constexpr double hedgeBurst = 10;
+constexpr uint32_t maxAttempts = 3;
+constexpr uint64_t fewestObservations = 50;
+constexpr double quickestUsefulQuantile = 0.1; ///< A retry with less time left than this quantile cannot be in time.
+
+/** Token bucket that is filled by events, not by time. Thread-safe. */
+class EventBucket {
+public:
+    explicit EventBucket(double tokens)
+        : tokens(tokens)
+    {
+    }
+
+    /** Adds tokens up to a limit. */
+    void earn(double amount, double limit)
+    {
+        double old = this->tokens.load(relaxed);
+        while (!this->tokens.compare_exchange_weak(old, std::min(old + amount, std::max(old, limit)), relaxed)) { }
+    }
+
+    /** Takes tokens if there are enough. */
+    bool take(double amount)
+    {
+        double old = this->tokens.load(relaxed);
+        do {
+            if (old < amount)
+                return false;
+        } while (!this->tokens.compare_exchange_weak(old, old - amount, relaxed));
+        return true;
+    }
+
+private:
+    std::atomic<double> tokens;
+};
+
+} // namespace
+
+/** Everything behind the interface. */
+struct RetryPolicy::State {
+    std::atomic<double> retryShare { 0 }; ///< Retries as a share of calls.
+    EventBucket retries { retryBurst }; ///< In retries.
+    EventBucket hedges { 0 }; ///< In calls; a hedge costs 1 / share of them.
+    LatencySketch latencies; ///< Of recent attempts.
+};
+
+RetryPolicy::RetryPolicy(const ServiceLimits& limits)
+    : state(std::make_unique<State>())
+{
+    this->setLimits(limits);
+}
+
+RetryPolicy::~RetryPolicy() = default;
+
+void RetryPolicy::setLimits(const ServiceLimits& limits)
+{
+    this->state->retryShare.store(std::clamp(limits.retryShare, 0.0, 1.0), relaxed);
+}
+
+void RetryPolicy::call(TimePoint)
+{
+    constexpr double smallestShare = 0.001; // Bounds what is saved up for kinds with a small share.
+    this->state->retries.earn(this->state->retryShare.load(relaxed), retryBurst);
+    this->state->hedges.earn(1, hedgeBurst / smallestShare);
+}
+
+bool RetryPolicy::mayRetry(const RetryQuestion& question, TimePoint now)
+{
+    bool failed = question.outcome != AttemptOutcome::Answered && question.outcome != AttemptOutcome::Cancelled;
+    bool safe = !question.sent || (question.repeatable && question.depth == 0);
+    if (!failed || !safe || question.attempts >= maxAttempts)
+        return false;
+    std::optional<Milliseconds> quickest = this->state->latencies.quantile(quickestUsefulQuantile, fewestObservations, now);
+    if (now + quickest.value_or(Milliseconds(0)) >= question.deadline)
+        return false;
+    return this->state->retryShare.load(relaxed) > 0 && this->state->retries.take(1);
+}
+
+void RetryPolicy::latency(Milliseconds latency, TimePoint now)
+{
+    this->state->latencies.add(latency, now);
+}
+
+std::optional<Milliseconds> RetryPolicy::hedgeDelay(const Kind& kind, TimePoint now)
+{
+    if (!kind.hedge || !kind.repeatable)
+        return std::nullopt;
+    return this->state->latencies.quantile(kind.hedge->percentile, fewestObservations, now);
+}
+
+bool RetryPolicy::mayHedge(const Kind& kind, TimePoint)
+{
+    if (!kind.hedge || !kind.repeatable || kind.hedge->budgetShare <= 0)
+        return false;
+    return this->state->hedges.take(1 / kind.hedge->budgetShare);
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/RoutingTable.cpp
@@ -0,0 +1,99 @@
+/** @file RoutingTable.cpp Builds routing tables and chooses the subset of targets. */
+#include "RoutingTable.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace kingcup {
+
+namespace {
+
+constexpr double localShareOfSubset = 0.7; ///< The rest are targets of other zones, which take over when the own zone is busy.
+
+/** A target and its rank for one VM. */
+struct RankedTarget {
+    uint64_t rank; ///< Rendezvous hash; the highest are used.
+    const wire::TargetRecord* record; ///< The target.
+};
+
+/** Moves the best `count` of the ranked targets to the result. */
+void takeBest(std::vector<RankedTarget>& ranked, size_t count, std::vector<const wire::TargetRecord*>& result)
+{
+    auto better = [](const RankedTarget& a, const RankedTarget& b) { return a.rank > b.rank; };
+    auto middle = ranked.begin() + static_cast<ptrdiff_t>(std::min(count, ranked.size()));
+    std::partial_sort(ranked.begin(), middle, ranked.end(), better);
+    for (auto it = ranked.begin(); it != middle; ++it)
+        result.push_back(it->record);
+}
+
+/** Returns the estimates of a target from the previous table, or new ones. */
+std::shared_ptr<TargetEstimate> estimateFor(const wire::TargetRecord& record, const RoutingTable& previous, uint32_t& serial, double nowMs)
+{
+    const RoutingEntry* known = previous.find(record.address());
+    if (known && known->target->incarnation == record.incarnation())
+        return known->target;
+    // With no table before, this VM has just started and says nothing about the age of its targets.
+    double coldSinceMs = previous.entries.empty() ? neverMs : nowMs;
+    return std::make_shared<TargetEstimate>(record.address(), record.incarnation(), ++serial, coldSinceMs);
+}
+
+} // namespace
+
+const RoutingEntry* RoutingTable::find(const std::string& address) const
+{
+    auto found = this->byAddress.find(address);
+    return found == this->byAddress.end() ? nullptr : &this->entries[found->second];
+}
+
+std::vector<const wire::TargetRecord*> chooseSubset(const SubsetOwner& owner, const Service& service, const std::vector<wire::TargetRecord>& targets)
+{
+    bool byZone = service.zonePreference == ZonePreference::Own;
+    uint64_t seed = XXH3_64bits(owner.entryVm.data(), owner.entryVm.size());
+    std::vector<RankedTarget> local;
+    std::vector<RankedTarget> remote;
+    for (const wire::TargetRecord& record : targets) {
+        if (record.state() != wire::TARGET_SERVING)
+            continue;
+        uint64_t rank = XXH3_64bits_withSeed(record.address().data(), record.address().size(), seed);
+        bool isLocal = byZone && record.availability_zone() == owner.zone;
+        (isLocal ? local : remote).push_back({ rank, &record });
+    }
+    size_t wanted = std::max(service.limits.subsetSize, 1u);
+    auto localWanted = static_cast<size_t>(std::max(1.0, static_cast<double>(wanted) * localShareOfSubset));
+    size_t remoteWanted = wanted - std::min(localWanted, local.size());
+    size_t localTaken = wanted - std::min(remoteWanted, remote.size());
+    std::vector<const wire::TargetRecord*> result;
+    takeBest(local, localTaken, result);
+    takeBest(remote, wanted - result.size(), result);
+    return result;
+}
+
+std::unique_ptr<RoutingTable> buildRoutingTable(const SubsetOwner& owner, const Service& service, const std::vector<wire::TargetRecord>& targets, const RoutingTable& previous, uint32_t& serial, double nowMs)
+{
+    auto table = std::make_unique<RoutingTable>();
+    table->service = service.name;
+    table->limits = service.limits;
+    table->zonePreference = service.zonePreference;
+    std::vector<const wire::TargetRecord*> used = chooseSubset(owner, service, targets);
+    for (const wire::TargetRecord& record : targets) {
+        // Targets that no longer take work stay in the table until their last attempt has been counted out.
+        if (record.state() != wire::TARGET_SERVING && previous.find(record.address()))
+            used.push_back(&record);
+    }
+    for (const wire::TargetRecord* record : used) {
+        bool local = record->availability_zone() == owner.zone;
+        std::shared_ptr<TargetEstimate> estimate = estimateFor(*record, previous, serial, nowMs);
+        table->entries.push_back({ std::move(estimate), std::max(record->slots(), 1u), local, record->state() });
+    }
+    auto order = [](const RoutingEntry& entry) { return entry.state != wire::TARGET_SERVING ? 2 : entry.local ? 0
+                                                                                                              : 1; };
+    std::stable_sort(table->entries.begin(), table->entries.end(), [&](const RoutingEntry& a, const RoutingEntry& b) { return order(a) < order(b); });
+    for (const RoutingEntry& entry : table->entries) {
+        table->byAddress[entry.target->address] = static_cast<uint32_t>(table->byAddress.size());
+        table->localCount += order(entry) == 0;
+        table->servingCount += order(entry) < 2;
+    }
+    return table;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -0,0 +1,207 @@
+/** @file TargetChooser.cpp Routing policies. */
+#include "TargetChooser.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kingcup {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+constexpr int randomTries = 4;
+constexpr int hotColdSamples = 3;
+constexpr double hotQuantile = 0.84;
+constexpr double unknownLatencyMs = 1;
+constexpr int localSamples = 3;
+constexpr int remoteSamples = 2;
+constexpr double remoteCostMs = 1;
+constexpr double failureCost = 4;
+
+/** Returns the eligible entry with the lowest cost among all, ties broken at random. */
+template <typename Cost>
+const RoutingEntry* cheapest(const Choice& choice, Cost cost)
+{
+    const RoutingEntry* best = nullptr;
+    double bestCost = 0;
+    size_t count = choice.table.servingCount;
+    size_t offset = choice.random.below(count);
+    for (size_t i = 0; i < count; ++i) {
+        const RoutingEntry& entry = choice.table.entries[(offset + i) % count];
+        if (!choice.eligible(entry))
+            continue;
+        double entryCost = cost(entry);
+        if (best && bestCost <= entryCost)
+            continue;
+        best = &entry;
+        bestCost = entryCost;
+    }
+    return best;
+}
+
+/** Returns the cheaper of several random eligible entries. */
+template <typename Cost>
+const RoutingEntry* cheapestOf(const Choice& choice, int samples, Cost cost)
+{
+    const RoutingEntry* best = nullptr;
+    for (int i = 0; i < samples; ++i) {
+        const RoutingEntry* entry = choice.sample(0, choice.table.servingCount);
+        if (entry && (!best || cost(*entry) < cost(*best)))
+            best = entry;
+    }
+    return best;
+}
+
+const RoutingEntry* chooseRoundRobin(const Choice& choice)
+{
+    size_t count = choice.table.servingCount;
+    uint64_t first = choice.turn.fetch_add(1, relaxed);
+    for (size_t i = 0; i < count; ++i) {
+        const RoutingEntry& entry = choice.table.entries[(first + i) % count];
+        if (choice.eligible(entry))
+            return &entry;
+    }
+    return nullptr;
+}
+
+double outstandingOf(const RoutingEntry& entry)
+{
+    return entry.target->outstanding.load(relaxed);
+}
+
+double peakCost(const Choice& choice, const RoutingEntry& entry)
+{
+    return std::max(entry.target->peakLatency(choice.nowMs), unknownLatencyMs) * (outstandingOf(entry) + 1);
+}
+
+/** Returns the requests in flight by the last report and own later attempts. */
+double reportedLoad(const RoutingEntry& entry)
+{
+    const TargetEstimate& target = *entry.target;
+    return target.reportedInFlight.load(relaxed) + static_cast<double>(target.picksSinceReport.load(relaxed));
+}
+
+const RoutingEntry* chooseHotCold(const Choice& choice)
+{
+    std::vector<double> loads;
+    for (size_t i = 0; i < choice.table.servingCount; ++i)
+        loads.push_back(reportedLoad(choice.table.entries[i]));
+    auto limit = loads.begin() + static_cast<ptrdiff_t>(hotQuantile * static_cast<double>(loads.size() - 1));
+    std::nth_element(loads.begin(), limit, loads.end());
+    double hotAbove = *limit;
+    constexpr double hotOffset = 1e9; // Every hot target costs more than every cold one.
+    return cheapestOf(choice, hotColdSamples, [&](const RoutingEntry& entry) {
+        double load = reportedLoad(entry);
+        return load > hotAbove ? hotOffset + load : entry.target->reportedLatency.load(relaxed);
+    });
+}
+
+/** Returns the expected time of a request that is sent now, milliseconds, with penalties. */
+double adaptiveCost(const Choice& choice, const RoutingEntry& entry)
+{
+    const TargetEstimate& target = *entry.target;
+    double slots = entry.slots;
+    double others = target.others(choice.fleet.othersPerSlot.load(relaxed) * slots, choice.nowMs);
+    double load = outstandingOf(entry) + others + 1;
+    double crowding = load / (slots * target.ramp(choice.nowMs));
+    double latency = target.latency(std::max(choice.fleet.latency(), unknownLatencyMs), choice.nowMs);
+    double cost = latency * (1 + crowding) * (1 + failureCost * target.failureShare.load(relaxed));
+    bool remote = choice.table.zonePreference == ZonePreference::Own && !entry.local;
+    return remote ? cost + remoteCostMs : cost;
+}
+
+const RoutingEntry* chooseAdaptive(const Choice& choice)
+{
+    const RoutingEntry* best = nullptr;
+    double bestCost = 0;
+    auto offer = [&](const RoutingEntry* entry) {
+        if (!entry)
+            return;
+        double cost = adaptiveCost(choice, *entry);
+        if (best && bestCost <= cost)
+            return;
+        best = entry;
+        bestCost = cost;
+    };
+    for (int i = 0; i < localSamples; ++i)
+        offer(choice.sample(0, choice.table.localCount));
+    for (int i = 0; i < remoteSamples; ++i)
+        offer(choice.sample(choice.table.localCount, choice.table.servingCount));
+    return best;
+}
+
+} // namespace
+
+uint64_t SharedRandom::next()
+{
+    uint64_t mixed = this->counter.fetch_add(0x9e3779b97f4a7c15, relaxed);
+    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
+    return mixed ^ (mixed >> 31);
+}
+
+size_t SharedRandom::below(size_t bound)
+{
+    return bound ? this->next() % bound : 0;
+}
+
+double SharedRandom::fraction()
+{
+    return static_cast<double>(this->next() >> 11) * 0x1.0p-53;
+}
+
+double FleetAverages::latency() const
+{
+    return this->answers.load(relaxed) ? std::exp(this->logLatency.load(relaxed)) : 0;
+}
+
+bool Choice::eligible(const RoutingEntry& entry) const
+{
+    if (!this->allowEjected && entry.target->ejected(this->nowMs))
+        return false;
+    return std::find(this->excluded.begin(), this->excluded.end(), entry.target->address) == this->excluded.end();
+}
+
+const RoutingEntry* Choice::sample(size_t begin, size_t end) const
+{
+    size_t count = end - begin;
+    if (!count)
+        return nullptr;
+    for (int i = 0; i < randomTries; ++i) {
+        const RoutingEntry& entry = this->table.entries[begin + this->random.below(count)];
+        if (this->eligible(entry))
+            return &entry;
+    }
+    size_t offset = this->random.below(count);
+    for (size_t i = 0; i < count; ++i) {
+        const RoutingEntry& entry = this->table.entries[begin + (offset + i) % count];
+        if (this->eligible(entry))
+            return &entry;
+    }
+    return nullptr;
+}
+
+const RoutingEntry* chooseTarget(RoutingPolicy policy, const Choice& choice)
+{
+    if (!choice.table.servingCount)
+        return nullptr;
+    switch (policy) {
+    case RoutingPolicy::Random:
+        return choice.sample(0, choice.table.servingCount);
+    case RoutingPolicy::RoundRobin:
+        return chooseRoundRobin(choice);
+    case RoutingPolicy::LeastOutstanding:
+        return cheapest(choice, outstandingOf);
+    case RoutingPolicy::PowerOfTwo:
+        return cheapestOf(choice, 2, outstandingOf);
+    case RoutingPolicy::PeakEwma:
+        return cheapestOf(choice, 2, [&](const RoutingEntry& entry) { return peakCost(choice, entry); });
+    case RoutingPolicy::HotCold:
+        return chooseHotCold(choice);
+    case RoutingPolicy::Adaptive:
+        return chooseAdaptive(choice);
+    }
+    return nullptr;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -0,0 +1,147 @@
+/** @file TargetEstimate.cpp Estimates of one target from answers, failures and load reports. */
+#include "TargetEstimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kingcup {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+constexpr double latencyWeight = 0.1;
+constexpr double failureWeight = 0.2;
+constexpr double peakDecayMs = 10000;
+constexpr double reportDecayMs = 50;
+constexpr double coldRampMs = 5000;
+constexpr double coldRampStart = 0.1;
+constexpr double shortestEjectionMs = 1000;
+constexpr double longestEjectionMs = 30000;
+constexpr uint32_t failuresBeforeEjection = 5;
+constexpr double failureShareBeforeEjection = 0.6;
+
+} // namespace
+
+TargetEstimate::TargetEstimate(std::string address, uint64_t incarnation, uint32_t serial, double coldSinceMs)
+    : address(std::move(address))
+    , incarnation(incarnation)
+    , serial(serial)
+    , coldSinceMs(coldSinceMs)
+{
+}
+
+void TargetEstimate::started(double nowMs)
+{
+    if (this->outstanding.fetch_add(1, relaxed) == 0)
+        this->progressMs.store(nowMs, relaxed);
+    this->picksSinceReport.fetch_add(1, relaxed);
+}
+
+void TargetEstimate::finished(AttemptOutcome outcome, double latencyMs, double fleetLatencyMs, double nowMs)
+{
+    this->outstanding.fetch_sub(1, relaxed);
+    if (outcome == AttemptOutcome::Cancelled)
+        return;
+    this->progressMs.store(nowMs, relaxed);
+    this->observedMs.store(nowMs, relaxed);
+    bool answered = outcome == AttemptOutcome::Answered;
+    this->learnFailure(!answered);
+    bool connected = answered || outcome == AttemptOutcome::ServerError || outcome == AttemptOutcome::TimedOut;
+    this->connectionFailures.store(connected ? 0 : this->connectionFailures.load(relaxed) + 1, relaxed);
+    if (answered || outcome == AttemptOutcome::TimedOut)
+        this->learnLatency(latencyMs, nowMs);
+    else if (fleetLatencyMs > 0)
+        this->learnLatency(std::max(latencyMs, fleetLatencyMs), nowMs); // A fast failure must not look like a fast target.
+}
+
+void TargetEstimate::reported(const LoadReport& load, double observedMs)
+{
+    if (observedMs < this->reportedMs.load(relaxed))
+        return;
+    this->reportedInFlight.store(static_cast<int32_t>(load.inFlight), relaxed);
+    this->ownAtReport.store(this->outstanding.load(relaxed), relaxed);
+    this->reportedLatency.store(load.latencyMs, relaxed);
+    this->picksSinceReport.store(0, relaxed);
+    this->reportedMs.store(observedMs, relaxed);
+    this->observedMs.store(std::max(observedMs, this->observedMs.load(relaxed)), relaxed);
+}
+
+bool TargetEstimate::shouldEject() const
+{
+    if (this->connectionFailures.load(relaxed) > 0)
+        return true;
+    uint32_t inARow = this->failures.load(relaxed);
+    if (inARow > 0 && this->ejections.load(relaxed) > 0)
+        return true; // It was let back for a trial and failed it.
+    bool mostlyFails = this->failureShare.load(relaxed) > failureShareBeforeEjection;
+    return mostlyFails && inARow >= failuresBeforeEjection;
+}
+
+void TargetEstimate::eject(double nowMs)
+{
+    uint32_t before = this->ejections.fetch_add(1, relaxed);
+    double period = shortestEjectionMs * std::exp2(std::min(before, 10u));
+    double until = nowMs + std::min(period, longestEjectionMs);
+    this->ejectedUntilMs.store(until, relaxed);
+    this->coldSinceMs.store(until, relaxed);
+}
+
+double TargetEstimate::ramp(double nowMs) const
+{
+    double since = nowMs - this->coldSinceMs.load(relaxed);
+    return std::clamp(since / coldRampMs, coldRampStart, 1.0);
+}
+
+double TargetEstimate::latency(double fleetLatencyMs, double nowMs) const
+{
+    bool known = this->answers.load(relaxed) > 0;
+    double estimate = known ? std::exp(this->logLatency.load(relaxed)) : fleetLatencyMs;
+    if (this->outstanding.load(relaxed) <= 0)
+        return estimate;
+    return std::max(estimate, nowMs - this->progressMs.load(relaxed));
+}
+
+double TargetEstimate::others(double fleetOthers, double nowMs) const
+{
+    double reported = this->reportedMs.load(relaxed);
+    if (reported == neverMs)
+        return fleetOthers;
+    double seen = std::max(0, this->reportedInFlight.load(relaxed) - this->ownAtReport.load(relaxed));
+    double trust = std::exp(-std::max(0.0, nowMs - reported) / reportDecayMs);
+    return trust * seen + (1 - trust) * fleetOthers;
+}
+
+double TargetEstimate::peakLatency(double nowMs) const
+{
+    double age = std::max(0.0, nowMs - this->peakUpdatedMs.load(relaxed));
+    return this->peakLatencyMs.load(relaxed) * std::exp(-age / peakDecayMs);
+}
+
+void TargetEstimate::learnLatency(double latencyMs, double nowMs)
+{
+    double log = std::log(std::max(latencyMs, 0.001));
+    double old = this->logLatency.load(relaxed);
+    bool first = this->answers.fetch_add(1, relaxed) == 0;
+    this->logLatency.store(first ? log : old + latencyWeight * (log - old), relaxed);
+
+    double age = std::max(0.0, nowMs - this->peakUpdatedMs.load(relaxed));
+    double keep = std::exp(-age / peakDecayMs);
+    double peak = this->peakLatencyMs.load(relaxed);
+    this->peakLatencyMs.store(latencyMs > peak ? latencyMs : peak * keep + latencyMs * (1 - keep), relaxed);
+    this->peakUpdatedMs.store(nowMs, relaxed);
+}
+
+void TargetEstimate::learnFailure(bool failed)
+{
+    double share = this->failureShare.load(relaxed);
+    this->failureShare.store(share + failureWeight * ((failed ? 1 : 0) - share), relaxed);
+    if (failed) {
+        this->failures.fetch_add(1, relaxed);
+        return;
+    }
+    this->failures.store(0, relaxed);
+    if (this->failureShare.load(relaxed) < 0.1)
+        this->ejections.store(0, relaxed);
+}
+
+} // namespace kingcup
