--- a/testing/Deployment.cpp
+++ b/testing/Deployment.cpp
@@ -146,12 +146,15 @@
 {
     for (const ServiceLayout& service : this->options.services) {
         for (uint32_t number = 0; number < service.targets; ++number) {
+            size_t position = this->places.size();
             TargetPlace& place = this->places.emplace_back();
             place.service = service.name;
             place.address = this->addresses.next();
             place.announcedAddress = place.address;
-            place.executionLog = this->folder() + "/executions-" + std::to_string(this->places.size()) + ".jsonl";
-            place.process = (this->places.size() - 1) / this->options.targetsPerProcess;
+            place.executionLog = this->folder() + "/executions-" + std::to_string(position) + ".jsonl";
+            place.availabilityZone = this->options.zones[position % this->options.zones.size()];
+            uint32_t alone = this->options.targetsAlone;
+            place.process = position < alone ? position : alone + (position - alone) / this->options.targetsPerProcess;
             if (!this->options.proxyTargets)
                 continue;
             place.proxy = std::make_unique<FaultProxy>(this->addresses.next(), place.address);
@@ -174,7 +177,7 @@
         { "service", place.service },
         { "listen", place.address },
         { "announcedAddress", place.announcedAddress },
-        { "availabilityZone", this->options.zones[target % this->options.zones.size()] },
+        { "availabilityZone", place.availabilityZone },
         { "slots", slots },
         { "executionLog", place.executionLog },
         { "seed", this->options.seed * 1000 + target },
@@ -282,12 +285,31 @@
     return json.is_discarded() ? nlohmann::json(nullptr) : json;
 }
 
+Vm* Deployment::leader()
+{
+    for (Vm& vm : this->controls) {
+        nlohmann::json status = vm.process->running() ? this->query(vm, "/v1/status") : nlohmann::json();
+        if (status.is_object() && status.value("role", "") == "leader")
+            return &vm;
+    }
+    return nullptr;
+}
+
 bool Deployment::ready(const Vm& vm) const
 {
     std::optional<HttpMessage> answer = this->ask(vm, "GET", "/readyz", {}, {});
     return answer && answer->status() == 200;
 }
 
+bool Deployment::allTargetsKnown() const
+{
+    auto knows = [this](const Vm& vm) {
+        std::string table = this->query(vm, "/v1/targets").dump();
+        return std::all_of(this->places.begin(), this->places.end(), [&](const TargetPlace& place) { return table.find(place.announcedAddress) != std::string::npos; });
+    };
+    return std::all_of(this->entries.begin(), this->entries.end(), knows);
+}
+
 bool Deployment::waitReady(Milliseconds limit)
 {
     return waitUntil(limit, [this] {
--- a/testing/Deployment.h
+++ b/testing/Deployment.h
@@ -25,6 +25,7 @@
     std::vector<std::string> zones = { "a", "b", "c" }; ///< Zones, used in turn.
     std::vector<ServiceLayout> services = { { "matters", 2, 6 } }; ///< Services and targets.
     uint32_t targetsPerProcess = 1; ///< Targets that share a process. A crash ends all of them.
+    uint32_t targetsAlone = 0; ///< The first so many targets have a process of their own.
     bool proxyLinks = false; ///< Whether each link runs through a proxy.
     bool proxyTargets = false; ///< Whether entry VMs reach each target through a proxy.
     uint64_t seed = 1; ///< Seed of all processes.
@@ -54,6 +55,7 @@
     std::string service; ///< Service.
     std::string address; ///< Where it listens.
     std::string announcedAddress; ///< Where entry VMs reach it.
+    std::string availabilityZone; ///< Zone.
     std::string executionLog; ///< Its log of executions.
     size_t process = 0; ///< Position of its process.
     std::unique_ptr<FaultProxy> proxy; ///< Proxy in front of it, or null.
@@ -87,7 +89,9 @@
     /** Returns the JSON that a VM gives for a path; null when it gives none. */
     nlohmann::json query(const Vm& vm, const std::string& path) const;
 
+    Vm* leader(); ///< The control VM that leads by its own word and runs, or null.
     bool ready(const Vm& vm) const; ///< Whether a VM reports itself ready.
+    bool allTargetsKnown() const; ///< Whether all targets are serving in the table of each entry VM.
     bool waitReady(Milliseconds limit); ///< Waits until all entry VMs are ready.
 
     std::vector<Vm>& controlVms() { return this->controls; } ///< Control VMs, in the order of their ids.
