--- a/packages/transport/include/kingcup/HttpTypes.h
+++ b/packages/transport/include/kingcup/HttpTypes.h
@@ -8,6 +8,9 @@
 
 namespace kingcup {
 
+/** Compares two header names or tokens without regard to ASCII case. */
+bool equalsIgnoreCase(std::string_view one, std::string_view other);
+
 /** One header field. */
 struct HttpHeader {
     std::string name; ///< As received; compared without case.
--- a/packages/transport/src/HttpText.h
+++ b/packages/transport/src/HttpText.h
@@ -14,12 +14,6 @@
     return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
 }
 
-/** Returns whether two texts are equal but for the case of ASCII letters. */
-inline bool equalsIgnoreCase(std::string_view left, std::string_view right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char one, char other) { return lowerCase(one) == lowerCase(other); });
-}
-
 /** Returns the text without the blanks and tabs around it. */
 constexpr std::string_view trimBlanks(std::string_view text)
 {
--- a/packages/transport/src/HttpTypes.cpp
+++ b/packages/transport/src/HttpTypes.cpp
@@ -24,6 +24,11 @@
 
 } // namespace
 
+bool equalsIgnoreCase(std::string_view one, std::string_view other)
+{
+    return std::equal(one.begin(), one.end(), other.begin(), other.end(), [](char left, char right) { return lowerCase(left) == lowerCase(right); });
+}
+
 std::optional<std::string_view> HttpHeaders::find(std::string_view name) const
 {
     for (const HttpHeader& field : this->fields) {
--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -194,8 +194,10 @@
 int UpstreamAttempt::onBeforeSend(void* self, char*, char*, int, int)
 {
     auto* attempt = static_cast<UpstreamAttempt*>(self);
-    attempt->maybeSent = true;
-    attempt->parser.restart();
+    // libcurl would send a request again, to the same target, when a reused connection was lost before an answer. That
+    // would hide from crash containment that the target was lost while it ran this request.
+    if (std::exchange(attempt->maybeSent, true))
+        return CURL_PREREQFUNC_ABORT;
     return CURL_PREREQFUNC_OK;
 }
 
--- a/programs/kingcupswitchd/CallAttempt.h
+++ b/programs/kingcupswitchd/CallAttempt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "kingcup/HttpTypes.h"
+#include "kingcup/ResultCode.h"
 #include "kingcup/Router.h"
 #include "kingcup/UpstreamClient.h"
 
--- a/programs/kingcupswitchd/CallHeaders.cpp
+++ b/programs/kingcupswitchd/CallHeaders.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
@@ -21,7 +20,7 @@
 template <size_t size>
 bool contains(const std::string_view (&fields)[size], std::string_view name)
 {
-    return std::any_of(std::begin(fields), std::end(fields), [name](std::string_view field) { return absl::EqualsIgnoreCase(field, name); });
+    return std::any_of(std::begin(fields), std::end(fields), [name](std::string_view field) { return equalsIgnoreCase(field, name); });
 }
 
 /** Copies the end-to-end fields that are not in a list. */
@@ -47,12 +46,12 @@
     CallParameters parameters;
     if (std::optional<std::string_view> value = headers.find(headerDeadline)) {
         double milliseconds = 0;
-        if (!absl::SimpleAtod(*value, &milliseconds) || !std::isfinite(milliseconds) || milliseconds < 0)
+        if (!absl::SimpleAtod(std::string(*value), &milliseconds) || !std::isfinite(milliseconds) || milliseconds < 0)
             parameters.code = ResultCode::BadRequest;
         parameters.deadline = Milliseconds(milliseconds);
     }
     if (std::optional<std::string_view> value = headers.find(headerDepth)) {
-        if (!absl::SimpleAtoi(*value, &parameters.depth))
+        if (!absl::SimpleAtoi(std::string(*value), &parameters.depth))
             parameters.code = ResultCode::BadRequest;
         else if (parameters.depth > static_cast<uint32_t>(maxCallDepth))
             parameters.code = ResultCode::DepthExceeded;
--- a/programs/kingcupswitchd/ControlNode.cpp
+++ b/programs/kingcupswitchd/ControlNode.cpp
@@ -73,7 +73,7 @@
         closeLog();
         std::_Exit(diskFailureExitCode);
     };
-    this->driver = std::make_unique<LogDriver>(options, std::move(this->durable), *this->storage, seed, this->settings.snapshotEntries, hub, std::move(hooks));
+    this->driver = std::make_unique<LogDriver>(options, std::move(this->durable), std::move(this->snapshotData), *this->storage, seed, this->settings.snapshotEntries, hub, std::move(hooks));
     MembershipManagerOptions membershipOptions;
     membershipOptions.self = options.self;
     membershipOptions.incarnation = options.incarnation;
--- a/programs/kingcupswitchd/LogDriver.cpp
+++ b/programs/kingcupswitchd/LogDriver.cpp
@@ -21,12 +21,12 @@
 
 } // namespace
 
-LogDriver::LogDriver(ReplicatedLogOptions options, DurableLogState durable, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LinkHub& hub, LogDriverHooks hooks)
+LogDriver::LogDriver(ReplicatedLogOptions options, DurableLogState durable, std::string snapshotBytes, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LinkHub& hub, LogDriverHooks hooks)
     : options(options)
     , hub(hub)
     , hooks(std::move(hooks))
-    , storage(storage)
-    , replicatedLog(options, durable, RandomSource(seed), [&storage] { return storage.readSnapshot(); }, MillisecondClock::now())
+    , snapshotBytes(std::move(snapshotBytes))
+    , replicatedLog(options, durable, RandomSource(seed), [this] { return this->snapshotBytes; }, MillisecondClock::now())
     , applied(durable.snapshot.lastIndex)
     , appliedTerm(durable.snapshot.lastTerm)
     , snapshotIndex(durable.snapshot.lastIndex)
@@ -128,6 +128,7 @@
         this->applied = output.snapshot->meta.lastIndex;
         this->appliedTerm = output.snapshot->meta.lastTerm;
         this->snapshotIndex = this->applied;
+        this->snapshotBytes = output.snapshot->data;
     }
     bool writes = output.snapshot || !output.write.empty();
     if (!writes && this->writer.idle()) {
@@ -220,11 +221,15 @@
     snapshot.data = this->hooks.save();
     logLine(LogLevel::Info, "snapshot_taken", { { "index", this->applied }, { "bytes", snapshot.data.size() } });
     LogWriteJob job;
-    job.written = [this, meta = snapshot.meta] {
-        this->hub.post([this, meta] {
-            this->snapshotIndex = meta.lastIndex;
+    job.written = [this, snapshot] {
+        this->hub.post([this, snapshot] {
             this->snapshotRunning = false;
-            this->replicatedLog.compacted(meta);
+            // A snapshot of the leader may have overtaken this one.
+            if (snapshot.meta.lastIndex <= this->snapshotIndex)
+                return;
+            this->snapshotIndex = snapshot.meta.lastIndex;
+            this->snapshotBytes = snapshot.data;
+            this->replicatedLog.compacted(snapshot.meta);
         });
     };
     job.takenSnapshot = std::move(snapshot);
--- a/programs/kingcupswitchd/LogDriver.h
+++ b/programs/kingcupswitchd/LogDriver.h
@@ -28,7 +28,7 @@
     using Done = std::function<void(const wire::CommandResult&)>;
 
     /** @param durable What the storage held. @param snapshotEntries Applied entries between two snapshots. */
-    LogDriver(ReplicatedLogOptions options, DurableLogState durable, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LinkHub& hub, LogDriverHooks hooks);
+    LogDriver(ReplicatedLogOptions options, DurableLogState durable, std::string snapshotBytes, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LinkHub& hub, LogDriverHooks hooks);
 
     /** Proposes a command; proposals made while a sync runs share the next one. */
     void propose(wire::Command command, Done done);
@@ -80,7 +80,7 @@
     ReplicatedLogOptions options; ///< Limits.
     LinkHub& hub; ///< Sends messages and runs tasks.
     LogDriverHooks hooks; ///< See above.
-    LogStorage& storage; ///< Read for snapshots.
+    std::string snapshotBytes; ///< The snapshot that the log names as its newest; always of the same position as in the log.
     ReplicatedLog replicatedLog; ///< Decides.
     LogIndex applied; ///< Last applied entry.
     Term appliedTerm; ///< Its term.
--- a/programs/kingcupswitchd/OperatorApi.cpp
+++ b/programs/kingcupswitchd/OperatorApi.cpp
@@ -48,9 +48,10 @@
     size_t question = target.find('?');
     if (question == std::string::npos)
         return {};
-    for (std::string_view pair : absl::StrSplit(std::string_view(target).substr(question + 1), '&')) {
+    std::vector<std::string> pairs = absl::StrSplit(target.substr(question + 1), '&');
+    for (const std::string& pair : pairs) {
         if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
-            return std::string(pair.substr(name.size() + 1));
+            return pair.substr(name.size() + 1);
     }
     return {};
 }
--- a/programs/kingcupswitchd/RequestTable.cpp
+++ b/programs/kingcupswitchd/RequestTable.cpp
@@ -1,7 +1,7 @@
 /** @file RequestTable.cpp Implementation of request matching. */
 #include "RequestTable.h"
 
-#include <absl/strings/match.h>
+#include "kingcup/HttpTypes.h"
 
 namespace kingcup {
 
@@ -61,7 +61,7 @@
     std::string_view name = withoutPort(host);
     for (const RequestTableRow& row : this->rows) {
         const Service& service = *row.service;
-        if (!service.host.empty() && !absl::EqualsIgnoreCase(service.host, name))
+        if (!service.host.empty() && !equalsIgnoreCase(service.host, name))
             continue;
         if (belowPrefix(path, service.pathPrefix))
             return { row.service, row.runtime, matchKind(service, method, path) };
