Add: Control state machine, session table and entry configuration

The control state machine decides manifests, targets, claims and suspicions in log order, one table each.

--- a/packages/coordination/include/kingcup/EntryConfiguration.h
+++ b/packages/coordination/include/kingcup/EntryConfiguration.h
@@ -48,7 +48,13 @@
     TimePoint leaseEnd() const; ///< End of the lease.
 
 private:
-    bool merge(const wire::ConfigurationChanges& changes);
+    /** What merging changes did. */
+    enum class MergeResult {
+        Refused, ///< Older than the configuration held, not adjacent, or not readable.
+        Unchanged, ///< The configuration held is the one described.
+        Changed, ///< A newer configuration is in force.
+    };
+    MergeResult merge(const wire::ConfigurationChanges& changes);
 
     std::string entryVm; ///< Own name.
     uint64_t incarnation; ///< Start of this process.
--- a/packages/coordination/include/kingcup/SessionTable.h
+++ b/packages/coordination/include/kingcup/SessionTable.h
@@ -37,7 +37,7 @@
     /** Records a session request. The lease counts from its arrival, which is later than its sending. */
     void renew(const wire::SessionRequest& request, TimePoint now);
 
-    /** Returns the sessions whose lease ended since the last call and forgets them. */
+    /** Returns the sessions whose lease ended or whose process was replaced since the last call, and forgets them. */
     std::vector<EntrySession> takeExpired(TimePoint now);
 
     /** Returns the number of live entry VMs, or 0 within one lease term of becoming leader. */
@@ -46,7 +46,7 @@
     /** Returns how far a manifest number is in force. */
     InForce inForce(uint64_t manifestNumber, TimePoint now) const;
 
-    /** Records a heartbeat of a target. */
+    /** Records a heartbeat of a target. One with TARGET_GONE forgets the target; it is also given when a departure was applied. */
     void heartbeat(const wire::TargetLoad& load, TimePoint now);
 
     /** Returns the targets without heartbeat for the target lease and gives each another term, so that a lost command is proposed again. */
@@ -61,11 +61,20 @@
     struct TargetHeartbeat {
         wire::TargetLoad load; ///< Newest announcement.
         TimePoint received {}; ///< When it arrived.
+        bool observed = false; ///< Whether it was announced to this leader.
     };
+    /** An observation and how much it tells other VMs. */
+    struct RankedLoad {
+        double score = 0; ///< Higher is more informative.
+        wire::TargetLoad load; ///< Observation with its age as of now.
+    };
+    std::vector<RankedLoad> rankedLoads(TimePoint now) const;
+
     Milliseconds leaseTerm; ///< Lease of an entry VM.
     Milliseconds targetLease; ///< Lease of a target.
     TimePoint leaderSince {}; ///< When this VM became leader.
     std::map<std::string, EntrySession> entrySessions; ///< By VM name.
+    std::vector<EntrySession> replacedSessions; ///< Of older incarnations, not yet taken.
     std::map<std::pair<std::string, std::string>, TargetHeartbeat> heartbeats; ///< By service and address.
 };
 
--- /dev/null
+++ b/packages/coordination/src/ApplyManifest.cpp
@@ -0,0 +1,33 @@
+/** @file ApplyManifest.cpp Differences between the manifest in force and a checked one. */
+#include "kingcup/ApplyManifest.h"
+
+#include <map>
+
+namespace kingcup {
+
+wire::ApplyManifest makeApplyManifest(const ControlStateMachine& machine, const CheckedManifest& manifest)
+{
+    wire::ApplyManifest command;
+    command.set_number(manifest.manifest.number);
+    command.set_digest(manifest.digest);
+    command.set_base_number(machine.manifestNumber());
+    std::map<std::string, std::string> inForce;
+    for (wire::ServiceDocument& document : machine.serviceDocuments())
+        inForce.emplace(std::move(*document.mutable_name()), std::move(*document.mutable_json()));
+    for (const auto& [name, json] : manifest.documents) {
+        auto held = inForce.find(name);
+        bool isSame = held != inForce.end() && held->second == json;
+        if (held != inForce.end())
+            inForce.erase(held);
+        if (isSame)
+            continue;
+        wire::ServiceDocument& document = *command.add_changed();
+        document.set_name(name);
+        document.set_json(json);
+    }
+    for (const auto& [name, json] : inForce)
+        command.add_removed(name);
+    return command;
+}
+
+} // namespace kingcup
--- a/packages/coordination/src/Headers.cpp
+++ b/packages/coordination/src/Headers.cpp
@@ -1,5 +1,6 @@
 /** @file Headers.cpp Compiles every public header of the package on its own. */
 #include "kingcup/Admission.h"
+#include "kingcup/ApplyManifest.h"
 #include "kingcup/ControlStateMachine.h"
 #include "kingcup/CrashContainment.h"
 #include "kingcup/EntryConfiguration.h"
--- /dev/null
+++ b/packages/coordination/src/ManifestTable.cpp
@@ -0,0 +1,161 @@
+/** @file ManifestTable.cpp Number rule, documents and tombstones of the manifest. */
+#include "ManifestTable.h"
+
+#include "kingcup/ManifestDigest.h"
+
+#include <absl/strings/str_cat.h>
+#include <set>
+
+namespace kingcup {
+
+namespace {
+
+constexpr size_t digestDigits = 32; ///< 128 bits in hexadecimal.
+
+/** Returns whether names are bounded and no service is named twice. */
+bool isWellFormed(const wire::ApplyManifest& command)
+{
+    std::set<std::string_view> names;
+    for (const wire::ServiceDocument& document : command.changed()) {
+        if (!isBounded(document.name(), maxNameBytes) || document.json().empty() || !names.insert(document.name()).second)
+            return false;
+    }
+    for (const std::string& name : command.removed()) {
+        if (!names.insert(name).second)
+            return false;
+    }
+    return command.number() > 0 && command.digest().size() == digestDigits;
+}
+
+/** Returns when a tombstone expires; 0 for a service in force. */
+uint64_t expiryOf(const ServiceRow& row)
+{
+    return row.removedAtMs ? expiryAfter(row.removedAtMs, tombstoneRetentionMs) : 0;
+}
+
+} // namespace
+
+Decision ManifestTable::decide(const wire::ApplyManifest& command, const ControlRules& rules) const
+{
+    if (!isWellFormed(command))
+        return refusal(ResultCode::CommandMalformed, "number, digest or names of services are malformed");
+    auto earlier = this->history.find(command.number());
+    bool isEqual = command.number() == this->inForce.number;
+    bool isLower = command.number() < this->inForce.number;
+    bool refusedByNumber = (isEqual && rules.equalNumbersConflict) || (isLower && rules.manifestNumbersGrow);
+    if (refusedByNumber && earlier != this->history.end())
+        return this->decideByNumber(command, earlier->second);
+    if (refusedByNumber)
+        return refusal(ResultCode::ManifestOutdated, absl::StrCat("number ", this->inForce.number, " is in force"));
+    if (command.base_number() != this->inForce.number)
+        return refusal(ResultCode::ManifestBaseChanged, absl::StrCat("number ", this->inForce.number, " is in force"));
+    if (this->digestAfter(command) != command.digest())
+        return refusal(ResultCode::CommandMalformed, "the changed documents do not give the stated digest");
+    return acceptance();
+}
+
+Decision ManifestTable::decideByNumber(const wire::ApplyManifest& command, const AcceptedRow& earlier) const
+{
+    Decision decision;
+    if (command.digest() != earlier.digest)
+        decision = refusal(ResultCode::ManifestConflict, absl::StrCat("number ", earlier.number, " was accepted with digest ", earlier.digest), earlier.index);
+    else if (earlier.number == this->inForce.number)
+        decision = settled(earlier.index);
+    else
+        decision = refusal(ResultCode::ManifestSuperseded, absl::StrCat("number ", this->inForce.number, " is in force"), earlier.index);
+    decision.result.set_manifest_digest(earlier.digest);
+    return decision;
+}
+
+std::string ManifestTable::digestAfter(const wire::ApplyManifest& command) const
+{
+    std::map<std::string_view, std::string_view> changed;
+    for (const wire::ServiceDocument& document : command.changed())
+        changed.emplace(document.name(), document.json());
+    for (const std::string& name : command.removed())
+        changed.emplace(name, "");
+    ManifestDigest digest;
+    auto change = changed.begin();
+    auto addChange = [&] {
+        if (!change->second.empty())
+            digest.add(change->second);
+        ++change;
+    };
+    for (const auto& [name, row] : this->rows) {
+        while (change != changed.end() && change->first < name)
+            addChange();
+        if (change != changed.end() && change->first == name)
+            addChange();
+        else if (!row.removedAtMs)
+            digest.add(row.json);
+    }
+    while (change != changed.end())
+        addChange();
+    return digest.text();
+}
+
+void ManifestTable::apply(LogIndex index, uint64_t nowMs, const wire::ApplyManifest& command)
+{
+    for (const wire::ServiceDocument& document : command.changed())
+        this->put({ document.name(), document.json(), index, 0 });
+    for (const std::string& name : command.removed()) {
+        auto found = this->rows.find(name);
+        if (found != this->rows.end() && !found->second.removedAtMs)
+            this->put({ name, "", index, std::max<uint64_t>(nowMs, 1) });
+    }
+    this->inForce = { command.number(), command.digest() };
+    this->history[command.number()] = { command.number(), command.digest(), index };
+    if (this->history.size() > maxAcceptedNumbers)
+        this->history.erase(this->history.begin());
+}
+
+void ManifestTable::put(ServiceRow row)
+{
+    ServiceRow& held = this->rows[row.name];
+    this->modified.move(held.index, row.index, row.name);
+    this->removals.move(expiryOf(held), expiryOf(row), row.name);
+    held = std::move(row);
+}
+
+void ManifestTable::addChanges(LogIndex index, bool full, wire::ConfigurationChanges& changes) const
+{
+    changes.set_manifest_number(this->inForce.number);
+    changes.set_manifest_digest(this->inForce.digest);
+    for (const std::string& name : this->modified.after(full ? 0 : index)) {
+        const ServiceRow& row = this->rows.at(name);
+        if (!row.removedAtMs) {
+            wire::ServiceDocument& document = *changes.add_services();
+            document.set_name(row.name);
+            document.set_json(row.json);
+        } else if (!full)
+            changes.add_removed_services(name);
+    }
+}
+
+LogIndex ManifestTable::expire(uint64_t nowMs)
+{
+    LogIndex newest = 0;
+    for (const std::string& name : this->removals.upTo(nowMs)) {
+        const ServiceRow& row = this->rows.at(name);
+        newest = std::max(newest, row.index);
+        this->modified.move(row.index, 0, name);
+        this->removals.move(expiryOf(row), 0, name);
+        this->rows.erase(name);
+    }
+    return newest;
+}
+
+bool ManifestTable::restore(ServiceRow row)
+{
+    if (this->rows.contains(row.name) || row.index == 0)
+        return false;
+    this->put(std::move(row));
+    return true;
+}
+
+bool ManifestTable::restore(AcceptedRow row)
+{
+    return this->history.emplace(row.number, row).second;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/SessionTable.cpp
@@ -0,0 +1,175 @@
+/** @file SessionTable.cpp Leases of entry VMs and heartbeats of targets. */
+#include "kingcup/SessionTable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <google/protobuf/io/coded_stream.h>
+
+namespace kingcup {
+
+namespace {
+
+constexpr double observationHalfLifeMs = 500; ///< An observation loses half its worth in this time.
+
+/** Returns the share of a target's slots in use. */
+double utilization(const wire::TargetLoad& load)
+{
+    return static_cast<double>(load.in_flight()) / std::max(load.target().slots(), 1u);
+}
+
+/** Returns the encoded size of an element of a repeated message field with a tag of one byte. */
+size_t encodedSize(const wire::TargetLoad& load)
+{
+    size_t size = load.ByteSizeLong();
+    return 1 + google::protobuf::io::CodedOutputStream::VarintSize64(size) + size;
+}
+
+} // namespace
+
+SessionTable::SessionTable(Milliseconds leaseTerm, Milliseconds targetLease)
+    : leaseTerm(leaseTerm)
+    , targetLease(targetLease)
+{
+}
+
+void SessionTable::becomeLeader(TimePoint now, const std::vector<wire::TargetRecord>& targets)
+{
+    this->leaderSince = now;
+    this->entrySessions.clear();
+    this->replacedSessions.clear();
+    this->heartbeats.clear();
+    for (const wire::TargetRecord& target : targets) {
+        TargetHeartbeat& heartbeat = this->heartbeats[{ target.service(), target.address() }];
+        *heartbeat.load.mutable_target() = target;
+        heartbeat.received = now;
+    }
+}
+
+void SessionTable::renew(const wire::SessionRequest& request, TimePoint now)
+{
+    EntrySession& session = this->entrySessions[request.entry_vm()];
+    if (request.incarnation() < session.incarnation)
+        return;
+    if (!session.entryVm.empty() && request.incarnation() > session.incarnation) {
+        this->replacedSessions.push_back(session);
+        session = {};
+    }
+    session.entryVm = request.entry_vm();
+    session.incarnation = request.incarnation();
+    session.heldIndex = std::max(session.heldIndex, request.held_index());
+    session.heldManifestNumber = std::max(session.heldManifestNumber, request.held_manifest_number());
+    session.leaseEnd = now + this->leaseTerm;
+}
+
+std::vector<EntrySession> SessionTable::takeExpired(TimePoint now)
+{
+    std::vector<EntrySession> expired = std::move(this->replacedSessions);
+    this->replacedSessions.clear();
+    std::erase_if(this->entrySessions, [&](const auto& entry) {
+        bool isExpired = entry.second.leaseEnd <= now;
+        if (isExpired)
+            expired.push_back(entry.second);
+        return isExpired;
+    });
+    return expired;
+}
+
+uint32_t SessionTable::liveEntryVms(TimePoint now) const
+{
+    if (now < this->leaderSince + this->leaseTerm)
+        return 0;
+    auto isLive = [&](const auto& entry) { return entry.second.leaseEnd > now; };
+    return static_cast<uint32_t>(std::count_if(this->entrySessions.begin(), this->entrySessions.end(), isLive));
+}
+
+InForce SessionTable::inForce(uint64_t manifestNumber, TimePoint now) const
+{
+    InForce inForce;
+    for (const auto& [vm, session] : this->entrySessions) {
+        if (session.leaseEnd <= now)
+            continue;
+        inForce.total++;
+        if (session.heldManifestNumber >= manifestNumber)
+            inForce.confirmed++;
+    }
+    bool unknownLeasesEnded = now >= this->leaderSince + this->leaseTerm;
+    inForce.complete = unknownLeasesEnded && inForce.confirmed == inForce.total;
+    return inForce;
+}
+
+void SessionTable::heartbeat(const wire::TargetLoad& load, TimePoint now)
+{
+    const wire::TargetRecord& target = load.target();
+    std::pair<std::string, std::string> key { target.service(), target.address() };
+    auto held = this->heartbeats.find(key);
+    if (held != this->heartbeats.end() && target.incarnation() < held->second.load.target().incarnation())
+        return;
+    if (target.state() == wire::TARGET_GONE) {
+        this->heartbeats.erase(key);
+        return;
+    }
+    this->heartbeats[key] = { load, now, true };
+}
+
+std::vector<wire::TargetRecord> SessionTable::takeSilentTargets(TimePoint now)
+{
+    std::vector<wire::TargetRecord> silent;
+    for (auto& [key, heartbeat] : this->heartbeats) {
+        if (now < heartbeat.received + this->targetLease)
+            continue;
+        silent.push_back(heartbeat.load.target());
+        heartbeat.received = now;
+        heartbeat.observed = false;
+    }
+    return silent;
+}
+
+std::vector<SessionTable::RankedLoad> SessionTable::rankedLoads(TimePoint now) const
+{
+    struct Mean {
+        double sum = 0; ///< Of utilizations.
+        size_t count = 0; ///< Targets.
+    };
+    std::map<std::string, Mean> means;
+    for (const auto& [key, heartbeat] : this->heartbeats) {
+        Mean& mean = means[key.first];
+        mean.sum += heartbeat.observed ? utilization(heartbeat.load) : 0;
+        mean.count += heartbeat.observed ? 1 : 0;
+    }
+    std::vector<RankedLoad> ranked;
+    for (const auto& [key, heartbeat] : this->heartbeats) {
+        if (!heartbeat.observed)
+            continue;
+        RankedLoad row { 0, heartbeat.load };
+        double ageMs = heartbeat.load.age_ms() + (now - heartbeat.received).count();
+        row.load.set_age_ms(static_cast<uint32_t>(std::max(ageMs, 0.0)));
+        const Mean& mean = means[key.first];
+        double deviation = std::abs(utilization(heartbeat.load) - mean.sum / static_cast<double>(mean.count));
+        // The offset keeps fresh observations of ordinary targets ahead of old ones of unusual targets.
+        row.score = (0.1 + deviation) * std::exp2(-ageMs / observationHalfLifeMs);
+        ranked.push_back(std::move(row));
+    }
+    std::stable_sort(ranked.begin(), ranked.end(), [](const RankedLoad& a, const RankedLoad& b) { return a.score > b.score; });
+    return ranked;
+}
+
+std::vector<wire::TargetLoad> SessionTable::loadDigest(size_t maxBytes, TimePoint now) const
+{
+    std::vector<wire::TargetLoad> digest;
+    size_t used = 0;
+    for (RankedLoad& row : this->rankedLoads(now)) {
+        size_t size = encodedSize(row.load);
+        if (used + size > maxBytes)
+            break;
+        used += size;
+        digest.push_back(std::move(row.load));
+    }
+    return digest;
+}
+
+const std::map<std::string, EntrySession>& SessionTable::sessions() const
+{
+    return this->entrySessions;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/src/SuspicionTable.cpp
@@ -0,0 +1,139 @@
+/** @file SuspicionTable.cpp Suspicion, quarantine and their removal. */
+#include "SuspicionTable.h"
+
+namespace kingcup {
+
+namespace {
+
+constexpr size_t quarantineTargets = 2; ///< Distinct targets that cause a quarantine.
+constexpr size_t maxSuspectTargets = 16; ///< Targets remembered of one request; quarantined requests run on no further ones.
+
+/** Fills the result of a suspicion. */
+void describe(size_t targets, uint64_t expiresAtMs, wire::CommandResult& result)
+{
+    result.set_suspected_targets(static_cast<uint32_t>(targets));
+    result.set_quarantined_until_ms(targets >= quarantineTargets ? expiresAtMs : 0);
+}
+
+} // namespace
+
+const SuspicionRow* SuspicionTable::active(uint64_t nowMs, const NamePair& key) const
+{
+    auto found = this->rows.find(key);
+    bool isActive = found != this->rows.end() && !found->second.cleared && nowMs < found->second.expiresAtMs;
+    return isActive ? &found->second : nullptr;
+}
+
+Decision SuspicionTable::decide(uint64_t nowMs, const wire::Suspicion& command) const
+{
+    bool named = isBounded(command.service(), maxNameBytes) && isBounded(command.target(), maxAddressBytes);
+    if (!named || command.fingerprint().size() != fingerprintBytes || command.quarantine_ms() == 0)
+        return refusal(ResultCode::CommandMalformed, "service, fingerprint, target or quarantine is malformed");
+    const SuspicionRow* row = this->active(nowMs, { command.service(), command.fingerprint() });
+    size_t targets = row ? row->targets.size() : 0;
+    if (row && (targets >= maxSuspectTargets || row->targets.contains({ command.target(), command.target_incarnation() }))) {
+        Decision decision = settled(row->index);
+        describe(targets, row->expiresAtMs, decision.result);
+        return decision;
+    }
+    Decision decision = acceptance();
+    describe(targets + 1, expiryAfter(nowMs, command.quarantine_ms()), decision.result);
+    return decision;
+}
+
+Decision SuspicionTable::decide(uint64_t nowMs, const wire::ClearSuspicion& command) const
+{
+    const SuspicionRow* row = this->active(nowMs, { command.service(), command.fingerprint() });
+    if (!row)
+        return settled(0);
+    if (row->targets.size() < quarantineTargets)
+        return acceptance();
+    Decision decision = refusal(ResultCode::Quarantined, "the request was lost on several targets", row->index);
+    describe(row->targets.size(), row->expiresAtMs, decision.result);
+    return decision;
+}
+
+void SuspicionTable::apply(LogIndex index, uint64_t nowMs, const wire::Suspicion& command)
+{
+    const SuspicionRow* held = this->active(nowMs, { command.service(), command.fingerprint() });
+    SuspicionRow row = held ? *held : SuspicionRow();
+    row.service = command.service();
+    row.fingerprint = command.fingerprint();
+    row.targets.emplace(command.target(), command.target_incarnation());
+    row.expiresAtMs = expiryAfter(nowMs, command.quarantine_ms());
+    row.index = index;
+    this->put(std::move(row));
+}
+
+void SuspicionTable::apply(LogIndex index, uint64_t nowMs, const wire::ClearSuspicion& command)
+{
+    this->clear(this->rows.at({ command.service(), command.fingerprint() }), index, nowMs);
+}
+
+void SuspicionTable::clear(SuspicionRow row, LogIndex index, uint64_t nowMs)
+{
+    row.cleared = true;
+    row.targets.clear();
+    row.expiresAtMs = expiryAfter(nowMs, tombstoneRetentionMs);
+    row.index = index;
+    this->put(std::move(row));
+}
+
+void SuspicionTable::put(SuspicionRow row)
+{
+    NamePair key { row.service, row.fingerprint };
+    SuspicionRow& held = this->rows[key];
+    this->modified.move(held.index, row.index, key);
+    this->expiries.move(held.expiresAtMs, row.expiresAtMs, key);
+    held = std::move(row);
+}
+
+void SuspicionTable::addChanges(LogIndex index, bool full, wire::ConfigurationChanges& changes) const
+{
+    for (const NamePair& key : this->modified.after(full ? 0 : index)) {
+        const SuspicionRow& row = this->rows.at(key);
+        if (full && row.cleared)
+            continue;
+        wire::Quarantine& quarantine = *changes.add_quarantines();
+        quarantine.set_service(row.service);
+        quarantine.set_fingerprint(row.fingerprint);
+        quarantine.set_suspected_targets(static_cast<uint32_t>(row.targets.size()));
+        quarantine.set_until_wall_ms(row.cleared ? 0 : row.expiresAtMs);
+        quarantine.set_cleared(row.cleared);
+    }
+}
+
+SuspicionTable::Expired SuspicionTable::expire(LogIndex index, uint64_t nowMs)
+{
+    Expired expired;
+    for (const NamePair& key : this->expiries.upTo(nowMs)) {
+        const SuspicionRow& row = this->rows.at(key);
+        if (!row.cleared) {
+            this->clear(row, index, nowMs);
+            expired.cleared = true;
+            continue;
+        }
+        expired.forgotten = std::max(expired.forgotten, row.index);
+        this->modified.move(row.index, 0, key);
+        this->expiries.move(row.expiresAtMs, 0, key);
+        this->rows.erase(key);
+    }
+    return expired;
+}
+
+bool SuspicionTable::restore(SuspicionRow row)
+{
+    bool valid = row.index > 0 && row.expiresAtMs > 0;
+    if (!valid || this->rows.contains({ row.service, row.fingerprint }))
+        return false;
+    this->put(std::move(row));
+    return true;
+}
+
+bool SuspicionTable::restore(const SuspectTargetRow& row)
+{
+    auto found = this->rows.find({ row.service, row.fingerprint });
+    return found != this->rows.end() && found->second.targets.emplace(row.address, row.incarnation).second;
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/packages/coordination/tests/ControlPropertiesTest.cpp
@@ -0,0 +1,161 @@
+/** @file ControlPropertiesTest.cpp Guards against replicas that differ, snapshots that lose state, and broken promises, over many seeds. */
+#include "ControlCommands.h"
+
+#include "../src/ControlSnapshot.h"
+#include "testing/Story.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using namespace kingcup::testing;
+
+namespace {
+
+constexpr int commandsPerRun = 400;
+constexpr uint64_t slowStepMs = 50; ///< Nothing but suspicions expires within a run.
+constexpr uint64_t fastStepMs = 600000; ///< Everything expires within a run.
+
+/** Applies random commands and returns the violations found in their history. */
+std::set<std::string> violationsOf(ControlRules rules, uint64_t seed)
+{
+    ControlStateMachine machine(rules);
+    HistoryChecker checker;
+    CommandSource source(seed, slowStepMs);
+    for (int i = 1; i <= commandsPerRun; i++) {
+        wire::Command command = source.next(machine);
+        checker.add(command, machine.apply(i, command));
+    }
+    return checker.violations;
+}
+
+/** Applies random commands. */
+void fill(ControlStateMachine& machine, CommandSource& source, LogIndex first, LogIndex count)
+{
+    for (LogIndex index = first; index < first + count; index++)
+        machine.apply(index, source.next(machine));
+}
+
+/** Returns a copy with one random change. */
+std::string mutate(std::string data, RandomSource& random)
+{
+    size_t place = random.below(data.size());
+    switch (random.below(4)) {
+    case 0:
+        data[place] = static_cast<char>(random.next());
+        break;
+    case 1:
+        data.erase(place, 1 + random.below(8));
+        break;
+    case 2:
+        data.insert(place, 1 + random.below(8), static_cast<char>(random.next()));
+        break;
+    default:
+        data.resize(place);
+    }
+    return data;
+}
+
+} // namespace
+
+TEST(ControlPropertiesTest, replicasAndSnapshotsAgree)
+{
+    uint64_t seed = testSeed(20261203);
+    for (uint64_t run = 0; run < 60; run++) {
+        section("seed " + std::to_string(seed + run), [&] {
+            CommandSource source(seed + run, run % 2 ? slowStepMs : fastStepMs);
+            RandomSource random(seed + run);
+            ControlStateMachine first;
+            auto second = std::make_unique<ControlStateMachine>();
+            for (int i = 1; i <= commandsPerRun; i++) {
+                wire::Command command = source.next(first);
+                wire::CommandResult checked = first.check(command);
+                wire::CommandResult result = first.apply(i, command);
+                ASSERT_EQ(checked.result_code(), result.result_code());
+                ASSERT_EQ(second->apply(i, command).SerializeAsString(), result.SerializeAsString()) << command.DebugString();
+                if (random.below(10) == 0) {
+                    std::string saved = second->save();
+                    second = std::make_unique<ControlStateMachine>();
+                    ASSERT_EQ(second->load(saved), ResultCode::Ok);
+                }
+                if (random.below(10) == 0) {
+                    LogIndex since = random.below(i + 1);
+                    ASSERT_EQ(second->changesSince(since).SerializeAsString(), first.changesSince(since).SerializeAsString());
+                    ASSERT_EQ(second->stateDigest(), first.stateDigest());
+                    ASSERT_EQ(second->dump(), first.dump());
+                }
+            }
+        });
+    }
+}
+
+TEST(ControlPropertiesTest, everyRuleIsNeeded)
+{
+    uint64_t seed = testSeed(7);
+    struct Row {
+        const char* violation; ///< What the checker must find.
+        std::function<void(ControlRules&)> disable; ///< Switches the rule off.
+    };
+    const Row rows[] = {
+        { "key granted twice", [](ControlRules& rules) { rules.claimsAreExclusive = false; } },
+        { "unknown outcome granted again", [](ControlRules& rules) { rules.unknownIsFinal = false; } },
+        { "released attempt granted", [](ControlRules& rules) { rules.releaseLeavesTombstone = false; } },
+        { "manifest went back", [](ControlRules& rules) { rules.manifestNumbersGrow = false; } },
+        { "number accepted with two contents", [](ControlRules& rules) { rules.equalNumbersConflict = false; } },
+        { "old incarnation of a target accepted", [](ControlRules& rules) { rules.checkIncarnations = false; } },
+    };
+    section("with all rules there is no violation", [&] {
+        for (uint64_t run = 0; run < 200; run++)
+            EXPECT_EQ(violationsOf({}, seed + run), std::set<std::string>()) << "seed " << seed + run;
+    });
+    for (const Row& row : rows) {
+        section(row.violation, [&] {
+            ControlRules rules;
+            row.disable(rules);
+            std::set<std::string> violations;
+            for (uint64_t run = 0; run < 20; run++)
+                violations.merge(violationsOf(rules, seed + run));
+            EXPECT_TRUE(violations.contains(row.violation));
+        });
+    }
+}
+
+TEST(ControlPropertiesTest, damagedSnapshotsAreRefused)
+{
+    uint64_t seed = testSeed(11);
+    RandomSource random(seed);
+    CommandSource source(seed, slowStepMs);
+    ControlStateMachine machine;
+    fill(machine, source, 1, 500);
+    std::string saved = machine.save();
+    std::string body = saved.substr(0, saved.size() - 8);
+    section("damage that the checksum shows changes nothing", [&] {
+        for (int i = 0; i < 2000; i++) {
+            std::string damaged = mutate(saved, random);
+            if (damaged == saved)
+                continue;
+            ASSERT_NE(machine.load(damaged), ResultCode::Ok) << "mutation " << i;
+        }
+        EXPECT_EQ(machine.save(), saved);
+    });
+    section("damage under a right checksum neither crashes loading nor what follows", [&] {
+        int accepted = 0;
+        for (int i = 0; i < 5000; i++) {
+            ControlStateMachine other;
+            if (other.load(sealSnapshot(mutate(body, random))) != ResultCode::Ok)
+                continue;
+            accepted++;
+            fill(other, source, 501, 20);
+            other.apply(521, expireCommand(UINT64_MAX));
+            other.save();
+        }
+        std::cout << accepted << " of 5000 mutations were accepted" << std::endl;
+    });
+    section("a newer version and other files are refused by name", [&] {
+        std::string newer = body;
+        newer[4] = static_cast<char>(snapshotVersion + 1);
+        EXPECT_EQ(machine.load(sealSnapshot(newer)), ResultCode::SnapshotVersion);
+        EXPECT_EQ(machine.load(""), ResultCode::JournalDamaged);
+        EXPECT_EQ(machine.load(std::string(100, 'x')), ResultCode::JournalDamaged);
+    });
+}
