--- /dev/null
+++ b/packages/coordination/tests/ControlStateMachineTest.cpp
@@ -0,0 +1,220 @@
+/** @file ControlStateMachineTest.cpp Guards against wrong decisions on manifests, targets, claims and suspicions. */
+#include "ControlCommands.h"
+
+#include "../src/ControlSnapshot.h"
+#include "../src/ManifestTable.h"
+#include "testing/Story.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace kingcup;
+using namespace kingcup::testing;
+
+namespace {
+
+constexpr uint64_t hourMs = 3600 * 1000;
+
+/** A machine that numbers its log entries. */
+struct Log {
+    ControlStateMachine machine; ///< State.
+    LogIndex index = 0; ///< Last entry.
+
+    /** Applies a command. */
+    wire::CommandResult apply(const wire::Command& command) { return this->machine.apply(++this->index, command); }
+
+    /** Applies a command and returns the name of its code, which test output shows. */
+    std::string code(const wire::Command& command) { return std::string(resultCodeRow(codeOf(this->apply(command))).name); }
+
+    /** Applies a manifest. */
+    std::string manifest(uint64_t number, const Documents& documents) { return this->code(manifestCommand(this->machine, number, documents)); }
+};
+
+} // namespace
+
+TEST(ControlStateMachineTest, manifests)
+{
+    Log log;
+    section("only changed services are carried relative to the base", [&] {
+        EXPECT_EQ(log.manifest(5, { { "a", "{}" }, { "b", "{}" } }), "ok");
+        wire::Command command = manifestCommand(log.machine, 6, { { "b", "{1}" }, { "c", "{}" } });
+        const wire::ApplyManifest& apply = command.apply_manifest();
+        EXPECT_EQ(apply.base_number(), 5u);
+        ASSERT_EQ(apply.changed_size(), 2);
+        EXPECT_EQ(apply.changed(0).name(), "b");
+        EXPECT_EQ(apply.removed(0), "a");
+        EXPECT_EQ(log.code(command), "ok");
+        EXPECT_EQ(log.machine.serviceDocuments().size(), 2u);
+    });
+    section("a resend gets the index of the first decision, also when it was built on another base", [&] {
+        wire::CommandResult result = log.apply(manifestCommand(log.machine, 6, { { "b", "{1}" }, { "c", "{}" } }));
+        EXPECT_EQ(codeOf(result), ResultCode::Ok);
+        EXPECT_EQ(result.index(), 2u);
+    });
+    section("an equal number with other content names the digest that won", [&] {
+        wire::CommandResult result = log.apply(manifestCommand(log.machine, 6, { { "z", "{}" } }));
+        EXPECT_EQ(codeOf(result), ResultCode::ManifestConflict);
+        EXPECT_EQ(result.manifest_digest(), log.machine.manifestDigest());
+    });
+    section("lower numbers are superseded when accepted before, outdated otherwise, and in conflict with other content", [&] {
+        EXPECT_EQ(log.manifest(5, { { "a", "{}" }, { "b", "{}" } }), "manifest_superseded");
+        EXPECT_EQ(log.manifest(5, { { "a", "{2}" } }), "manifest_conflict");
+        EXPECT_EQ(log.manifest(4, { { "a", "{}" } }), "manifest_outdated");
+        EXPECT_EQ(log.machine.manifestNumber(), 6u);
+    });
+    section("a change of an old base is refused, and so is one that does not give its digest", [&] {
+        wire::Command late = manifestCommand(log.machine, 8, { { "a", "{}" } });
+        wire::Command wrong = manifestCommand(log.machine, 7, { { "a", "{}" } });
+        wrong.mutable_apply_manifest()->mutable_changed(0)->set_json("{3}");
+        EXPECT_EQ(log.code(wrong), "command_malformed");
+        EXPECT_EQ(log.manifest(7, {}), "ok");
+        EXPECT_EQ(log.code(late), "manifest_base_changed");
+    });
+    section("the history is bounded, and forgotten numbers are refused as outdated", [&] {
+        for (uint64_t number = 8; number < 8 + ManifestTable::maxAcceptedNumbers; number++)
+            ASSERT_EQ(log.manifest(number, {}), "ok");
+        EXPECT_EQ(log.manifest(7, {}), "manifest_outdated");
+        EXPECT_EQ(log.manifest(8, {}), "manifest_superseded");
+    });
+}
+
+TEST(ControlStateMachineTest, targets)
+{
+    Log log;
+    const std::string address = "10.0.0.1:80";
+    EXPECT_EQ(log.code(targetCommand(address, 2, wire::TARGET_GONE)), "unknown_target");
+    EXPECT_EQ(log.code(targetCommand(address, 2, wire::TARGET_SERVING)), "ok");
+    section("an announcement without a change does not reach entry VMs", [&] {
+        LogIndex before = log.machine.configurationIndex();
+        EXPECT_EQ(log.code(targetCommand(address, 2, wire::TARGET_SERVING)), "ok");
+        EXPECT_EQ(log.machine.configurationIndex(), before);
+    });
+    section("late messages of an older incarnation or an earlier state change nothing", [&] {
+        EXPECT_EQ(log.code(targetCommand(address, 1, wire::TARGET_GONE)), "old_incarnation");
+        EXPECT_EQ(log.code(targetCommand(address, 2, wire::TARGET_DRAINING)), "ok");
+        EXPECT_EQ(log.code(targetCommand(address, 2, wire::TARGET_SERVING)), "old_incarnation");
+        EXPECT_EQ(log.code(targetCommand(address, 2, wire::TARGET_GONE)), "ok");
+        EXPECT_EQ(log.code(targetCommand(address, 2, wire::TARGET_SERVING)), "old_incarnation");
+        EXPECT_TRUE(log.machine.targets().empty());
+    });
+    section("a new incarnation starts again, and may return after its lease was lost", [&] {
+        EXPECT_EQ(log.code(targetCommand(address, 3, wire::TARGET_SERVING)), "ok");
+        EXPECT_EQ(log.code(targetCommand(address, 3, wire::TARGET_GONE)), "ok");
+        EXPECT_EQ(log.code(targetCommand(address, 3, wire::TARGET_SERVING)), "ok");
+        EXPECT_EQ(log.machine.findTarget("ledger", address)->state(), wire::TARGET_SERVING);
+    });
+}
+
+TEST(ControlStateMachineTest, claims)
+{
+    Log log;
+    wire::AttemptId first = attemptId("vm1", 1, 1);
+    wire::AttemptId second = attemptId("vm2", 1, 1);
+    section("a running key is refused to others and granted again to a resend", [&] {
+        EXPECT_EQ(log.code(claimCommand("k", first)), "ok");
+        EXPECT_EQ(log.code(claimCommand("k", first)), "ok");
+        EXPECT_EQ(log.code(claimCommand("k", second)), "key_running");
+        EXPECT_EQ(log.code(claimCommand("k", second, 'b')), "key_mismatch");
+        EXPECT_EQ(log.code(finishCommand("k", second, wire::OUTCOME_FINISHED)), "not_found");
+    });
+    section("a finished key gives the recorded answer, also to a late resend", [&] {
+        EXPECT_EQ(log.code(finishCommand("k", first, wire::OUTCOME_FINISHED)), "ok");
+        EXPECT_EQ(log.apply(claimCommand("k", second)).answer().body(), "posted by 1");
+        EXPECT_EQ(log.code(claimCommand("k", first)), "key_finished");
+        EXPECT_EQ(log.code(finishCommand("k", first, wire::OUTCOME_NOT_RUN)), "key_finished");
+    });
+    section("a release frees the key, and its attempt stays refused", [&] {
+        EXPECT_EQ(log.code(claimCommand("r", first)), "ok");
+        EXPECT_EQ(log.code(finishCommand("r", first, wire::OUTCOME_NOT_RUN)), "ok");
+        EXPECT_EQ(log.code(claimCommand("r", first)), "claim_released");
+        EXPECT_EQ(log.code(claimCommand("r", second, 'b')), "ok");
+    });
+    section("a release that overtakes its claim refuses the claim and leaves the holder alone", [&] {
+        wire::AttemptId late = attemptId("vm2", 1, 2);
+        EXPECT_EQ(log.code(finishCommand("r", late, wire::OUTCOME_NOT_RUN)), "ok");
+        EXPECT_EQ(log.code(claimCommand("r", late)), "claim_released");
+        EXPECT_EQ(log.code(claimCommand("r", attemptId("vm3", 1, 1), 'b')), "key_running");
+    });
+    section("a crash of the entry VM leaves claims in doubt, which only their own attempt can resolve", [&] {
+        wire::AttemptId lost = attemptId("vm1", 1, 7);
+        EXPECT_EQ(log.code(claimCommand("u", lost)), "ok");
+        EXPECT_EQ(log.code(vmGoneCommand("vm1", 2)), "ok");
+        EXPECT_EQ(log.code(claimCommand("u", second)), "key_outcome_unknown");
+        EXPECT_EQ(log.code(claimCommand("u", lost)), "old_incarnation");
+        EXPECT_EQ(log.code(finishCommand("u", lost, wire::OUTCOME_NOT_RUN)), "key_outcome_unknown");
+        EXPECT_EQ(log.code(finishCommand("u", lost, wire::OUTCOME_FINISHED)), "ok");
+        EXPECT_EQ(log.code(claimCommand("u", second)), "key_finished");
+    });
+    section("a running claim expires to unknown first, then everything is forgotten", [&] {
+        EXPECT_EQ(log.code(claimCommand("e", attemptId("vm4", 1, 1))), "ok");
+        log.apply(expireCommand(hourMs + 2000));
+        EXPECT_EQ(log.code(claimCommand("e", second, 'a', hourMs + 2000)), "key_outcome_unknown");
+        EXPECT_EQ(log.code(claimCommand("k", second, 'a', hourMs + 2000)), "ok");
+        log.apply(expireCommand(2 * hourMs + 3000));
+        EXPECT_EQ(log.code(claimCommand("e", second)), "ok");
+    });
+    section("the clock of a new leader that runs behind brings nothing back and expires nothing early", [&] {
+        EXPECT_EQ(log.code(claimCommand("c", attemptId("vm4", 1, 2), 'a', 5)), "ok");
+        log.apply(expireCommand(2 * hourMs + 4000));
+        EXPECT_EQ(log.code(claimCommand("c", second, 'a', 5)), "key_running");
+    });
+}
+
+TEST(ControlStateMachineTest, suspicions)
+{
+    Log log;
+    section("two distinct targets quarantine; the same target twice does not", [&] {
+        EXPECT_EQ(log.apply(suspicionCommand('q', "t1", 1)).suspected_targets(), 1u);
+        EXPECT_EQ(log.apply(suspicionCommand('q', "t1", 1)).suspected_targets(), 1u);
+        wire::CommandResult second = log.apply(suspicionCommand('q', "t1", 2));
+        EXPECT_EQ(second.suspected_targets(), 2u);
+        EXPECT_EQ(second.quarantined_until_ms(), 61000u);
+    });
+    section("a success clears a suspicion but no quarantine", [&] {
+        EXPECT_EQ(log.code(clearCommand('q')), "quarantined");
+        EXPECT_EQ(log.apply(suspicionCommand('s', "t1", 1)).suspected_targets(), 1u);
+        EXPECT_EQ(log.code(clearCommand('s')), "ok");
+        EXPECT_EQ(log.apply(suspicionCommand('s', "t2", 1)).suspected_targets(), 1u);
+    });
+    section("a quarantine that has ended counts no more, even before it is swept", [&] {
+        EXPECT_EQ(log.apply(suspicionCommand('q', "t3", 1, 61000)).suspected_targets(), 1u);
+    });
+    section("the end of a quarantine reaches entry VMs", [&] {
+        LogIndex held = log.machine.configurationIndex();
+        log.apply(expireCommand(200000));
+        wire::ConfigurationChanges changes = log.machine.changesSince(held);
+        ASSERT_EQ(changes.quarantines_size(), 2);
+        EXPECT_TRUE(changes.quarantines(0).cleared());
+    });
+}
+
+TEST(ControlStateMachineTest, changesSince)
+{
+    Log log;
+    log.manifest(1, { { "a", "{}" }, { "b", "{}" } });
+    log.apply(targetCommand("t1:80", 1, wire::TARGET_SERVING));
+    LogIndex held = log.machine.configurationIndex();
+    section("claims are no configuration", [&] {
+        log.apply(claimCommand("k", attemptId("vm", 1, 1)));
+        EXPECT_EQ(log.machine.configurationIndex(), held);
+    });
+    section("only what changed is sent, removals as tombstones", [&] {
+        log.manifest(2, { { "b", "{2}" } });
+        log.apply(targetCommand("t1:80", 1, wire::TARGET_GONE));
+        wire::ConfigurationChanges changes = log.machine.changesSince(held);
+        EXPECT_FALSE(changes.full());
+        EXPECT_EQ(changes.services_size(), 1);
+        EXPECT_EQ(changes.removed_services(0), "a");
+        EXPECT_EQ(changes.targets(0).state(), wire::TARGET_GONE);
+        EXPECT_EQ(changes.to_index(), log.machine.configurationIndex());
+    });
+    section("when tombstones were forgotten, older holders get a full copy", [&] {
+        LogIndex current = log.machine.configurationIndex();
+        log.apply(expireCommand(2 * hourMs));
+        wire::ConfigurationChanges changes = log.machine.changesSince(held);
+        EXPECT_TRUE(changes.full());
+        EXPECT_EQ(changes.services_size(), 1);
+        EXPECT_EQ(changes.targets_size(), 0);
+        EXPECT_FALSE(log.machine.changesSince(current).full());
+    });
+}
--- /dev/null
+++ b/packages/coordination/tests/SessionTableTest.cpp
@@ -0,0 +1,106 @@
+/** @file SessionTableTest.cpp Guards against leaders that miscount leases or report a manifest in force too early. */
+#include "kingcup/SessionTable.h"
+
+#include "testing/Story.h"
+
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using kingcup::testing::section;
+
+namespace {
+
+/** Returns a session request. */
+wire::SessionRequest request(const std::string& vm, uint64_t incarnation, uint64_t manifestNumber)
+{
+    wire::SessionRequest request;
+    request.set_entry_vm(vm);
+    request.set_incarnation(incarnation);
+    request.set_held_index(manifestNumber * 10);
+    request.set_held_manifest_number(manifestNumber);
+    return request;
+}
+
+/** Returns an announcement. */
+wire::TargetLoad load(const std::string& address, uint64_t incarnation, uint32_t inFlight, wire::TargetState state = wire::TARGET_SERVING)
+{
+    wire::TargetLoad load;
+    load.mutable_target()->set_service("ledger");
+    load.mutable_target()->set_address(address);
+    load.mutable_target()->set_incarnation(incarnation);
+    load.mutable_target()->set_slots(4);
+    load.mutable_target()->set_state(state);
+    load.set_in_flight(inFlight);
+    return load;
+}
+
+} // namespace
+
+TEST(SessionTableTest, leasesOfEntryVms)
+{
+    SessionTable table(Milliseconds(1000), Milliseconds(4000));
+    table.becomeLeader(timeAt(5000), {});
+    table.renew(request("vm1", 1, 7), timeAt(5100));
+    table.renew(request("vm2", 1, 6), timeAt(5200));
+    section("within one term of becoming leader, unknown VMs may hold leases", [&] {
+        EXPECT_EQ(table.liveEntryVms(timeAt(5999)), 0u);
+        EXPECT_FALSE(table.inForce(6, timeAt(5999)).complete);
+        EXPECT_EQ(table.liveEntryVms(timeAt(6000)), 2u);
+        EXPECT_TRUE(table.inForce(6, timeAt(6000)).complete);
+    });
+    section("a number is in force when each lease that runs is held by a VM that confirmed it", [&] {
+        InForce partial = table.inForce(7, timeAt(6050));
+        EXPECT_EQ(partial.confirmed, 1u);
+        EXPECT_EQ(partial.total, 2u);
+        EXPECT_FALSE(partial.complete);
+        table.renew(request("vm1", 1, 7), timeAt(6060));
+        EXPECT_TRUE(table.inForce(7, timeAt(6200)).complete);
+    });
+    section("a delayed request takes back no confirmation", [&] {
+        table.renew(request("vm1", 1, 5), timeAt(6300));
+        EXPECT_EQ(table.sessions().at("vm1").heldManifestNumber, 7u);
+    });
+    section("ended and replaced sessions are handed out once", [&] {
+        table.renew(request("vm1", 2, 7), timeAt(6400));
+        table.renew(request("vm1", 1, 9), timeAt(6500));
+        std::vector<EntrySession> expired = table.takeExpired(timeAt(6500));
+        ASSERT_EQ(expired.size(), 2u);
+        EXPECT_EQ(expired[0].incarnation, 1u);
+        EXPECT_EQ(expired[1].entryVm, "vm2");
+        EXPECT_TRUE(table.takeExpired(timeAt(6500)).empty());
+        EXPECT_EQ(table.sessions().at("vm1").incarnation, 2u);
+    });
+}
+
+TEST(SessionTableTest, heartbeatsOfTargets)
+{
+    SessionTable table(Milliseconds(1000), Milliseconds(4000));
+    table.becomeLeader(timeAt(0), { load("known:80", 1, 0).target() });
+    section("a new leader gives known targets a full term and then reports them once a term", [&] {
+        EXPECT_TRUE(table.takeSilentTargets(timeAt(3999)).empty());
+        EXPECT_EQ(table.takeSilentTargets(timeAt(4000)).size(), 1u);
+        EXPECT_TRUE(table.takeSilentTargets(timeAt(4001)).empty());
+        EXPECT_EQ(table.takeSilentTargets(timeAt(8000)).size(), 1u);
+    });
+    section("older incarnations prolong nothing, and gone targets are forgotten", [&] {
+        table.heartbeat(load("known:80", 2, 0), timeAt(9000));
+        table.heartbeat(load("known:80", 1, 0), timeAt(12000));
+        EXPECT_EQ(table.takeSilentTargets(timeAt(13000)).size(), 1u);
+        table.heartbeat(load("known:80", 2, 0, wire::TARGET_GONE), timeAt(13001));
+        EXPECT_TRUE(table.takeSilentTargets(timeAt(99999)).empty());
+    });
+    section("the digest keeps within its size and has fresh, unusual observations first", [&] {
+        for (int i = 0; i < 50; i++)
+            table.heartbeat(load("ordinary" + std::to_string(i) + ":80", 1, 1), timeAt(100000));
+        table.heartbeat(load("old:80", 1, 4), timeAt(95000));
+        table.heartbeat(load("busy:80", 1, 4), timeAt(100000));
+        std::vector<wire::TargetLoad> digest = table.loadDigest(400, timeAt(100250));
+        ASSERT_GT(digest.size(), 5u);
+        EXPECT_EQ(digest[0].target().address(), "busy:80");
+        EXPECT_EQ(digest[0].age_ms(), 250u);
+        wire::HeartbeatAnswer answer;
+        for (const wire::TargetLoad& row : digest)
+            *answer.add_digest() = row;
+        EXPECT_LE(answer.ByteSizeLong(), 400u);
+    });
+}
