--- a/programs/kingcupswitchd/ControlNode.cpp
+++ b/programs/kingcupswitchd/ControlNode.cpp
@@ -2,7 +2,7 @@
 #include "ControlNode.h"
 
 #include "kingcup/JsonLog.h"
-#include "kingcup/ManifestCommand.h"
+#include "kingcup/ApplyManifest.h"
 #include "kingcup/ManifestParser.h"
 #include "kingcup/TargetStates.h"
 
