Fix: Take only answers for answers

A control VM sends requests to itself when it leads. The request came in at its own listener under an id that was still open and was taken for the answer, so that status queries through control VMs returned nothing.

--- a/programs/kingcupswitchd/Process.cpp
+++ b/programs/kingcupswitchd/Process.cpp
@@ -119,7 +119,10 @@
 
 void Process::receive(const LinkOrigin& origin, const wire::Envelope& envelope)
 {
-    if (envelope.request_id() && this->leader->receive(envelope))
+    // Answers come over this process's own connections. A control VM is also connected to itself, so that a request of
+    // its own arrives at its listener under an id that is still open.
+    bool overOwnConnection = origin.route.empty();
+    if (overOwnConnection && envelope.request_id() && this->leader->receive(envelope))
         return;
     if (this->entry && this->entry->receive(envelope))
         return;
