--- /dev/null
+++ b/packages/coordination/tests/LogStorageTest.cpp
@@ -0,0 +1,150 @@
+/** @file LogStorageTest.cpp Guards the durable state of the replicated log against losses at crashes and full disks. */
+#include "kingcup/LogStorage.h"
+
+#include "testing/ScratchFolder.h"
+#include "testing/Story.h"
+
+#include <cerrno>
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using kingcup::testing::ScratchFolder;
+using kingcup::testing::section;
+
+namespace {
+
+/** Makes entries with a term and consecutive indexes. */
+std::vector<wire::LogEntry> makeEntries(LogIndex first, LogIndex last, Term term)
+{
+    std::vector<wire::LogEntry> entries;
+    for (LogIndex index = first; index <= last; ++index) {
+        wire::LogEntry& entry = entries.emplace_back();
+        entry.set_index(index);
+        entry.set_term(term);
+        entry.set_payload("payload " + std::to_string(index));
+    }
+    return entries;
+}
+
+/** A folder with its storage, which can be reopened like after a restart. */
+struct Store {
+    explicit Store(const std::string& path)
+        : path(path)
+    {
+    }
+
+    std::error_code reopen(FileHooks hooks = systemFileHooks())
+    {
+        this->storage.reset();
+        this->folder.reset();
+        std::error_code error = DataFolder::open(this->path, "deployment", 1, 7, this->folder);
+        return error ? error : LogStorage::open(*this->folder, std::move(hooks), this->storage, this->state, this->snapshot);
+    }
+
+    /** Returns first and last index of the entries; zeros for none. */
+    std::pair<LogIndex, LogIndex> range() const
+    {
+        if (this->state.entries.empty())
+            return {};
+        return { this->state.entries.front().index(), this->state.entries.back().index() };
+    }
+
+    std::string path;
+    std::unique_ptr<DataFolder> folder;
+    std::unique_ptr<LogStorage> storage;
+    DurableLogState state;
+    std::string snapshot;
+};
+
+using Range = std::pair<LogIndex, LogIndex>;
+
+} // namespace
+
+TEST(LogStorageTest, writesAndSnapshots)
+{
+    ScratchFolder folder;
+    Store store(folder.path());
+    section("term, vote and entries survive a restart, truncated ones do not", [&] {
+        ASSERT_FALSE(store.reopen());
+        ASSERT_FALSE(store.storage->write({ HardState { 3, 2 }, 0, makeEntries(1, 10, 2) }));
+        ASSERT_FALSE(store.storage->write({ std::nullopt, 9, makeEntries(9, 12, 3) }));
+        ASSERT_FALSE(store.storage->sync());
+        ASSERT_FALSE(store.reopen());
+        EXPECT_EQ(store.state.hardState, (HardState { 3, 2 }));
+        EXPECT_EQ(store.range(), Range(1, 12));
+        EXPECT_EQ(store.state.entries[8].term(), 3u);
+    });
+    section("a snapshot drops what it covers and nothing after it", [&] {
+        uint64_t before = store.storage->journalBytes();
+        ASSERT_FALSE(store.storage->storeSnapshot({ 8, 2, {} }, "state at 8"));
+        EXPECT_LT(store.storage->journalBytes(), before);
+        ASSERT_FALSE(store.storage->write({ std::nullopt, 0, makeEntries(13, 13, 3) }));
+        ASSERT_FALSE(store.reopen());
+        EXPECT_EQ(store.snapshot, "state at 8");
+        EXPECT_EQ(store.state.snapshot.lastIndex, 8u);
+        EXPECT_EQ(store.range(), Range(9, 13));
+        EXPECT_EQ(store.state.hardState, (HardState { 3, 2 }));
+    });
+    section("an older snapshot changes nothing", [&] {
+        ASSERT_FALSE(store.storage->storeSnapshot({ 5, 2, {} }, "state at 5"));
+        std::string data;
+        ASSERT_FALSE(store.storage->readSnapshot(data));
+        EXPECT_EQ(data, "state at 8");
+    });
+    section("a snapshot of another history replaces the entries, which were never committed", [&] {
+        ASSERT_FALSE(store.storage->storeSnapshot({ 11, 9, {} }, "state at 11"));
+        ASSERT_FALSE(store.reopen());
+        EXPECT_EQ(store.range(), Range());
+    });
+}
+
+TEST(LogStorageTest, crashBetweenTheStepsOfASnapshot)
+{
+    // The calls of storeSnapshot: write and sync of the file, sync of the folder, then the same for the journal.
+    ScratchFolder folder;
+    Store store(folder.path());
+    for (int lastCall = 0; lastCall <= 6; ++lastCall) {
+        SCOPED_TRACE(lastCall);
+        store.storage.reset();
+        std::filesystem::remove(folder.path() + "/journal");
+        std::filesystem::remove(folder.path() + "/snapshot");
+        int calls = -1;
+        FileHooks hooks;
+        hooks.sync = [&](int) { return calls >= 0 && calls++ >= lastCall ? EIO : 0; };
+        hooks.write = [&](int descriptor, std::string_view data) {
+            return calls >= 0 && calls++ >= lastCall ? EIO : systemFileHooks().write(descriptor, data);
+        };
+        ASSERT_FALSE(store.reopen(hooks));
+        ASSERT_FALSE(store.storage->write({ HardState { 3, 2 }, 0, makeEntries(1, 10, 2) }));
+        calls = 0;
+        EXPECT_EQ(!store.storage->storeSnapshot({ 6, 2, {} }, "state at 6"), lastCall == 6);
+        calls = -1;
+        ASSERT_FALSE(store.reopen(hooks));
+        EXPECT_EQ(store.state.hardState, (HardState { 3, 2 }));
+        bool stored = store.state.snapshot.lastIndex == 6;
+        EXPECT_EQ(stored, lastCall >= 2);
+        EXPECT_EQ(store.snapshot, stored ? "state at 6" : "");
+        EXPECT_EQ(store.range(), Range(stored ? 7 : 1, 10));
+    }
+}
+
+TEST(LogStorageTest, fullDisk)
+{
+    ScratchFolder folder;
+    Store store(folder.path());
+    bool full = false;
+    FileHooks hooks = systemFileHooks();
+    hooks.write = [&](int descriptor, std::string_view data) { return full ? ENOSPC : systemFileHooks().write(descriptor, data); };
+    ASSERT_FALSE(store.reopen(hooks));
+    section("a write refused for lack of space can be repeated", [&] {
+        LogWrite write { HardState { 1, 0 }, 0, makeEntries(1, 3, 1) };
+        full = true;
+        EXPECT_EQ(store.storage->write(write), ResultCode::DiskFull);
+        EXPECT_EQ(store.storage->storeSnapshot({ 2, 1, {} }, "state at 2"), ResultCode::DiskFull);
+        full = false;
+        ASSERT_FALSE(store.storage->write(write));
+        ASSERT_FALSE(store.reopen());
+        EXPECT_EQ(store.range(), Range(1, 3));
+        EXPECT_EQ(store.state.snapshot.lastIndex, 0u);
+    });
+}
--- /dev/null
+++ b/packages/state/tests/DataFolderTest.cpp
@@ -0,0 +1,77 @@
+/** @file DataFolderTest.cpp Guards against starting with another VM's folder, with a shared one, or with a half-written file. */
+#include "kingcup/DataFolder.h"
+
+#include "testing/ScratchFolder.h"
+#include "testing/Story.h"
+
+#include <cerrno>
+#include <fstream>
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using kingcup::testing::ScratchFolder;
+using kingcup::testing::section;
+
+TEST(DataFolderTest, identityAndLock)
+{
+    ScratchFolder parent;
+    std::string path = parent.path() + "/data";
+    std::unique_ptr<DataFolder> folder;
+    std::unique_ptr<DataFolder> second;
+    section("an empty folder gets an identity that lasts", [&] {
+        ASSERT_FALSE(DataFolder::open(path, "deployment", 1, 77, folder));
+        EXPECT_EQ(folder->identity().incarnation, 77u);
+        EXPECT_FALSE(folder->identity().bootstrapped);
+        ASSERT_FALSE(folder->markBootstrapped());
+        folder.reset();
+        ASSERT_FALSE(DataFolder::open(path, "deployment", 1, 88, folder));
+        EXPECT_EQ(folder->identity().incarnation, 77u);
+        EXPECT_TRUE(folder->identity().bootstrapped);
+    });
+    section("a folder in use is refused", [&] {
+        EXPECT_EQ(DataFolder::open(path, "deployment", 1, 88, second), ResultCode::DataFolderLocked);
+        folder.reset();
+    });
+    section("a folder of another deployment or VM is refused", [&] {
+        EXPECT_EQ(DataFolder::open(path, "other", 1, 88, second), ResultCode::ForeignDataFolder);
+        EXPECT_EQ(DataFolder::open(path, "deployment", 2, 88, second), ResultCode::ForeignDataFolder);
+    });
+    section("a folder with files but without identity is refused", [&] {
+        std::filesystem::remove(path + "/identity");
+        std::ofstream(path + "/journal") << "something";
+        EXPECT_EQ(DataFolder::open(path, "deployment", 1, 88, second), ResultCode::ForeignDataFolder);
+    });
+    section("a folder whose creation was interrupted is taken as empty", [&] {
+        std::filesystem::remove(path + "/journal");
+        std::ofstream(path + "/identity.tmp") << "half";
+        ASSERT_FALSE(DataFolder::open(path, "deployment", 1, 99, folder));
+        EXPECT_EQ(folder->identity().incarnation, 99u);
+    });
+}
+
+TEST(DataFolderTest, storedFiles)
+{
+    ScratchFolder parent;
+    std::unique_ptr<DataFolder> folder;
+    ASSERT_FALSE(DataFolder::open(parent.path(), "deployment", 1, 77, folder));
+    std::string content;
+    section("a file that cannot be written or synced leaves the old one in force", [&] {
+        EXPECT_EQ(folder->loadFile("state", content), ResultCode::NotFound);
+        ASSERT_FALSE(folder->storeFile("state", "old", systemFileHooks()));
+        FileHooks full = systemFileHooks();
+        full.write = [](int, std::string_view) { return ENOSPC; };
+        EXPECT_EQ(folder->storeFile("state", "new", full), ResultCode::DiskFull);
+        FileHooks broken = systemFileHooks();
+        broken.sync = [](int) { return EIO; };
+        EXPECT_EQ(folder->storeFile("state", "new", broken), ResultCode::SyncFailed);
+        ASSERT_FALSE(folder->loadFile("state", content));
+        EXPECT_EQ(content, "old");
+    });
+    section("a changed byte is found", [&] {
+        std::fstream file(parent.path() + "/state", std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(-1, std::ios::end);
+        file.put('x');
+        file.close();
+        EXPECT_EQ(folder->loadFile("state", content), ResultCode::JournalDamaged);
+    });
+}
