Add: Tests of the replicated log under simulated faults

200 seeds drop, delay, duplicate and reorder messages, cut links one way and both ways, crash members, wipe disks and replace VMs.

--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -388,6 +388,193 @@
     return options;
 }
 
+/** Injects one random fault into a group, or ends earlier ones. */
+class Faults {
+public:
+    explicit Faults(Network& network)
+        : network(network)
+    {
+    }
+
+    /** Runs with proposals and faults for some time. */
+    void run(int steps)
+    {
+        for (int step = 0; step < steps; ++step) {
+            this->injectFault();
+            for (int burst = 0; burst < 20; ++burst) {
+                for (auto& [vm, node] : this->network.nodes) {
+                    if (node.log && node.log->role() == LogRole::Leader)
+                        this->network.propose(node);
+                }
+                this->replace();
+                this->network.runFor(5 + static_cast<double>(this->network.random.below(40)));
+            }
+        }
+    }
+
+    /** Ends all faults, and returns whether the group then agrees and finishes its replacement. */
+    bool recover()
+    {
+        this->network.cut.clear();
+        this->network.dropShare = 0;
+        for (auto& [vm, node] : this->network.nodes) {
+            if (!node.log)
+                this->network.start(vm);
+        }
+        auto settled = [this] {
+            this->replace();
+            Node* leading = this->network.leaderWithQuorum();
+            if (!leading || this->replaced)
+                return false;
+            return leading->log->commitIndex() == leading->log->lastIndex() && this->network.converged();
+        };
+        return this->network.runUntil(settled, 60000);
+    }
+
+private:
+    void replace()
+    {
+        if (this->replaced && this->network.nodes[this->replaced].log && this->network.replaceStep(this->replaced))
+            this->replaced = 0;
+    }
+
+    void injectFault()
+    {
+        RandomSource& random = this->network.random;
+        VmId vm = static_cast<VmId>(1 + random.below(this->network.nodes.size()));
+        VmId other = static_cast<VmId>(1 + random.below(this->network.nodes.size()));
+        Node& node = this->network.nodes[vm];
+        switch (random.below(9)) {
+        case 0:
+            return this->network.isolate(vm);
+        case 1:
+            this->network.cut.insert({ vm, other });
+            return;
+        case 2:
+        case 3:
+            this->network.cut.clear();
+            return;
+        case 4:
+            return this->network.crash(vm);
+        case 5:
+            for (auto& [each, member] : this->network.nodes) {
+                if (!member.log)
+                    this->network.start(each);
+            }
+            return;
+        case 6:
+            // A second loss of a disk before the first VM is replaced may lose data by design.
+            if (!this->replaced) {
+                this->replaced = vm;
+                this->network.wipe(vm);
+            }
+            return;
+        case 7:
+            if (node.log)
+                this->network.take(node, node.log->handOver(this->network.now));
+            return;
+        default:
+            this->network.dropShare = random.fraction() * 0.3;
+            this->network.duplicateShare = random.fraction() * 0.3;
+            this->network.delayMs = 1 + random.fraction() * 300;
+            this->network.syncMs = 1 + random.fraction() * 30;
+        }
+    }
+
+    Network& network;
+    VmId replaced = 0; ///< VM that lost its disk and is not a voter again; 0 for none.
+};
+
+/** Result of one run with a seed: the violations, and whether the group recovered. */
+struct Outcome {
+    std::vector<std::string> violations;
+    bool recovered = false;
+    size_t acknowledged = 0;
+};
+
+/** Runs random faults over a group of three or five. */
+Outcome runFaults(uint64_t seed, const ReplicatedLogOptions& options)
+{
+    Network network(seed, options, seed % 2 ? 3 : 5);
+    // Faults before every member has synced the first membership would lose a group that was never formed.
+    network.runUntil([&] { return network.leaderWithQuorum() != nullptr; });
+    network.runFor(1000);
+    Faults faults(network);
+    faults.run(40);
+    Outcome outcome;
+    outcome.recovered = faults.recover();
+    outcome.violations = network.violations;
+    outcome.acknowledged = network.acknowledged.size();
+    return outcome;
+}
+
+/** Proposes commands with some time between them. */
+void proposeMany(Network& network, int count)
+{
+    for (int number = 0; number < count; ++number) {
+        if (Node* leading = network.leader())
+            network.propose(*leading);
+        network.runFor(5);
+    }
+}
+
+/** Cuts a follower off for a while. Returns whether its return changes the term. */
+bool returnDisturbs(uint64_t seed, const ReplicatedLogOptions& options)
+{
+    Network network(seed, options);
+    network.runUntil([&] { return network.leaderWithQuorum() != nullptr; });
+    network.runFor(1000);
+    Term term = network.leader()->log->term();
+    network.isolate(network.leader()->vm % 3 + 1);
+    network.runFor(5000);
+    network.cut.clear();
+    network.runFor(2000);
+    return network.leader()->log->term() != term;
+}
+
+/**
+ * Commits entries without one member, then loses the disk of another, restarts the leader and cuts it off while both
+ * catch up. The two others hold no committed entry for certain, so they must not elect a leader.
+ * @return Whether committed entries were replaced.
+ */
+bool lostDiskVotes(uint64_t seed, ReplicatedLogOptions options)
+{
+    options.maxEntriesPerMessage = 1;
+    Network network(seed, options);
+    network.snapshotEvery = 1000;
+    network.runUntil([&] { return network.leaderWithQuorum() != nullptr; });
+    network.runFor(1000);
+    VmId leading = network.leader()->vm;
+    VmId behind = leading % 3 + 1;
+    network.isolate(behind);
+    proposeMany(network, 50);
+    network.wipe(behind % 3 + 1);
+    network.crash(leading);
+    network.start(leading);
+    network.cut.clear();
+    network.runUntil([&] { return network.nodes[leading].log->role() == LogRole::Leader; });
+    network.runFor(network.random.fraction() * 20);
+    network.isolate(leading);
+    network.runFor(5000);
+    proposeMany(network, 5);
+    network.cut.clear();
+    network.runFor(5000);
+    return !network.violations.empty();
+}
+
+/** Runs a check with several seeds. Returns whether it held for one, and prints that seed. */
+bool anySeed(const std::function<bool(uint64_t)>& check)
+{
+    uint64_t first = testSeed(1);
+    for (uint64_t seed = first; seed < first + 50; ++seed) {
+        if (!check(seed))
+            continue;
+        std::cout << "found with seed " << seed << std::endl;
+        return true;
+    }
+    return false;
+}
+
 } // namespace
 
 TEST(ReplicatedLogTest, plainPath)
@@ -405,3 +592,155 @@
     });
     EXPECT_THAT(network.violations, ::testing::IsEmpty());
 }
+
+TEST(ReplicatedLogTest, safeUnderRandomFaults)
+{
+    uint64_t first = testSeed(1);
+    size_t acknowledged = 0;
+    for (uint64_t seed = first; seed < first + 200; ++seed) {
+        Outcome outcome = runFaults(seed, smallOptions());
+        EXPECT_THAT(outcome.violations, ::testing::IsEmpty()) << "seed " << seed;
+        EXPECT_TRUE(outcome.recovered) << "seed " << seed;
+        EXPECT_GT(outcome.acknowledged, 0u) << "seed " << seed;
+        acknowledged += outcome.acknowledged;
+    }
+    std::cout << "acknowledged " << acknowledged << std::endl;
+}
+
+TEST(ReplicatedLogTest, switchesAreNeeded)
+{
+    section("without check-quorum, a leader that is cut off goes on granting leases beside its successor", [] {
+        ReplicatedLogOptions options = smallOptions();
+        options.checkQuorum = false;
+        EXPECT_TRUE(anySeed([&](uint64_t seed) { return !runFaults(seed, options).violations.empty(); }));
+    });
+    section("without pre-vote, a member that was cut off deposes the leader when it returns", [] {
+        ReplicatedLogOptions options = smallOptions();
+        EXPECT_FALSE(anySeed([&](uint64_t seed) { return returnDisturbs(seed, options); }));
+        options.preVote = false;
+        EXPECT_TRUE(anySeed([&](uint64_t seed) { return returnDisturbs(seed, options); }));
+    });
+    section("without the incarnation check, a VM that lost its disk helps to elect a leader that lacks committed entries", [] {
+        ReplicatedLogOptions options = smallOptions();
+        EXPECT_FALSE(anySeed([&](uint64_t seed) { return lostDiskVotes(seed, options); }));
+        options.checkIncarnation = false;
+        EXPECT_TRUE(anySeed([&](uint64_t seed) { return lostDiskVotes(seed, options); }));
+    });
+}
+
+TEST(ReplicatedLogTest, lostVms)
+{
+    uint64_t seed = testSeed(7);
+    Network network(seed, smallOptions());
+    ASSERT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }));
+    section("a repaired VM catches up as a learner and replaces its old incarnation; a second loss right after loses nothing", [&] {
+        proposeMany(network, 60);
+        VmId repaired = network.leader()->vm % 3 + 1;
+        network.wipe(repaired);
+        ASSERT_TRUE(network.runUntil([&] { return network.replaceStep(repaired); }));
+        EXPECT_EQ(network.propose(*network.leader()), ResultCode::Ok);
+        network.runUntil([&] { return network.acknowledged.size() == 61; });
+        network.wipe(repaired % 3 + 1);
+        EXPECT_TRUE(network.runUntil([&] { return network.replaceStep(repaired % 3 + 1); }));
+        EXPECT_TRUE(network.runUntil([&] { return network.acknowledged.size() == 61 && network.converged(); }));
+    });
+    section("members with empty disks form no group, vote for nobody and stand for no election", [&] {
+        for (VmId vm = 1; vm <= 2; ++vm)
+            network.wipe(vm);
+        network.runFor(10000);
+        for (VmId vm = 1; vm <= 2; ++vm) {
+            EXPECT_EQ(network.nodes[vm].log->role(), LogRole::Follower);
+            EXPECT_EQ(network.nodes[vm].disk.hardState.votedFor, 0u);
+        }
+        EXPECT_EQ(network.leaderWithQuorum(), nullptr);
+    });
+    EXPECT_THAT(network.violations, ::testing::IsEmpty());
+}
+
+TEST(ReplicatedLogTest, quorumAndHandOver)
+{
+    uint64_t seed = testSeed(11);
+    Network network(seed, smallOptions());
+    auto ready = [&] { return network.leaderWithQuorum() != nullptr; };
+    ASSERT_TRUE(network.runUntil(ready));
+    section("a hand-over names another leader within a heartbeat interval or two, without an election timeout", [&] {
+        VmId before = network.leader()->vm;
+        network.take(*network.leader(), network.leader()->log->handOver(network.now));
+        EXPECT_TRUE(network.runUntil([&] { return ready() && network.leader()->vm != before; }, 200));
+    });
+    section("a hand-over to a member that is cut off ends with an election, and no lease is granted meanwhile", [&] {
+        Node& old = *network.leader();
+        network.isolate(old.vm);
+        network.take(old, old.log->handOver(network.now));
+        EXPECT_FALSE(old.log->hasQuorum(network.now));
+        network.cut.clear();
+        EXPECT_TRUE(network.runUntil(ready));
+    });
+    section("a leader without answers loses its quorum within the election timeout and steps down", [&] {
+        Node& old = *network.leader();
+        network.isolate(old.vm);
+        network.runFor(network.options.electionTimeout.count());
+        EXPECT_FALSE(old.log->hasQuorum(network.now));
+        network.runFor(30);
+        EXPECT_EQ(old.log->role(), LogRole::Follower);
+        EXPECT_EQ(network.propose(old), ResultCode::NotLeader);
+    });
+    section("all others restarting at once elect no leader while the old one may still grant leases", [&] {
+        network.cut.clear();
+        ASSERT_TRUE(network.runUntil(ready));
+        Node& old = *network.leader();
+        for (auto& [vm, node] : network.nodes) {
+            if (vm == old.vm)
+                continue;
+            network.crash(vm);
+            network.start(vm);
+        }
+        network.isolate(old.vm);
+        network.runFor(3000);
+        EXPECT_NE(network.leader(), &old);
+    });
+    EXPECT_THAT(network.violations, ::testing::IsEmpty());
+}
+
+TEST(ReplicatedLogTest, refusals)
+{
+    uint64_t seed = testSeed(13);
+    Network network(seed, smallOptions());
+    ASSERT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }));
+    Node& leading = *network.leader();
+    wire::Membership membership = leading.log->membership();
+    ReplicatedLog::Proposal proposal;
+    auto change = [&](const wire::Membership& next) {
+        network.take(leading, leading.log->proposeMembership(next, network.now, proposal));
+        return proposal.code;
+    };
+    section("a group is formed once", [&] {
+        LogOutput output;
+        EXPECT_EQ(leading.log->bootstrap(membership, network.now, output), ResultCode::AlreadyBootstrapped);
+    });
+    section("proposals are refused on a full disk and above the size limits", [&] {
+        leading.log->setDiskFull(true);
+        EXPECT_EQ(network.propose(leading), ResultCode::DiskFull);
+        leading.log->setDiskFull(false);
+        leading.log->propose({ std::string(network.options.maxBytesPerMessage + 1, 'x') }, network.now, proposal);
+        EXPECT_EQ(proposal.code, ResultCode::CommandTooLarge);
+    });
+    section("members change one at a time, and new ones start as learners", [&] {
+        wire::Membership next = membership;
+        wire::Member& added = *next.add_members();
+        added.set_vm_id(4);
+        added.set_incarnation(900);
+        added.set_voter(true);
+        EXPECT_EQ(change(next), ResultCode::CommandMalformed);
+        added.set_voter(false);
+        EXPECT_EQ(change(next), ResultCode::Ok);
+        EXPECT_EQ(change(membership), ResultCode::MembershipChangePending);
+        network.runUntil([&] { return leading.log->membershipCommitted(); });
+        next.mutable_members(3)->set_voter(true);
+        EXPECT_EQ(change(next), ResultCode::NotCaughtUp);
+        EXPECT_EQ(change(membership), ResultCode::Ok);
+        network.runUntil([&] { return leading.log->membershipCommitted(); });
+        EXPECT_EQ(change({}), ResultCode::CommandMalformed);
+    });
+    EXPECT_THAT(network.violations, ::testing::IsEmpty());
+}
