--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -183,7 +183,7 @@
             this->send(node, std::move(message));
         output.messagesBeforeSync.clear();
         if (node.unsynced.empty())
-            this->after(this->random.fraction() * this->syncMs, [this, &node, run = node.run] { this->sync(node, run); });
+            this->after(this->random.fraction() * (node.vm == this->slowDisk ? 200 : this->syncMs), [this, &node, run = node.run] { this->sync(node, run); });
         node.unsynced.push_back(std::move(output));
     }
 
@@ -216,6 +216,7 @@
     double duplicateShare = 0; ///< Messages that arrive twice.
     double delayMs = 2; ///< Longest delay; messages overtake each other.
     double syncMs = 3; ///< Longest time to a sync.
+    VmId slowDisk = 0; ///< Member whose syncs take much longer; 0 for none.
     LogIndex snapshotEvery = 20; ///< Applied entries between snapshots.
     std::vector<std::string> violations;
     std::set<std::string> acknowledged; ///< Payloads whose proposer learned that they are committed.
@@ -344,6 +345,7 @@
         this->check(entry.index() == node.position.lastIndex + 1, "applied out of order");
         std::string content = std::to_string(entry.term()) + ":" + entry.payload();
         this->check(this->committed.emplace(entry.index(), content).first->second == content, "committed entry " + std::to_string(entry.index()) + " differs");
+        this->lastCommitted[entry.term()] = std::max(this->lastCommitted[entry.term()], entry.index());
         node.position.lastIndex = entry.index();
         node.position.lastTerm = entry.term();
         if (entry.type() == wire::ENTRY_MEMBERSHIP)
@@ -356,15 +358,18 @@
             this->acknowledged.insert(proposal->second);
     }
 
-    /** A leader that may grant leases must be the only leader of its term or a later one. */
+    /** A leader that may grant leases must know all that was committed before its term, and no later leader may exist. */
     void checkLeaders()
     {
         for (const auto& [vm, node] : this->nodes) {
             if (!node.log || !node.log->hasQuorum(this->now))
                 continue;
+            auto later = this->lastCommitted.lower_bound(node.log->term());
+            bool knowsAll = later == this->lastCommitted.begin() || std::prev(later)->second <= node.log->commitIndex();
+            this->check(knowsAll, "a leader claims a quorum before it knows what is committed");
             for (const auto& [otherVm, other] : this->nodes) {
-                bool later = other.log && otherVm != vm && other.log->role() == LogRole::Leader && other.log->term() > node.log->term();
-                this->check(!later, "a leader claims a quorum although a later one is elected");
+                bool deposed = other.log && otherVm != vm && other.log->role() == LogRole::Leader && other.log->term() > node.log->term();
+                this->check(!deposed, "a leader claims a quorum although a later one is elected");
             }
         }
     }
@@ -375,6 +380,7 @@
     std::priority_queue<Event> events;
     std::map<Term, uint64_t> leaders; ///< Incarnation that led a term.
     std::map<std::pair<LogIndex, Term>, History> entries; ///< All entries ever written.
+    std::map<Term, LogIndex> lastCommitted; ///< Last entry of each term that was applied anywhere.
     std::map<LogIndex, std::string> committed; ///< All entries ever applied.
     std::map<std::pair<LogIndex, Term>, std::string> proposals; ///< Accepted payloads.
 };
@@ -460,7 +466,10 @@
             this->network.cut.clear();
             return this->startAll();
         case 4:
-            return this->network.crash(vm);
+            this->network.crash(vm);
+            if (random.below(2))
+                this->network.start(vm);
+            return;
         case 5:
             return this->startAll();
         case 6:
@@ -479,6 +488,7 @@
             this->network.duplicateShare = random.fraction() * 0.3;
             this->network.delayMs = 1 + random.fraction() * 300;
             this->network.syncMs = 1 + random.fraction() * 30;
+            this->network.slowDisk = other;
         }
     }
 
