--- /dev/null
+++ b/packages/coordination/tests/LogNetwork.h
@@ -0,0 +1,382 @@
+/** @file LogNetwork.h Members of a replicated log on a simulated network with simulated disks, and checks of their history. */
+#pragma once
+
+#include "kingcup/ReplicatedLog.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+
+namespace kingcup::testing {
+
+/** One member with its simulated disk. Writes reach the disk when the network syncs them. */
+struct Node {
+    VmId vm = 0;
+    uint64_t incarnation = 0;
+    DurableLogState disk; ///< What survives a crash.
+    std::string diskSnapshot; ///< Bytes of the stored snapshot.
+    std::unique_ptr<ReplicatedLog> log; ///< Null while crashed.
+    std::vector<LogOutput> unsynced; ///< Outputs that wait for a sync.
+    std::string applied; ///< State machine: all payloads in order.
+    SnapshotMeta position; ///< Applied index, its term and membership.
+    int run = 0; ///< Grows with each start; timers of earlier runs do nothing.
+};
+
+/** Members, links and the history that the checks are based on. */
+class Network {
+public:
+    Network(uint64_t seed, ReplicatedLogOptions options, uint32_t size = 3)
+        : random(seed)
+        , options(options)
+    {
+        wire::Membership membership;
+        for (VmId vm = 1; vm <= size; ++vm) {
+            this->nodes[vm].vm = vm;
+            this->nodes[vm].incarnation = this->nextIncarnation++;
+            *membership.add_members() = this->member(this->nodes[vm], true);
+            this->start(vm);
+        }
+        for (auto& [vm, node] : this->nodes) {
+            LogOutput output;
+            this->check(node.log->bootstrap(membership, this->now, output) == ResultCode::Ok, "bootstrap refused");
+            this->take(node, std::move(output));
+        }
+    }
+
+    void runFor(double ms)
+    {
+        TimePoint end = this->now + Milliseconds(ms);
+        while (!this->events.empty() && this->events.top().at <= end) {
+            Event event = this->events.top();
+            this->events.pop();
+            this->now = event.at;
+            event.action();
+            this->checkLeaders();
+        }
+        this->now = end;
+    }
+
+    bool runUntil(const std::function<bool()>& condition, double limitMs = 20000)
+    {
+        for (double waited = 0; waited < limitMs && !condition(); waited += 10)
+            this->runFor(10);
+        return condition();
+    }
+
+    void start(VmId vm)
+    {
+        Node& node = this->nodes[vm];
+        ReplicatedLogOptions own = this->options;
+        own.self = vm;
+        own.incarnation = node.incarnation;
+        node.applied = node.diskSnapshot;
+        node.position = node.disk.snapshot;
+        ++node.run;
+        node.log = std::make_unique<ReplicatedLog>(
+            own, node.disk, RandomSource(this->random.next()), [&node] { return node.diskSnapshot; }, this->now);
+        this->scheduleTick(node, node.run);
+    }
+
+    /** Stops a member; what was not synced is lost. */
+    void crash(VmId vm)
+    {
+        this->nodes[vm].log.reset();
+        this->nodes[vm].unsynced.clear();
+    }
+
+    /** Replaces a VM by one with an empty disk and a new incarnation. */
+    void wipe(VmId vm)
+    {
+        this->crash(vm);
+        int run = this->nodes[vm].run;
+        this->nodes[vm] = Node {};
+        this->nodes[vm].vm = vm;
+        this->nodes[vm].run = run;
+        this->nodes[vm].incarnation = this->nextIncarnation++;
+        this->start(vm);
+    }
+
+    /** Cuts both directions between a member and all others. */
+    void isolate(VmId vm)
+    {
+        for (const auto& [other, node] : this->nodes) {
+            this->cut.insert({ vm, other });
+            this->cut.insert({ other, vm });
+        }
+    }
+
+    Node* leader()
+    {
+        Node* best = nullptr;
+        for (auto& [vm, node] : this->nodes) {
+            if (node.log && node.log->role() == LogRole::Leader && (!best || node.log->term() > best->log->term()))
+                best = &node;
+        }
+        return best;
+    }
+
+    Node* leaderWithQuorum()
+    {
+        Node* node = this->leader();
+        return node && node->log->hasQuorum(this->now) ? node : nullptr;
+    }
+
+    ResultCode propose(Node& node)
+    {
+        ReplicatedLog::Proposal proposal;
+        std::string payload = std::to_string(++this->lastPayload) + ";";
+        LogOutput output = node.log->propose({ payload }, this->now, proposal);
+        if (proposal.code == ResultCode::Ok)
+            this->proposals[{ proposal.index, proposal.term }] = payload;
+        this->take(node, std::move(output));
+        return proposal.code;
+    }
+
+    /** Takes the next step that brings the current incarnation of a VM into the group. Returns whether it is a voter. */
+    bool replaceStep(VmId vm)
+    {
+        Node* leading = this->leaderWithQuorum();
+        if (!leading || !leading->log->membershipCommitted())
+            return false;
+        wire::Membership next;
+        bool listed = false;
+        bool oldListed = false;
+        wire::Member* learner = nullptr;
+        for (const wire::Member& member : leading->log->membership().members()) {
+            bool current = member.vm_id() == vm && member.incarnation() == this->nodes[vm].incarnation;
+            listed = listed || current;
+            oldListed = oldListed || (member.vm_id() == vm && !current);
+            *next.add_members() = member;
+            if (current && !member.voter())
+                learner = next.mutable_members(next.members_size() - 1);
+        }
+        if (listed && !learner && !oldListed)
+            return true;
+        if (!listed)
+            *next.add_members() = this->member(this->nodes[vm], false);
+        else if (oldListed)
+            this->removeOldIncarnation(next, this->nodes[vm]);
+        else
+            learner->set_voter(true);
+        ReplicatedLog::Proposal proposal;
+        this->take(*leading, leading->log->proposeMembership(next, this->now, proposal));
+        return false;
+    }
+
+    /** Hands the output of a member to its disk, the network and its state machine. */
+    void take(Node& node, LogOutput output)
+    {
+        if (node.log->role() == LogRole::Leader) {
+            uint64_t& known = this->leaders[node.log->term()];
+            this->check(!known || known == node.incarnation, "two leaders in term " + std::to_string(node.log->term()));
+            known = node.incarnation;
+        }
+        for (OutgoingLogMessage& message : output.messagesBeforeSync)
+            this->send(node, std::move(message));
+        output.messagesBeforeSync.clear();
+        if (node.unsynced.empty())
+            this->after(this->random.fraction() * (node.vm == this->slowDisk ? 200 : this->syncMs), [this, &node, run = node.run] { this->sync(node, run); });
+        node.unsynced.push_back(std::move(output));
+    }
+
+    /** Checks that all running members hold the same state with every acknowledged payload. */
+    bool converged()
+    {
+        const Node* first = nullptr;
+        for (auto& [vm, node] : this->nodes) {
+            if (!node.log || (first && node.applied != first->applied))
+                return false;
+            first = &node;
+        }
+        return std::all_of(this->acknowledged.begin(), this->acknowledged.end(), [&](const std::string& payload) {
+            return (";" + first->applied).find(";" + payload) != std::string::npos;
+        });
+    }
+
+    void check(bool condition, const std::string& text)
+    {
+        if (!condition)
+            this->violations.push_back(text + " at " + std::to_string(this->now.time_since_epoch().count()) + " ms");
+    }
+
+    RandomSource random;
+    ReplicatedLogOptions options;
+    TimePoint now = timeAt(1000);
+    std::map<VmId, Node> nodes;
+    std::set<std::pair<VmId, VmId>> cut; ///< Directions that lose everything.
+    double dropShare = 0; ///< Lost messages.
+    double duplicateShare = 0; ///< Messages that arrive twice.
+    double delayMs = 2; ///< Longest delay; messages overtake each other.
+    double syncMs = 3; ///< Longest time to a sync.
+    VmId slowDisk = 0; ///< Member whose syncs take much longer; 0 for none.
+    LogIndex snapshotEvery = 20; ///< Applied entries between snapshots.
+    std::vector<std::string> violations;
+    std::set<std::string> acknowledged; ///< Payloads whose proposer learned that they are committed.
+
+private:
+    struct Event {
+        TimePoint at;
+        uint64_t number;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return std::pair(this->at, this->number) > std::pair(other.at, other.number); }
+    };
+    /** An entry and the term before it, which must agree wherever index and term do. */
+    using History = std::pair<std::string, Term>;
+
+    void after(double ms, std::function<void()> action)
+    {
+        this->events.push({ this->now + Milliseconds(ms), this->lastEvent++, std::move(action) });
+    }
+
+    wire::Member member(const Node& node, bool voter) const
+    {
+        wire::Member member;
+        member.set_vm_id(node.vm);
+        member.set_incarnation(node.incarnation);
+        member.set_voter(voter);
+        return member;
+    }
+
+    static void removeOldIncarnation(wire::Membership& membership, const Node& node)
+    {
+        auto& members = *membership.mutable_members();
+        auto old = std::remove_if(members.begin(), members.end(), [&](const wire::Member& member) {
+            return member.vm_id() == node.vm && member.incarnation() != node.incarnation;
+        });
+        members.erase(old, members.end());
+    }
+
+    void scheduleTick(Node& node, int run)
+    {
+        this->after(20 + this->random.fraction(), [this, &node, run] {
+            if (!node.log || node.run != run)
+                return;
+            this->take(node, node.log->tick(this->now));
+            this->scheduleTick(node, run);
+        });
+    }
+
+    void send(const Node& from, OutgoingLogMessage message)
+    {
+        if (this->cut.contains({ from.vm, message.to }) || this->random.fraction() < this->dropShare)
+            return;
+        int copies = this->random.fraction() < this->duplicateShare ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            this->after(0.1 + this->random.fraction() * this->delayMs, [this, vm = from.vm, incarnation = from.incarnation, message] {
+                Node& node = this->nodes[message.to];
+                if (node.log && !this->cut.contains({ vm, message.to }))
+                    this->take(node, node.log->receive(vm, incarnation, message.message, this->now));
+            });
+        }
+    }
+
+    /** Syncs all writes of a member with one sync, then sends and applies. */
+    void sync(Node& node, int run)
+    {
+        if (!node.log || node.run != run)
+            return;
+        std::vector<LogOutput> outputs = std::move(node.unsynced);
+        node.unsynced.clear();
+        for (const LogOutput& output : outputs)
+            this->writeToDisk(node, output);
+        for (LogOutput& output : outputs) {
+            for (OutgoingLogMessage& message : output.messagesAfterSync)
+                this->send(node, std::move(message));
+            if (output.snapshot) {
+                node.applied = output.snapshot->data;
+                node.position = output.snapshot->meta;
+            }
+            for (const wire::LogEntry& entry : output.committed)
+                this->apply(node, entry);
+        }
+        if (node.position.lastIndex >= node.disk.snapshot.lastIndex + this->snapshotEvery)
+            this->takeSnapshot(node);
+        if (std::any_of(outputs.begin(), outputs.end(), [](const LogOutput& output) { return !output.write.empty(); })) {
+            LogIndex last = node.disk.entries.empty() ? node.disk.snapshot.lastIndex : node.disk.entries.back().index();
+            Term term = node.disk.entries.empty() ? node.disk.snapshot.lastTerm : node.disk.entries.back().term();
+            this->take(node, node.log->synced(last, term, this->now));
+        }
+    }
+
+    void writeToDisk(Node& node, const LogOutput& output)
+    {
+        DurableLogState& disk = node.disk;
+        if (output.snapshot && output.snapshot->meta.lastIndex > disk.snapshot.lastIndex)
+            this->storeSnapshot(node, output.snapshot->meta, output.snapshot->data);
+        if (output.write.hardState)
+            disk.hardState = *output.write.hardState;
+        if (output.write.truncateFrom)
+            std::erase_if(disk.entries, [&](const wire::LogEntry& entry) { return entry.index() >= output.write.truncateFrom; });
+        for (const wire::LogEntry& entry : output.write.entries) {
+            if (entry.index() <= disk.snapshot.lastIndex)
+                continue;
+            Term before = disk.entries.empty() ? disk.snapshot.lastTerm : disk.entries.back().term();
+            LogIndex last = disk.entries.empty() ? disk.snapshot.lastIndex : disk.entries.back().index();
+            this->check(entry.index() == last + 1, "gap in the log");
+            History history { entry.payload(), before };
+            this->check(this->entries.emplace(std::pair(entry.index(), entry.term()), history).first->second == history, "logs do not match");
+            disk.entries.push_back(entry);
+        }
+    }
+
+    void storeSnapshot(Node& node, const SnapshotMeta& meta, const std::string& data)
+    {
+        node.disk.snapshot = meta;
+        node.diskSnapshot = data;
+        std::erase_if(node.disk.entries, [&](const wire::LogEntry& entry) { return entry.index() <= meta.lastIndex; });
+    }
+
+    void takeSnapshot(Node& node)
+    {
+        this->storeSnapshot(node, node.position, node.applied);
+        node.log->compacted(node.position);
+    }
+
+    void apply(Node& node, const wire::LogEntry& entry)
+    {
+        this->check(entry.index() == node.position.lastIndex + 1, "applied out of order");
+        std::string content = std::to_string(entry.term()) + ":" + entry.payload();
+        this->check(this->committed.emplace(entry.index(), content).first->second == content, "committed entry " + std::to_string(entry.index()) + " differs");
+        this->lastCommitted[entry.term()] = std::max(this->lastCommitted[entry.term()], entry.index());
+        node.position.lastIndex = entry.index();
+        node.position.lastTerm = entry.term();
+        if (entry.type() == wire::ENTRY_MEMBERSHIP)
+            node.position.membership.ParseFromString(entry.payload());
+        if (entry.type() != wire::ENTRY_COMMAND)
+            return;
+        node.applied += entry.payload();
+        auto proposal = this->proposals.find({ entry.index(), entry.term() });
+        if (proposal != this->proposals.end())
+            this->acknowledged.insert(proposal->second);
+    }
+
+    /** A leader that may grant leases must know all that was committed before its term, and no later leader may exist. */
+    void checkLeaders()
+    {
+        for (const auto& [vm, node] : this->nodes) {
+            if (!node.log || !node.log->hasQuorum(this->now))
+                continue;
+            auto later = this->lastCommitted.lower_bound(node.log->term());
+            bool knowsAll = later == this->lastCommitted.begin() || std::prev(later)->second <= node.log->commitIndex();
+            this->check(knowsAll, "a leader claims a quorum before it knows what is committed");
+            for (const auto& [otherVm, other] : this->nodes) {
+                bool deposed = other.log && otherVm != vm && other.log->role() == LogRole::Leader && other.log->term() > node.log->term();
+                this->check(!deposed, "a leader claims a quorum although a later one is elected");
+            }
+        }
+    }
+
+    uint64_t nextIncarnation = 101;
+    uint64_t lastPayload = 0;
+    uint64_t lastEvent = 0;
+    std::priority_queue<Event> events;
+    std::map<Term, uint64_t> leaders; ///< Incarnation that led a term.
+    std::map<std::pair<LogIndex, Term>, History> entries; ///< All entries ever written.
+    std::map<Term, LogIndex> lastCommitted; ///< Last entry of each term that was applied anywhere.
+    std::map<LogIndex, std::string> committed; ///< All entries ever applied.
+    std::map<std::pair<LogIndex, Term>, std::string> proposals; ///< Accepted payloads.
+};
+
+} // namespace kingcup::testing
--- /dev/null
+++ b/packages/coordination/tests/ReplicatedLogRulesTest.cpp
@@ -0,0 +1,165 @@
+/** @file ReplicatedLogRulesTest.cpp Drives one member by hand through rules that random faults hit too rarely to guard. */
+#include "kingcup/ReplicatedLog.h"
+
+#include "testing/Story.h"
+
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using kingcup::testing::section;
+
+namespace {
+
+/** Returns the incarnation that these tests give a VM. */
+uint64_t incarnationOf(VmId vm)
+{
+    return 100 + vm;
+}
+
+/** VM 1 of a group of voters 1 to 3 and learner 4, after a restart at 1000 ms with the first membership and a term of 5. */
+struct Member {
+    explicit Member(VmId voters = 3)
+    {
+        wire::Membership membership;
+        for (VmId vm = 1; vm <= voters + 1; ++vm) {
+            wire::Member& member = *membership.add_members();
+            member.set_vm_id(vm);
+            member.set_incarnation(incarnationOf(vm));
+            member.set_voter(vm <= voters);
+        }
+        DurableLogState durable;
+        durable.hardState = { 5, 0 };
+        wire::LogEntry& entry = durable.entries.emplace_back();
+        entry.set_index(1);
+        entry.set_term(1);
+        entry.set_type(wire::ENTRY_MEMBERSHIP);
+        entry.set_payload(membership.SerializeAsString());
+        ReplicatedLogOptions options;
+        options.self = 1;
+        options.incarnation = incarnationOf(1);
+        this->log = std::make_unique<ReplicatedLog>(
+            options, durable, RandomSource(1), [] { return std::string(); }, timeAt(1000));
+    }
+
+    LogOutput receive(VmId from, const wire::LogMessage& message, double ms)
+    {
+        return this->log->receive(from, incarnationOf(from), message, timeAt(ms));
+    }
+
+    LogOutput answerVote(VmId from, bool preVote, double ms)
+    {
+        wire::LogMessage message;
+        message.mutable_vote_answer()->set_pre_vote(preVote);
+        message.mutable_vote_answer()->set_term(6);
+        message.mutable_vote_answer()->set_granted(true);
+        return this->receive(from, message, ms);
+    }
+
+    LogOutput answerAppend(VmId from, LogIndex match, uint64_t round, double ms)
+    {
+        wire::LogMessage message;
+        message.mutable_append_answer()->set_term(6);
+        message.mutable_append_answer()->set_accepted(true);
+        message.mutable_append_answer()->set_match_index(match);
+        message.mutable_append_answer()->set_round(round);
+        return this->receive(from, message, ms);
+    }
+
+    /** Asks for a vote with a log at least as new as this member's. */
+    LogOutput requestVote(Term lastTerm, double ms)
+    {
+        wire::LogMessage message;
+        message.mutable_vote_request()->set_term(6);
+        message.mutable_vote_request()->set_last_index(1);
+        message.mutable_vote_request()->set_last_term(lastTerm);
+        return this->receive(2, message, ms);
+    }
+
+    /** Wins an election; the first heartbeat round leaves at the same time with entry 2. */
+    void lead(double ms)
+    {
+        this->log->tick(timeAt(ms));
+        this->answerVote(2, true, ms);
+        this->answerVote(2, false, ms);
+    }
+
+    std::unique_ptr<ReplicatedLog> log;
+};
+
+} // namespace
+
+TEST(ReplicatedLogRulesTest, commitAndLease)
+{
+    Member member;
+    ReplicatedLog& log = *member.log;
+    member.lead(3000);
+    ASSERT_EQ(log.role(), LogRole::Leader);
+    section("learners add nothing to a quorum", [&] {
+        log.synced(2, 6, timeAt(3010));
+        member.answerAppend(4, 2, 1, 3010);
+        EXPECT_EQ(log.commitIndex(), 0u);
+    });
+    section("an entry of an earlier term is not committed by counting, and no lease is granted before an own one is", [&] {
+        member.answerAppend(2, 1, 1, 3010);
+        EXPECT_EQ(log.commitIndex(), 0u);
+        EXPECT_FALSE(log.hasQuorum(timeAt(3010)));
+        member.answerAppend(2, 2, 1, 3010);
+        EXPECT_EQ(log.commitIndex(), 2u);
+        EXPECT_TRUE(log.hasQuorum(timeAt(3010)));
+    });
+    section("the leader's own copy counts once it is synced", [&] {
+        ReplicatedLog::Proposal proposal;
+        LogOutput output = log.propose({ "payload" }, timeAt(3020), proposal);
+        EXPECT_FALSE(output.messagesBeforeSync.empty());
+        member.answerAppend(2, 3, 1, 3030);
+        EXPECT_EQ(log.commitIndex(), 2u);
+        log.synced(3, 6, timeAt(3040));
+        EXPECT_EQ(log.commitIndex(), 3u);
+    });
+    section("the quorum counts from the sending of the answered round, however late the answer arrives", [&] {
+        log.tick(timeAt(3100));
+        member.answerAppend(2, 3, 1, 3500);
+        EXPECT_TRUE(log.hasQuorum(timeAt(3599)));
+        EXPECT_FALSE(log.hasQuorum(timeAt(3600)));
+        member.answerAppend(3, 3, 2, 3599);
+        EXPECT_TRUE(log.hasQuorum(timeAt(3699)));
+        EXPECT_FALSE(log.hasQuorum(timeAt(3700)));
+        log.tick(timeAt(3700));
+        EXPECT_EQ(log.role(), LogRole::Follower);
+    });
+}
+
+TEST(ReplicatedLogRulesTest, votes)
+{
+    section("a restarted member votes only after the election timeout, because its earlier answers support a lease", [] {
+        Member member;
+        EXPECT_TRUE(member.requestVote(1, 1599).messagesAfterSync.empty());
+        LogOutput output = member.requestVote(1, 1600);
+        ASSERT_EQ(output.messagesAfterSync.size(), 1u);
+        EXPECT_TRUE(output.messagesAfterSync[0].message.vote_answer().granted());
+        EXPECT_EQ(output.write.hardState, (HardState { 6, 2 }));
+        EXPECT_TRUE(output.messagesBeforeSync.empty());
+    });
+    section("an older log gets no vote", [] {
+        Member member;
+        LogOutput output = member.requestVote(0, 1600);
+        EXPECT_FALSE(output.messagesAfterSync.at(0).message.vote_answer().granted());
+    });
+    section("a vote of another incarnation does not count", [] {
+        Member member;
+        member.log->tick(timeAt(3000));
+        wire::LogMessage message;
+        message.mutable_vote_answer()->set_pre_vote(true);
+        message.mutable_vote_answer()->set_term(6);
+        message.mutable_vote_answer()->set_granted(true);
+        member.log->receive(2, 999, message, timeAt(3000));
+        EXPECT_EQ(member.log->role(), LogRole::PreCandidate);
+    });
+    section("a group of one sends nothing to its learner before its new term is synced", [] {
+        Member member(1);
+        LogOutput output = member.log->tick(timeAt(3000));
+        EXPECT_EQ(member.log->role(), LogRole::Leader);
+        EXPECT_TRUE(output.messagesBeforeSync.empty());
+        EXPECT_FALSE(output.messagesAfterSync.empty());
+    });
+}
