Add: kingcupctl with documented exit codes

Commands go to the first VM that decides; others are tried after no answer or an answer that asks to retry, within one timeout. Bootstrap is not resent once a connection was opened, because a second VM could form a second group.

--- /dev/null
+++ b/programs/kingcupctl/OperatorClient.cpp
@@ -0,0 +1,127 @@
+/** @file OperatorClient.cpp HTTP requests on libcurl's easy interface. */
+#include "OperatorClient.h"
+
+#include <algorithm>
+#include <curl/curl.h>
+#include <memory>
+#include <thread>
+
+namespace kingcup {
+
+namespace {
+
+constexpr size_t maxAnswerBytes = 64u << 20; ///< Larger answers are refused.
+constexpr Milliseconds shortestAttempt { 500 }; ///< Least time for one VM, so that many VMs do not starve each other.
+constexpr Milliseconds longestConnect { 1000 }; ///< A VM that does not accept within this time is passed over.
+constexpr Milliseconds pauseBetweenRounds { 200 }; ///< Pause after all VMs were tried, as an election takes longer.
+
+using CurlHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+using CurlHeaders = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+/** Appends received bytes; stops the transfer beyond the size limit. */
+size_t receive(char* data, size_t size, size_t count, void* out)
+{
+    std::string& text = *static_cast<std::string*>(out);
+    if (text.size() + size * count > maxAnswerBytes)
+        return 0;
+    text.append(data, size * count);
+    return size * count;
+}
+
+/** Sets what all requests have in common. Proxies of the environment and redirects are not used. */
+void setCommonOptions(CURL* curl, const std::string& url, Milliseconds timeout, std::string& received)
+{
+    curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(curl, CURLOPT_PROXY, "");
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, std::max(1L, static_cast<long>(timeout.count())));
+    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, std::max(1L, static_cast<long>(std::min(timeout, longestConnect).count())));
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, receive);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &received);
+}
+
+/** Turns the text of an answer into its fields. Texts that are not an answer of this interface count as none. */
+void readAnswer(const std::string& text, long status, OperatorAnswer& answer)
+{
+    answer.body = nlohmann::json::parse(text, nullptr, false);
+    if (!answer.body.is_object()) {
+        answer.body = nullptr;
+        answer.detail = "status " + std::to_string(status) + " without a JSON object";
+        return;
+    }
+    auto code = answer.body.find("code");
+    bool hasCode = code != answer.body.end() && code->is_number_integer();
+    int number = hasCode ? code->get<int>() : static_cast<int>(status == 200 ? ResultCode::Ok : ResultCode::Unreachable);
+    std::span<const ResultCodeRow> rows = resultCodeTable();
+    bool isKnown = std::any_of(rows.begin(), rows.end(), [&](const ResultCodeRow& row) { return static_cast<int>(row.code) == number; });
+    answer.code = isKnown ? static_cast<ResultCode>(number) : ResultCode::Unreachable;
+    auto detail = answer.body.find("detail");
+    bool hasDetail = detail != answer.body.end() && detail->is_string() && !detail->get_ref<const std::string&>().empty();
+    answer.detail = hasDetail ? detail->get<std::string>() : std::string(resultCodeRow(answer.code).text);
+}
+
+} // namespace
+
+OperatorClient::OperatorClient(std::vector<std::string> vms, std::string token, Milliseconds timeout)
+    : vms(std::move(vms))
+    , token(std::move(token))
+    , timeout(timeout)
+    , end(MillisecondClock::now() + timeout)
+{
+}
+
+OperatorAnswer OperatorClient::send(const std::string& path, const std::string& body, ResendRule rule)
+{
+    Milliseconds share = std::max(shortestAttempt, this->timeout / static_cast<double>(this->vms.size()));
+    Attempt attempt;
+    for (;;) {
+        for (size_t i = 0; i < this->vms.size(); i++) {
+            Milliseconds remaining = this->end - MillisecondClock::now();
+            if (remaining <= Milliseconds(0))
+                return attempt.answer;
+            attempt = this->sendTo(this->vms[i], path, body, std::min(share, remaining));
+            bool decided = !resultCodeRow(attempt.answer.code).retryAfter;
+            if (decided)
+                std::rotate(this->vms.begin(), this->vms.begin() + static_cast<ptrdiff_t>(i), this->vms.end());
+            if (decided || (rule == ResendRule::OnlyUnsent && attempt.sent))
+                return attempt.answer;
+        }
+        if (MillisecondClock::now() + pauseBetweenRounds >= this->end)
+            return attempt.answer;
+        std::this_thread::sleep_for(pauseBetweenRounds);
+    }
+}
+
+OperatorClient::Attempt OperatorClient::sendTo(const std::string& vm, const std::string& path, const std::string& body, Milliseconds timeout) const
+{
+    Attempt attempt;
+    attempt.answer.vm = vm;
+    CurlHandle curl(curl_easy_init(), curl_easy_cleanup);
+    std::string url = "http://" + vm + path;
+    std::string authorization = "Authorization: Bearer " + this->token;
+    std::string received;
+    CurlHeaders headers(curl_slist_append(nullptr, authorization.c_str()), curl_slist_free_all);
+    curl_slist_append(headers.get(), "Content-Type: application/json");
+    setCommonOptions(curl.get(), url, timeout, received);
+    curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, headers.get());
+    if (!body.empty()) {
+        curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.data());
+        curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+    }
+    CURLcode result = curl_easy_perform(curl.get());
+    double connectSeconds = 0;
+    curl_easy_getinfo(curl.get(), CURLINFO_CONNECT_TIME, &connectSeconds);
+    attempt.sent = connectSeconds > 0;
+    if (result != CURLE_OK) {
+        attempt.answer.detail = curl_easy_strerror(result);
+        return attempt;
+    }
+    long status = 0;
+    curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
+    readAnswer(received, status, attempt.answer);
+    return attempt;
+}
+
+} // namespace kingcup
--- a/programs/kingcupctl/main.cpp
+++ b/programs/kingcupctl/main.cpp
@@ -1,6 +1,51 @@
-/** @file main.cpp Entry point of kingcupctl. */
+/** @file main.cpp Entry point of kingcupctl: flags and choice of the command. */
+#include "Commands.h"
 
-int main()
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <algorithm>
+#include <curl/curl.h>
+#include <iostream>
+
+ABSL_FLAG(std::vector<std::string>, vm, {}, "operator listeners as host:port[,host:port...]; the next one is tried when one does not answer");
+ABSL_FLAG(std::string, token_file, "", "file with the operators' bearer token");
+ABSL_FLAG(bool, json, false, "print the JSON answer in place of tables");
+ABSL_FLAG(bool, wait, false, "manifest apply: wait until the manifest is in force on every entry VM or the timeout ends");
+ABSL_FLAG(double, timeout_ms, 10000, "bound of the whole command in milliseconds");
+
+using namespace kingcup;
+
+namespace {
+
+/** Prints commands, exit codes and flags. */
+int printHelp()
 {
+    std::cout << usageText() << "\nflags:\n";
+    for (const char* name : { "vm", "token_file", "json", "wait", "timeout_ms" }) {
+        const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+        std::cout << "--" << name << "  " << flag->Help() << " (default: \"" << flag->DefaultValue() << "\")\n";
+    }
     return 0;
 }
+
+} // namespace
+
+/** Runs one command and returns its exit code. */
+int main(int argc, char** argv)
+{
+    // Abseil's own --help exits with 1 and knows no tables, so that it is handled before its parser runs.
+    auto asksForHelp = [](std::string_view argument) { return argument == "--help" || argument == "-h" || argument == "help"; };
+    if (argc < 2 || std::any_of(argv + 1, argv + argc, asksForHelp))
+        return printHelp();
+    std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    CommandOptions options;
+    options.vms = absl::GetFlag(FLAGS_vm);
+    options.tokenFile = absl::GetFlag(FLAGS_token_file);
+    options.json = absl::GetFlag(FLAGS_json);
+    options.wait = absl::GetFlag(FLAGS_wait);
+    options.timeout = Milliseconds(absl::GetFlag(FLAGS_timeout_ms));
+    std::vector<std::string> words(rest.begin() + 1, rest.end());
+    return static_cast<int>(runCommand(options, words));
+}
