--- a/packages/coordination/src/ControlSnapshot.cpp
+++ b/packages/coordination/src/ControlSnapshot.cpp
@@ -60,6 +60,7 @@
     { "number", FieldType::Number, &AcceptedRow::number, 1, latestVersion },
     { "digest", FieldType::Text, &AcceptedRow::digest, 1, latestVersion },
     { "index", FieldType::Number, &AcceptedRow::index, 1, latestVersion },
+    { "acceptedAtMs", FieldType::Number, &AcceptedRow::acceptedAtMs, 2, latestVersion },
 };
 
 constexpr Field<ServiceRow> serviceFields[] = {
@@ -126,6 +127,10 @@
     { "incarnation", FieldType::Number, &SuspectTargetRow::incarnation, 1, latestVersion },
 };
 
+static_assert(isConsistent(positionFields) && isConsistent(headFields) && isConsistent(acceptedFields));
+static_assert(isConsistent(serviceFields) && isConsistent(targetFields) && isConsistent(claimFields));
+static_assert(isConsistent(releaseFields) && isConsistent(entryVmFields) && isConsistent(suspicionFields) && isConsistent(suspectTargetFields));
+
 /** Converts a target for storing. */
 StoredTarget store(const TargetRow& row)
 {
--- a/packages/coordination/src/ControlStateMachine.cpp
+++ b/packages/coordination/src/ControlStateMachine.cpp
@@ -224,12 +224,14 @@
     std::map<std::string, size_t> claimStates;
     for (const auto& [key, row] : all.claims.claims())
         claimStates[claimStateNames[row.state]]++;
+    auto accepted = all.manifest.accepted().find(this->manifestNumber());
+    uint64_t acceptedAtMs = accepted == all.manifest.accepted().end() ? 0 : accepted->second.acceptedAtMs;
     nlohmann::json dump = {
         { "appliedIndex", all.position.applied },
         { "configurationIndex", all.position.configuration },
         { "forgottenIndex", all.position.forgotten },
         { "wallTimeMs", all.position.wallTimeMs },
-        { "manifest", { { "number", this->manifestNumber() }, { "digest", this->manifestDigest() }, { "acceptedNumbers", all.manifest.accepted().size() } } },
+        { "manifest", { { "number", this->manifestNumber() }, { "digest", this->manifestDigest() }, { "acceptedAtMs", acceptedAtMs }, { "acceptedNumbers", all.manifest.accepted().size() } } },
         { "services", this->serviceDocuments().size() },
         { "targets", targetStates },
         { "claims", claimStates },
--- a/packages/coordination/src/FieldTable.h
+++ b/packages/coordination/src/FieldTable.h
@@ -1,11 +1,11 @@
 /** @file FieldTable.h Static tables of fields that describe how rows are stored in snapshots. */
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <google/protobuf/io/coded_stream.h>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <variant>
 
 namespace kingcup {
@@ -41,6 +41,20 @@
     return field.firstVersion <= version && version <= field.lastVersion;
 }
 
+/** Returns whether each member holds its field type and each range of versions is not empty; for static_assert. */
+template <typename Row, size_t size>
+constexpr bool isConsistent(const Field<Row> (&fields)[size])
+{
+    constexpr FieldType memberTypes[] = { FieldType::Text, FieldType::Number, FieldType::ShortNumber, FieldType::Flag, FieldType::Text };
+    for (const Field<Row>& field : fields) {
+        bool isDropped = std::holds_alternative<std::monostate>(field.member);
+        bool typeFits = isDropped ? field.lastVersion != latestVersion : memberTypes[field.member.index()] == field.type;
+        if (!typeFits || field.firstVersion < 1 || field.lastVersion < field.firstVersion)
+            return false;
+    }
+    return true;
+}
+
 /** Writes one value. */
 inline void writeValue(google::protobuf::io::CodedOutputStream& out, const std::string& value)
 {
--- a/packages/coordination/src/ManifestTable.cpp
+++ b/packages/coordination/src/ManifestTable.cpp
@@ -104,7 +104,7 @@
             this->put({ name, "", index, std::max<uint64_t>(nowMs, 1) });
     }
     this->inForce = { command.number(), command.digest() };
-    this->history[command.number()] = { command.number(), command.digest(), index };
+    this->history[command.number()] = { command.number(), command.digest(), index, nowMs };
     if (this->history.size() > maxAcceptedNumbers)
         this->history.erase(this->history.begin());
 }
--- a/packages/coordination/src/ManifestTable.h
+++ b/packages/coordination/src/ManifestTable.h
@@ -22,6 +22,7 @@
     uint64_t number = 0; ///< Manifest number.
     std::string digest; ///< Its digest.
     LogIndex index = 0; ///< Entry that accepted it.
+    uint64_t acceptedAtMs = 0; ///< Wall time of its acceptance; 0: not known.
 };
 
 /** Number in force. */
--- a/packages/coordination/tests/ControlPropertiesTest.cpp
+++ b/packages/coordination/tests/ControlPropertiesTest.cpp
@@ -151,6 +151,15 @@
         }
         std::cout << accepted << " of 5000 mutations were accepted" << std::endl;
     });
+    section("an older version loads, and fields that it lacks keep their defaults", [&] {
+        ControlTables tables;
+        ASSERT_EQ(loadTables(saved, tables), ResultCode::Ok);
+        ControlStateMachine older;
+        ASSERT_EQ(older.load(saveTables(tables, 1)), ResultCode::Ok);
+        EXPECT_EQ(older.changesSince(0).SerializeAsString(), machine.changesSince(0).SerializeAsString());
+        EXPECT_NE(machine.dump().find("\"acceptedAtMs\":1"), std::string::npos) << machine.dump();
+        EXPECT_NE(older.dump().find("\"acceptedAtMs\":0"), std::string::npos) << older.dump();
+    });
     section("a newer version and other files are refused by name", [&] {
         std::string newer = body;
         newer[4] = static_cast<char>(snapshotVersion + 1);
--- /dev/null
+++ b/packages/coordination/tests/FieldTableTest.cpp
@@ -0,0 +1,82 @@
+/** @file FieldTableTest.cpp Guards against snapshots of other versions whose fields are read at the wrong place. */
+#include "../src/FieldTable.h"
+
+#include "testing/Story.h"
+
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using kingcup::testing::section;
+
+namespace {
+
+/** A row whose text was dropped and whose flag was added in version 2. */
+struct Row {
+    uint64_t number = 0; ///< In all versions.
+    std::string text; ///< Member of version 1 only.
+    bool flag = true; ///< Since version 2.
+    uint32_t last = 0; ///< In all versions.
+};
+
+constexpr Field<Row> versionOne[] = {
+    { "number", FieldType::Number, &Row::number, 1, latestVersion },
+    { "text", FieldType::Text, &Row::text, 1, latestVersion },
+    { "last", FieldType::ShortNumber, &Row::last, 1, latestVersion },
+};
+
+constexpr Field<Row> versionTwo[] = {
+    { "number", FieldType::Number, &Row::number, 1, latestVersion },
+    { "text", FieldType::Text, std::monostate(), 1, 1 },
+    { "flag", FieldType::Flag, &Row::flag, 2, latestVersion },
+    { "last", FieldType::ShortNumber, &Row::last, 1, latestVersion },
+};
+
+static_assert(isConsistent(versionOne) && isConsistent(versionTwo));
+
+/** Returns the encoded row. */
+template <size_t size>
+std::string encode(const Field<Row> (&fields)[size], uint32_t version, const Row& row)
+{
+    std::string data;
+    google::protobuf::io::StringOutputStream stream(&data);
+    google::protobuf::io::CodedOutputStream out(&stream);
+    writeRow(out, fields, version, row);
+    out.Trim();
+    return data;
+}
+
+/** Reads an encoded row with the table of version 2. */
+bool decode(const std::string& data, uint32_t version, Row& row)
+{
+    google::protobuf::io::CodedInputStream in(reinterpret_cast<const uint8_t*>(data.data()), static_cast<int>(data.size()));
+    in.PushLimit(static_cast<int>(data.size()));
+    return readRow(in, versionTwo, version, row) && in.BytesUntilLimit() == 0;
+}
+
+} // namespace
+
+TEST(FieldTableTest, readsOtherVersions)
+{
+    const Row written { uint64_t(1) << 40, "dropped", false, 7 };
+    section("a dropped field is skipped and an added one keeps its default", [&] {
+        Row row;
+        ASSERT_TRUE(decode(encode(versionOne, 1, written), 1, row));
+        EXPECT_EQ(row.number, written.number);
+        EXPECT_EQ(row.text, "");
+        EXPECT_TRUE(row.flag);
+        EXPECT_EQ(row.last, 7u);
+    });
+    section("the current version has neither the dropped field nor the default", [&] {
+        Row row;
+        ASSERT_TRUE(decode(encode(versionTwo, 2, written), 2, row));
+        EXPECT_FALSE(row.flag);
+        EXPECT_EQ(row.last, 7u);
+    });
+    section("values that do not fit and lengths beyond the input are refused", [&] {
+        Row row;
+        EXPECT_FALSE(decode("\x01\x05", 2, row));
+        EXPECT_FALSE(decode(std::string("\x01\xff\xff\xff\xff\x7f", 6), 1, row));
+        EXPECT_FALSE(decode("", 2, row));
+    });
+}
