Fix: Count replaced entry VMs until their lease ends

A process that was isolated rather than stopped serves until its lease ends, so that a manifest was reported in force too early. A departure learned after a newer incarnation claimed is applied as well, because older claims of that VM stayed running until their retention.

--- a/packages/coordination/include/kingcup/SessionTable.h
+++ b/packages/coordination/include/kingcup/SessionTable.h
@@ -37,7 +37,7 @@
     /** Records a session request. The lease counts from its arrival, which is later than its sending. */
     void renew(const wire::SessionRequest& request, TimePoint now);
 
-    /** Returns the sessions whose lease ended or whose process was replaced since the last call, and forgets them. */
+    /** Returns the sessions whose lease ended since the last call and forgets them. */
     std::vector<EntrySession> takeExpired(TimePoint now);
 
     /** Returns the number of live entry VMs, or 0 within one lease term of becoming leader. */
@@ -69,12 +69,13 @@
         wire::TargetLoad load; ///< Observation with its age as of now.
     };
     std::vector<RankedLoad> rankedLoads(TimePoint now) const;
+    std::vector<EntrySession> leaseHolders(TimePoint now) const;
 
     Milliseconds leaseTerm; ///< Lease of an entry VM.
     Milliseconds targetLease; ///< Lease of a target.
     TimePoint leaderSince {}; ///< When this VM became leader.
     std::map<std::string, EntrySession> entrySessions; ///< By VM name.
-    std::vector<EntrySession> replacedSessions; ///< Of older incarnations, not yet taken.
+    std::vector<EntrySession> replacedSessions; ///< Of older incarnations whose lease may still run elsewhere.
     std::map<std::pair<std::string, std::string>, TargetHeartbeat> heartbeats; ///< By service and address.
 };
 
--- a/packages/coordination/src/ClaimTable.cpp
+++ b/packages/coordination/src/ClaimTable.cpp
@@ -111,9 +111,6 @@
 {
     if (!isBounded(command.entry_vm(), maxNameBytes))
         return refusal(ResultCode::CommandMalformed, "the name of the entry VM is malformed");
-    auto vm = this->vms.find(command.entry_vm());
-    if (vm != this->vms.end() && command.incarnation() < vm->second.incarnation)
-        return refusal(ResultCode::OldIncarnation, absl::StrCat("incarnation ", vm->second.incarnation, " of the entry VM is known"));
     return acceptance();
 }
 
--- a/packages/coordination/src/ControlSnapshot.cpp
+++ b/packages/coordination/src/ControlSnapshot.cpp
@@ -236,7 +236,7 @@
 
 } // namespace
 
-std::string sealSnapshot(std::string body)
+std::string sealSnapshot(const std::string& body)
 {
     return body + checksumOf(body);
 }
@@ -259,7 +259,7 @@
         writeRows(out, suspicionFields, version, tables.suspicions.suspicions());
         writeSuspectTargets(out, version, tables.suspicions.suspicions());
     }
-    return sealSnapshot(std::move(body));
+    return sealSnapshot(body);
 }
 
 ResultCode loadTables(std::string_view data, ControlTables& tables)
--- a/packages/coordination/src/ControlSnapshot.h
+++ b/packages/coordination/src/ControlSnapshot.h
@@ -17,6 +17,6 @@
 ResultCode loadTables(std::string_view data, ControlTables& tables);
 
 /** Returns the body with its checksum appended. */
-std::string sealSnapshot(std::string body);
+std::string sealSnapshot(const std::string& body);
 
 } // namespace kingcup
--- a/packages/coordination/src/SessionTable.cpp
+++ b/packages/coordination/src/SessionTable.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <google/protobuf/io/coded_stream.h>
+#include <iterator>
 
 namespace kingcup {
 
@@ -51,6 +52,7 @@
     if (request.incarnation() < session.incarnation)
         return;
     if (!session.entryVm.empty() && request.incarnation() > session.incarnation) {
+        // The older process may have been isolated rather than stopped, and then serves until its lease ends.
         this->replacedSessions.push_back(session);
         session = {};
     }
@@ -63,8 +65,8 @@
 
 std::vector<EntrySession> SessionTable::takeExpired(TimePoint now)
 {
-    std::vector<EntrySession> expired = std::move(this->replacedSessions);
-    this->replacedSessions.clear();
+    std::erase_if(this->replacedSessions, [&](const EntrySession& session) { return session.leaseEnd <= now; });
+    std::vector<EntrySession> expired;
     std::erase_if(this->entrySessions, [&](const auto& entry) {
         bool isExpired = entry.second.leaseEnd <= now;
         if (isExpired)
@@ -74,24 +76,33 @@
     return expired;
 }
 
+/** Returns the sessions whose lease may still run. */
+std::vector<EntrySession> SessionTable::leaseHolders(TimePoint now) const
+{
+    std::vector<EntrySession> holders;
+    for (const auto& [vm, session] : this->entrySessions) {
+        if (session.leaseEnd > now)
+            holders.push_back(session);
+    }
+    auto isRunning = [&](const EntrySession& session) { return session.leaseEnd > now; };
+    std::copy_if(this->replacedSessions.begin(), this->replacedSessions.end(), std::back_inserter(holders), isRunning);
+    return holders;
+}
+
 uint32_t SessionTable::liveEntryVms(TimePoint now) const
 {
     if (now < this->leaderSince + this->leaseTerm)
         return 0;
-    auto isLive = [&](const auto& entry) { return entry.second.leaseEnd > now; };
-    return static_cast<uint32_t>(std::count_if(this->entrySessions.begin(), this->entrySessions.end(), isLive));
+    return static_cast<uint32_t>(this->leaseHolders(now).size());
 }
 
 InForce SessionTable::inForce(uint64_t manifestNumber, TimePoint now) const
 {
+    std::vector<EntrySession> holders = this->leaseHolders(now);
+    auto confirms = [&](const EntrySession& session) { return session.heldManifestNumber >= manifestNumber; };
     InForce inForce;
-    for (const auto& [vm, session] : this->entrySessions) {
-        if (session.leaseEnd <= now)
-            continue;
-        inForce.total++;
-        if (session.heldManifestNumber >= manifestNumber)
-            inForce.confirmed++;
-    }
+    inForce.total = static_cast<uint32_t>(holders.size());
+    inForce.confirmed = static_cast<uint32_t>(std::count_if(holders.begin(), holders.end(), confirms));
     bool unknownLeasesEnded = now >= this->leaderSince + this->leaseTerm;
     inForce.complete = unknownLeasesEnded && inForce.confirmed == inForce.total;
     return inForce;
--- a/packages/coordination/tests/ControlStateMachineTest.cpp
+++ b/packages/coordination/tests/ControlStateMachineTest.cpp
@@ -145,6 +145,14 @@
         EXPECT_EQ(log.code(finishCommand("u", lost, wire::OUTCOME_FINISHED)), "ok");
         EXPECT_EQ(log.code(claimCommand("u", second)), "key_finished");
     });
+    section("a departure that is learned after a newer incarnation claimed still leaves older claims in doubt", [&] {
+        EXPECT_EQ(log.code(claimCommand("old", attemptId("vm5", 1, 1))), "ok");
+        EXPECT_EQ(log.code(claimCommand("new", attemptId("vm5", 3, 1))), "ok");
+        EXPECT_EQ(log.code(vmGoneCommand("vm5", 2)), "ok");
+        EXPECT_EQ(log.code(claimCommand("old", second)), "key_outcome_unknown");
+        EXPECT_EQ(log.code(claimCommand("new", second)), "key_running");
+        EXPECT_EQ(log.code(claimCommand("older", attemptId("vm5", 2, 1))), "old_incarnation");
+    });
     section("a running claim expires to unknown first, then everything is forgotten", [&] {
         EXPECT_EQ(log.code(claimCommand("e", attemptId("vm4", 1, 1))), "ok");
         log.apply(expireCommand(hourMs + 2000));
--- a/packages/protocol/src/JsonReader.h
+++ b/packages/protocol/src/JsonReader.h
@@ -107,6 +107,9 @@
     /** Reads one text element of an array. */
     std::string textElement(const nlohmann::json& array, size_t position, std::string_view key, const TextRule& rule);
 
+    /** Reads one whole number of an array. Returns whether it is valid. */
+    bool integerElement(const nlohmann::json& array, size_t position, std::string_view key, uint64_t& out, uint64_t min, uint64_t max);
+
     /** Returns whether no error was found so far in the whole document. */
     bool good() const { return this->error.code == ResultCode::Ok; }
 
@@ -116,6 +119,8 @@
 private:
     const nlohmann::json* member(std::string_view key, Presence presence, nlohmann::json::value_t type);
     std::optional<uint64_t> whole(std::string_view key, Presence presence, uint64_t min, uint64_t max);
+    bool checkWhole(const nlohmann::json& found, const std::string& place, uint64_t min, uint64_t max);
+    void failAt(ResultCode code, const std::string& place, std::string text);
     void checkText(std::string_view text, const std::string& place, const TextRule& rule);
 
     const nlohmann::json& value; ///< The object.
