--- a/packages/coordination/include/kingcup/EntryConfiguration.h
+++ b/packages/coordination/include/kingcup/EntryConfiguration.h
@@ -8,17 +8,43 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kingcup {
 
+/** Immutable list of targets, ordered by address. Snapshots share it while it does not change. */
+class TargetList {
+public:
+    TargetList()
+        : records(std::make_shared<const std::vector<wire::TargetRecord>>())
+    {
+    }
+
+    explicit TargetList(std::vector<wire::TargetRecord> records)
+        : records(std::make_shared<const std::vector<wire::TargetRecord>>(std::move(records)))
+    {
+    }
+
+    operator const std::vector<wire::TargetRecord>&() const { return *this->records; } ///< The records.
+    auto begin() const { return this->records->begin(); } ///< First record.
+    auto end() const { return this->records->end(); } ///< Past the last record.
+    size_t size() const { return this->records->size(); } ///< Number of records.
+
+    /** Returns whether both are one list, so that a user of the older one has nothing to update. */
+    bool isShared(const TargetList& other) const { return this->records == other.records; }
+
+private:
+    std::shared_ptr<const std::vector<wire::TargetRecord>> records; ///< Never null.
+};
+
 /** Immutable copy of the configuration for the request path. */
 struct ConfigurationSnapshot {
     LogIndex index = 0; ///< Log index up to which it is complete.
     uint64_t manifestNumber = 0; ///< Manifest in force.
     std::string manifestDigest; ///< Its digest.
     std::map<std::string, std::shared_ptr<const Service>> services; ///< By name.
-    std::map<std::string, std::vector<wire::TargetRecord>> targets; ///< By service name; no gone ones.
+    std::map<std::string, TargetList> targets; ///< By service name; no gone ones.
     std::map<std::pair<std::string, std::string>, wire::Quarantine> quarantines; ///< By service and fingerprint.
 };
 
--- a/packages/coordination/src/EntryConfiguration.cpp
+++ b/packages/coordination/src/EntryConfiguration.cpp
@@ -5,6 +5,7 @@
 #include "kingcup/ResultCode.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace kingcup {
 
@@ -24,29 +25,44 @@
     return true;
 }
 
-/** Applies one target record to the ordered list of its service. */
-void mergeTarget(const wire::TargetRecord& target, std::vector<wire::TargetRecord>& targets)
+/** Changed records of one service by address. */
+using RecordChanges = std::map<std::string_view, const wire::TargetRecord*>;
+
+/** Returns a list with changes applied. Both are ordered by address. */
+TargetList mergeList(const TargetList& held, const RecordChanges& changes)
 {
-    auto precedes = [](const wire::TargetRecord& held, const std::string& address) { return held.address() < address; };
-    auto place = std::lower_bound(targets.begin(), targets.end(), target.address(), precedes);
-    bool isHeld = place != targets.end() && place->address() == target.address();
-    bool isGone = target.state() == wire::TARGET_GONE;
-    if (isHeld && isGone)
-        targets.erase(place);
-    else if (isHeld)
-        *place = target;
-    else if (!isGone)
-        targets.insert(place, target);
+    std::vector<wire::TargetRecord> merged;
+    merged.reserve(held.size() + changes.size());
+    auto change = changes.begin();
+    auto takeChange = [&] {
+        if (change->second->state() != wire::TARGET_GONE)
+            merged.push_back(*change->second);
+        ++change;
+    };
+    for (const wire::TargetRecord& record : held) {
+        while (change != changes.end() && change->first < record.address())
+            takeChange();
+        if (change != changes.end() && change->first == record.address())
+            takeChange();
+        else
+            merged.push_back(record);
+    }
+    while (change != changes.end())
+        takeChange();
+    return TargetList(std::move(merged));
 }
 
-/** Applies changed targets. */
+/** Applies changed targets. Only the lists of services with changes are copied. */
 void mergeTargets(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
 {
-    for (const wire::TargetRecord& target : changes.targets()) {
-        std::vector<wire::TargetRecord>& targets = snapshot.targets[target.service()];
-        mergeTarget(target, targets);
-        if (targets.empty())
-            snapshot.targets.erase(target.service());
+    std::map<std::string, RecordChanges> changesByService;
+    for (const wire::TargetRecord& target : changes.targets())
+        changesByService[target.service()][target.address()] = &target;
+    for (const auto& [service, records] : changesByService) {
+        TargetList& targets = snapshot.targets[service];
+        targets = mergeList(targets, records);
+        if (targets.size() == 0)
+            snapshot.targets.erase(service);
     }
 }
 
--- a/packages/coordination/tests/EntryConfigurationTest.cpp
+++ b/packages/coordination/tests/EntryConfigurationTest.cpp
@@ -97,6 +97,16 @@
     });
     machine.apply(5, manifestCommand(machine, 2, { { "a", document("a", 1) } }));
     machine.apply(6, targetCommand("t2:80", 1, wire::TARGET_GONE));
+    section("lists without a change are shared with the older snapshot", [&] {
+        EntryConfiguration other("vm2", 1, "espoo", Milliseconds(2500));
+        other.receive(pushOf(machine.changesSince(0)));
+        std::shared_ptr<const ConfigurationSnapshot> before = other.snapshot();
+        ControlStateMachine later;
+        ASSERT_EQ(later.load(machine.save()), ResultCode::Ok);
+        later.apply(7, suspicionCommand('t', "t1:80", 1));
+        EXPECT_TRUE(other.receive(pushOf(later.changesSince(6))));
+        EXPECT_TRUE(other.snapshot()->targets.at("ledger").isShared(before->targets.at("ledger")));
+    });
     section("pushes that are not adjacent or older change nothing", [&] {
         EXPECT_FALSE(entry.receive(pushOf(machine.changesSince(5))));
         EXPECT_FALSE(entry.receive(pushOf(machine.changesSince(99))));
@@ -107,7 +117,7 @@
         EXPECT_TRUE(entry.receive(pushOf(machine.changesSince(3))));
         EXPECT_EQ(entry.snapshot()->services.size(), 1u);
         EXPECT_EQ(entry.snapshot()->services.at("a")->kinds[0].priority, 1);
-        EXPECT_EQ(entry.snapshot()->targets.at("ledger").at(0).address(), "t1:80");
+        EXPECT_EQ(entry.snapshot()->targets.at("ledger").begin()->address(), "t1:80");
         EXPECT_TRUE(entry.snapshot()->quarantines.empty());
         EXPECT_EQ(first->services.size(), 2u);
     });
