Change: Take fleet averages over targets and share less between picking threads

Every pick advanced a shared random counter several times and every finish updated shared averages. Now one counter numbers the choices, random numbers are derived from it, and the averages are the median latency over targets, refreshed every 5 ms.

--- a/bench/RoutingSimulation.h
+++ b/bench/RoutingSimulation.h
@@ -49,6 +49,7 @@
     {
         this->service.name = "bench";
         this->service.measuringBudget.probesPerSecondPerTarget = scenario.probesPerSecond;
+        this->service.measuringBudget.bytesPerSecondPerVm = 1e9; // Only the probe rate is to bound the probes.
         for (uint32_t i = 0; i < scenario.targets; ++i)
             this->targets[i].zone = i % zones;
         for (uint32_t i = 0; i < scenario.vms; ++i)
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -7,6 +7,7 @@
 #include "kingcup/Rcu.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -16,7 +17,7 @@
 namespace {
 
 constexpr auto relaxed = std::memory_order_relaxed;
-constexpr double fleetWeight = 0.02;
+constexpr size_t counterStripes = 8;
 constexpr double observationLifetimeMs = 5000;
 
 /** Returns a time point as a number of milliseconds. */
@@ -25,12 +26,36 @@
     return time.time_since_epoch().count();
 }
 
-/** Moves an average towards a value. */
-void average(std::atomic<double>& mean, double value, bool first)
-{
-    double old = mean.load(relaxed);
-    mean.store(first ? value : old + fleetWeight * (value - old), relaxed);
-}
+/** Counter for many threads that is seldom read. */
+class StripedCounter {
+public:
+    /** Adds to the stripe of this thread. */
+    void add(int64_t amount) { this->stripes[stripe()].value.fetch_add(amount, relaxed); }
+
+    /** Returns the sum. */
+    int64_t sum() const
+    {
+        int64_t total = 0;
+        for (const Stripe& stripe : this->stripes)
+            total += stripe.value.load(relaxed);
+        return total;
+    }
+
+private:
+    /** One cache line. */
+    struct alignas(64) Stripe {
+        std::atomic<int64_t> value { 0 }; ///< Part of the sum.
+    };
+
+    static size_t stripe()
+    {
+        static std::atomic<size_t> threads { 0 };
+        thread_local size_t index = threads.fetch_add(1, relaxed) % counterStripes;
+        return index;
+    }
+
+    std::array<Stripe, counterStripes> stripes {};
+};
 
 } // namespace
 
@@ -39,7 +64,7 @@
     State(RoutingPolicy policy, SubsetOwner owner, RandomSource random)
         : policy(policy)
         , owner(std::move(owner))
-        , random(random.next())
+        , seed(random.next())
         , table(std::make_unique<RoutingTable>())
     {
     }
@@ -49,12 +74,11 @@
 
     RoutingPolicy policy; ///< Way to choose.
     SubsetOwner owner; ///< This VM.
-    SharedRandom random; ///< For samples.
+    const uint64_t seed; ///< Of the choices.
     RcuPointer<RoutingTable> table; ///< Targets in use.
     FleetAverages fleet; ///< Averages over all targets.
-    std::atomic<uint64_t> turn { 0 }; ///< Position of the round robin.
-    std::atomic<uint32_t> attempts { 0 }; ///< Lower half of tickets.
-    std::atomic<int64_t> outstanding { 0 }; ///< Calls in flight.
+    alignas(64) std::atomic<uint64_t> choices { 0 }; ///< Picks so far.
+    StripedCounter outstanding; ///< Calls in flight.
     std::mutex updateMutex; ///< Serialises update().
     std::mutex ejectionMutex; ///< Keeps two threads from ejecting more than the allowed share together.
     uint32_t serial = 0; ///< Last serial number of an estimate; guarded by updateMutex.
@@ -96,7 +120,10 @@
 {
     RcuReadGuard guard;
     const RoutingTable& table = this->state->table.read(guard);
-    Choice choice { table, excluded, this->state->fleet, this->state->random, this->state->turn, inMs(now) };
+    uint64_t number = this->state->choices.fetch_add(1, relaxed);
+    ChoiceRandom random(this->state->seed, number);
+    this->state->fleet.refresh(table, inMs(now));
+    Choice choice { table, excluded, this->state->fleet, random, number, inMs(now) };
     const RoutingEntry* entry = chooseTarget(this->state->policy, choice);
     if (!entry) {
         choice.allowEjected = true;
@@ -105,24 +132,21 @@
     if (!entry)
         return std::nullopt;
     entry->target->started(inMs(now));
-    this->state->outstanding.fetch_add(1, relaxed);
-    uint64_t attempt = this->state->attempts.fetch_add(1, relaxed);
-    uint64_t ticket = static_cast<uint64_t>(entry->target->serial) << 32 | attempt;
+    this->state->outstanding.add(1);
+    uint64_t ticket = static_cast<uint64_t>(entry->target->serial) << 32 | (number & 0xffffffff);
     return Pick { entry->target->address, entry->target->incarnation, ticket };
 }
 
 void Router::finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now)
 {
-    this->state->outstanding.fetch_sub(1, relaxed);
+    this->state->outstanding.add(-1);
     RcuReadGuard guard;
     const RoutingTable& table = this->state->table.read(guard);
     const RoutingEntry* entry = table.find(pick.address);
     if (!entry || entry->target->serial != pick.ticket >> 32)
         return;
-    FleetAverages& fleet = this->state->fleet;
-    entry->target->finished(outcome, latency.count(), fleet.latency(), inMs(now));
-    if (outcome == AttemptOutcome::Answered)
-        average(fleet.logLatency, std::log(std::max(latency.count(), 0.001)), fleet.answers.fetch_add(1, relaxed) == 0);
+    double fleetMs = this->state->fleet.latencyMs.load(relaxed);
+    entry->target->finished(outcome, latency.count(), fleetMs, inMs(now));
     bool failed = outcome != AttemptOutcome::Answered && outcome != AttemptOutcome::Cancelled;
     if (failed && entry->target->shouldEject())
         this->state->tryEject(table, *entry->target, inMs(now));
@@ -135,13 +159,11 @@
     if (!entry)
         return;
     entry->target->reported(load, inMs(now) - std::max(age.count(), 0.0));
-    double others = std::max(0.0, static_cast<double>(load.inFlight) - entry->target->outstanding.load(relaxed));
-    average(this->state->fleet.othersPerSlot, others / entry->slots, false);
 }
 
 uint32_t Router::outstanding() const
 {
-    return static_cast<uint32_t>(std::max<int64_t>(0, this->state->outstanding.load(relaxed)));
+    return static_cast<uint32_t>(std::max<int64_t>(0, this->state->outstanding.sum()));
 }
 
 uint32_t Router::usableSlots(TimePoint now) const
@@ -174,7 +196,7 @@
 {
     RcuReadGuard guard;
     const RoutingTable& table = this->state->table.read(guard);
-    double fleetLog = this->state->fleet.logLatency.load(relaxed);
+    double fleetLog = std::log(std::max(this->state->fleet.latencyMs.load(relaxed), 0.001));
     std::vector<std::pair<double, wire::TargetLoad>> ranked;
     for (const RoutingEntry& entry : table.entries) {
         const TargetEstimate& target = *entry.target;
@@ -213,7 +235,7 @@
             { "local", entry.local },
             { "slots", entry.slots },
             { "outstanding", target.outstanding.load(relaxed) },
-            { "latencyMs", target.latency(this->state->fleet.latency(), inMs(now)) },
+            { "latencyMs", target.latency(this->state->fleet.latencyMs.load(relaxed), inMs(now)) },
             { "failureShare", target.failureShare.load(relaxed) },
             { "ejected", target.ejected(inMs(now)) },
             { "ramp", target.ramp(inMs(now)) },
--- a/packages/coordination/src/TargetChooser.cpp
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -10,6 +10,8 @@
 
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr int randomTries = 4;
+constexpr double fleetRefreshMs = 5;
+constexpr size_t maxAveragedTargets = 64;
 constexpr int hotColdSamples = 3;
 constexpr double hotQuantile = 0.84;
 constexpr double unknownLatencyMs = 1;
@@ -55,9 +57,8 @@
 const RoutingEntry* chooseRoundRobin(const Choice& choice)
 {
     size_t count = choice.table.servingCount;
-    uint64_t first = choice.turn.fetch_add(1, relaxed);
     for (size_t i = 0; i < count; ++i) {
-        const RoutingEntry& entry = choice.table.entries[(first + i) % count];
+        const RoutingEntry& entry = choice.table.entries[(choice.number + i) % count];
         if (choice.eligible(entry))
             return &entry;
     }
@@ -104,7 +105,7 @@
     double others = target.others(choice.fleet.othersPerSlot.load(relaxed) * slots, choice.nowMs);
     double load = outstandingOf(entry) + others + 1;
     double crowding = load / (slots * target.ramp(choice.nowMs));
-    double latency = target.latency(std::max(choice.fleet.latency(), unknownLatencyMs), choice.nowMs);
+    double latency = target.latency(std::max(choice.fleet.latencyMs.load(relaxed), unknownLatencyMs), choice.nowMs);
     double cost = latency * (1 + crowding) * (1 + failureCost * target.failureShare.load(relaxed));
     bool remote = choice.table.zonePreference == ZonePreference::Own && !entry.local;
     return remote ? cost + remoteCostMs : cost;
@@ -132,27 +133,46 @@
 
 } // namespace
 
-uint64_t SharedRandom::next()
+ChoiceRandom::ChoiceRandom(uint64_t seed, uint64_t number)
+    : state(seed + number * 0xd1342543de82ef95)
 {
-    uint64_t mixed = this->counter.fetch_add(0x9e3779b97f4a7c15, relaxed);
-    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
-    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
-    return mixed ^ (mixed >> 31);
-}
-
-size_t SharedRandom::below(size_t bound)
-{
-    return bound ? this->next() % bound : 0;
-}
-
-double SharedRandom::fraction()
-{
-    return static_cast<double>(this->next() >> 11) * 0x1.0p-53;
 }
 
-double FleetAverages::latency() const
+size_t ChoiceRandom::below(size_t bound)
 {
-    return this->answers.load(relaxed) ? std::exp(this->logLatency.load(relaxed)) : 0;
+    this->state += 0x9e3779b97f4a7c15;
+    uint64_t mixed = this->state;
+    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
+    mixed ^= mixed >> 31;
+    return bound ? mixed % bound : 0;
+}
+
+void FleetAverages::refresh(const RoutingTable& table, double nowMs)
+{
+    double last = this->refreshedMs.load(relaxed);
+    if (nowMs < last + fleetRefreshMs || !this->refreshedMs.compare_exchange_strong(last, nowMs, relaxed))
+        return;
+    std::vector<double> latencies;
+    double others = 0;
+    double slots = 0;
+    size_t step = table.servingCount / maxAveragedTargets + 1;
+    for (size_t i = 0; i < table.servingCount; i += step) {
+        const TargetEstimate& target = *table.entries[i].target;
+        if (target.answers.load(relaxed))
+            latencies.push_back(target.logLatency.load(relaxed));
+        if (target.reportedMs.load(relaxed) == neverMs)
+            continue;
+        others += target.reportedOthers();
+        slots += table.entries[i].slots;
+    }
+    if (slots > 0)
+        this->othersPerSlot.store(others / slots, relaxed);
+    if (latencies.empty())
+        return;
+    auto middle = latencies.begin() + static_cast<ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    this->latencyMs.store(std::exp(*middle), relaxed);
 }
 
 bool Choice::eligible(const RoutingEntry& entry) const
--- a/packages/coordination/src/TargetChooser.h
+++ b/packages/coordination/src/TargetChooser.h
@@ -8,34 +8,27 @@
 
 namespace kingcup {
 
-/** Random numbers for many threads: a counter, mixed. One thread gets the same numbers for the same seed. */
-class SharedRandom {
+/** Random numbers of one choice, drawn from its number, so that threads share nothing but the count of choices. */
+class ChoiceRandom {
 public:
-    explicit SharedRandom(uint64_t seed)
-        : counter(seed)
-    {
-    }
+    /** @param seed Of the router. @param number Of the choice; one seed gives the same choices in the same order. */
+    ChoiceRandom(uint64_t seed, uint64_t number);
 
     /** Returns a number in [0, bound). */
     size_t below(size_t bound);
 
-    /** Returns a number in [0, 1). */
-    double fraction();
-
 private:
-    uint64_t next();
-
-    std::atomic<uint64_t> counter;
+    uint64_t state;
 };
 
-/** Averages over the targets of a service, which stand in for what is not known of one target. */
-struct FleetAverages {
-    std::atomic<double> logLatency { 0 }; ///< Of answered attempts.
-    std::atomic<uint64_t> answers { 0 }; ///< How many there were.
-    std::atomic<double> othersPerSlot { 0 }; ///< Calls of other VMs per slot, from reports.
+/** Averages over the targets of a service, which stand in for what is not known of one target. Read by every choice. */
+struct alignas(64) FleetAverages {
+    std::atomic<double> latencyMs { 0 }; ///< Median over the targets; 0: unknown.
+    std::atomic<double> othersPerSlot { 0 }; ///< Mean calls of other VMs per slot, from reports.
+    std::atomic<double> refreshedMs { neverMs }; ///< When they were computed.
 
-    /** Returns the typical latency in milliseconds; 0 while nothing is known. */
-    double latency() const;
+    /** Computes the averages again, unless that was done a moment ago. */
+    void refresh(const RoutingTable& table, double nowMs);
 };
 
 /** One choice of a target. */
@@ -43,8 +36,8 @@
     const RoutingTable& table; ///< Targets.
     std::span<const std::string> excluded; ///< Addresses that must not be chosen.
     const FleetAverages& fleet; ///< Averages.
-    SharedRandom& random; ///< For samples and ties.
-    std::atomic<uint64_t>& turn; ///< Position of the round robin.
+    ChoiceRandom& random; ///< For samples and ties.
+    uint64_t number; ///< Counts the choices of the router; position of the round robin.
     double nowMs; ///< Current time.
     bool allowEjected = false; ///< Set when all others are excluded or ejected.
 
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -106,9 +106,13 @@
     double reported = this->reportedMs.load(relaxed);
     if (reported == neverMs)
         return fleetOthers;
-    double seen = std::max(0, this->reportedInFlight.load(relaxed) - this->ownAtReport.load(relaxed));
     double trust = std::exp(-std::max(0.0, nowMs - reported) / reportDecayMs);
-    return trust * seen + (1 - trust) * fleetOthers;
+    return trust * this->reportedOthers() + (1 - trust) * fleetOthers;
+}
+
+double TargetEstimate::reportedOthers() const
+{
+    return std::max(0, this->reportedInFlight.load(relaxed) - this->ownAtReport.load(relaxed));
 }
 
 double TargetEstimate::peakLatency(double nowMs) const
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -15,7 +15,7 @@
  * Estimates of one incarnation of a target, shared by successive routing tables.
  * Fields are independent atomics: a reader that mixes two updates gets a slightly older estimate, which is harmless.
  */
-class TargetEstimate {
+class alignas(64) TargetEstimate {
 public:
     /** @param serial Unique number of this object within its router. @param coldSinceMs Start of the ramp; neverMs: warm. */
     TargetEstimate(std::string address, uint64_t incarnation, uint32_t serial, double coldSinceMs);
@@ -47,6 +47,9 @@
     /** Returns the estimated calls of other VMs on the target. @param fleetOthers What is assumed of a target without report. */
     double others(double fleetOthers, double nowMs) const;
 
+    /** Returns the calls of other VMs by the newest report. */
+    double reportedOthers() const;
+
     /** Returns the latency estimate that jumps to peaks and decays slowly. */
     double peakLatency(double nowMs) const;
 
