Change: Tune the adaptive policy against stragglers, cold starts and misleading reports

Latency now combines own answers with the target's report, returns to the median of the fleet within about a second when a target is not used, ignores small differences, and an attempt that lasts counts at twice its age.

--- a/bench/RoutingBench.cpp
+++ b/bench/RoutingBench.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr size_t workers = 4;
+uint64_t firstSeed = 1;
 
 constexpr EnumName<RoutingPolicy> policyNames[] = {
     { RoutingPolicy::Random, "random" },
@@ -50,14 +51,16 @@
     bool stragglers; ///< See Scenario.
     bool failFast; ///< See Scenario.
     bool coldStart; ///< See Scenario.
+    bool misleading; ///< See Scenario.
 };
 
 constexpr Trouble troubles[] = {
-    { "none", false, false, false },
-    { "stragglers", true, false, false },
-    { "fail-fast", false, true, false },
-    { "cold start", false, false, true },
-    { "all", true, true, true },
+    { "none", false, false, false, false },
+    { "stragglers", true, false, false, false },
+    { "fail-fast", false, true, false, false },
+    { "cold start", false, false, true, false },
+    { "all", true, true, true, false },
+    { "stragglers that report no load", true, false, false, true },
 };
 
 /** Mean and range over seeds. */
@@ -74,7 +77,7 @@
     std::atomic<uint64_t> next { 0 };
     auto work = [&] {
         for (uint64_t seed = next++; seed < seeds; seed = next++)
-            outcomes[seed] = RoutingSimulation(scenario, policy, seed + 1).run();
+            outcomes[seed] = RoutingSimulation(scenario, policy, firstSeed + seed).run();
     };
     std::vector<std::thread> threads;
     for (size_t i = 0; i < std::min<uint64_t>(workers, seeds); ++i)
@@ -125,6 +128,7 @@
             scenario.stragglers = trouble.stragglers;
             scenario.failFast = trouble.failFast;
             scenario.coldStart = trouble.coldStart;
+            scenario.misleading = trouble.misleading;
             printRow(trouble.name, policy, runSeeds(scenario, policy, seeds));
         }
     }
@@ -213,13 +217,14 @@
 
 } // namespace
 
-/** Usage: RoutingBench [policies|probes|cost|all] [seeds] [policy]. */
+/** Usage: RoutingBench [policies|probes|cost|all] [number of seeds] [first seed] [policy]. */
 int main(int argc, char** argv)
 {
     std::string_view part = argc > 1 ? argv[1] : "all";
     uint64_t seeds = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 4;
-    std::string_view onlyPolicy = argc > 3 ? argv[3] : "";
-    std::printf("seeds 1 to %llu\n", static_cast<unsigned long long>(seeds));
+    firstSeed = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1;
+    std::string_view onlyPolicy = argc > 4 ? argv[4] : "";
+    std::printf("seeds %llu to %llu\n", static_cast<unsigned long long>(firstSeed), static_cast<unsigned long long>(firstSeed + seeds - 1));
     if (part == "policies" || part == "all") {
         for (const ServiceSize& size : serviceSizes)
             comparePolicies(size, seeds, onlyPolicy);
--- a/bench/RoutingSimulation.h
+++ b/bench/RoutingSimulation.h
@@ -26,6 +26,7 @@
     bool stragglers = false; ///< Targets become slower for seconds, two of them at most times.
     bool failFast = false; ///< One target fails every request at once for some seconds.
     bool coldStart = false; ///< Two targets restart and are slow at first.
+    bool misleading = false; ///< Stragglers report that they are idle and quick.
     bool reportsOnAnswers = true; ///< Whether answers carry the load header.
 };
 
@@ -285,6 +286,8 @@
             target.snapshotMs = this->nowMs;
         }
         LoadReport load = target.snapshot;
+        if (this->scenario.misleading && target.slowness > 1)
+            load = { 0, this->scenario.slots, 1 };
         double oneWay = this->latencyBetween(this->vms[call->vm], target);
         this->after(delayMs + oneWay, [this, call, outcome, load] { this->received(call, outcome, load); });
     }
--- a/packages/coordination/src/TargetChooser.cpp
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -15,10 +15,10 @@
 constexpr int hotColdSamples = 3;
 constexpr double hotQuantile = 0.84;
 constexpr double unknownLatencyMs = 1;
-constexpr int localSamples = 3;
+constexpr int localSamples = 4;
 constexpr int remoteSamples = 2;
-constexpr double remoteCostMs = 1;
-constexpr double failureCost = 4;
+constexpr double remoteCostMs = 2; ///< Twice the round trip: equal targets of the own zone are preferred.
+constexpr double failureCost = 8;
 
 /** Returns the eligible entry with the lowest cost among all, ties broken at random. */
 template <typename Cost>
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -9,11 +9,15 @@
 namespace {
 
 constexpr auto relaxed = std::memory_order_relaxed;
-constexpr double latencyWeight = 0.1;
+constexpr double latencyWeight = 0.2;
 constexpr double failureWeight = 0.2;
 constexpr double peakDecayMs = 10000;
-constexpr double reportDecayMs = 50;
-constexpr double coldRampMs = 5000;
+constexpr double reportDecayMs = 20; ///< The load of a target changes within a few service times.
+constexpr double latencyForgetMs = 1000;
+constexpr double stallWeight = 2; ///< An attempt that has lasted this long will on average last that much longer.
+constexpr double noiseBand = 0.3; ///< Of the logarithm of the latency; smaller differences are chance.
+constexpr double reportedLatencyWeight = 0.5; ///< A report only raises the estimate: stragglers that reported 1 ms took p99 from 43 to 280 ms otherwise.
+constexpr double coldRampMs = 3000;
 constexpr double coldRampStart = 0.1;
 constexpr double shortestEjectionMs = 1000;
 constexpr double longestEjectionMs = 30000;
@@ -94,11 +98,18 @@
 
 double TargetEstimate::latency(double fleetLatencyMs, double nowMs) const
 {
-    bool known = this->answers.load(relaxed) > 0;
-    double estimate = known ? std::exp(this->logLatency.load(relaxed)) : fleetLatencyMs;
+    double normal = std::log(std::max(fleetLatencyMs, 0.001));
+    double own = this->answers.load(relaxed) ? this->logLatency.load(relaxed) - normal : 0;
+    double reported = this->reportedLatency.load(relaxed) > 0 ? std::log(this->reportedLatency.load(relaxed)) - normal : 0;
+    // A target that is avoided gives no answers, so its estimate has to return to the normal by itself.
+    own *= std::exp(-std::max(0.0, nowMs - this->answeredMs.load(relaxed)) / latencyForgetMs);
+    reported *= std::exp(-std::max(0.0, nowMs - this->reportedMs.load(relaxed)) / latencyForgetMs);
+    double excess = own + reportedLatencyWeight * std::max(0.0, reported - own);
+    double significant = excess > 0 ? std::max(0.0, excess - noiseBand) : std::min(0.0, excess + noiseBand);
+    double estimate = std::exp(normal + significant);
     if (this->outstanding.load(relaxed) <= 0)
         return estimate;
-    return std::max(estimate, nowMs - this->progressMs.load(relaxed));
+    return std::max(estimate, stallWeight * (nowMs - this->progressMs.load(relaxed)));
 }
 
 double TargetEstimate::others(double fleetOthers, double nowMs) const
@@ -128,6 +139,8 @@
     bool first = this->answers.fetch_add(1, relaxed) == 0;
     this->logLatency.store(first ? log : old + latencyWeight * (log - old), relaxed);
 
+    this->answeredMs.store(nowMs, relaxed);
+
     double age = std::max(0.0, nowMs - this->peakUpdatedMs.load(relaxed));
     double keep = std::exp(-age / peakDecayMs);
     double peak = this->peakLatencyMs.load(relaxed);
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -59,6 +59,7 @@
     std::atomic<int32_t> outstanding { 0 }; ///< Own calls in flight.
     std::atomic<double> logLatency { 0 }; ///< Moving average of the logarithm of the latency in milliseconds.
     std::atomic<uint32_t> answers { 0 }; ///< Latencies seen.
+    std::atomic<double> answeredMs { neverMs }; ///< When the last of them was seen.
     std::atomic<double> failureShare { 0 }; ///< Moving average of failed attempts.
     std::atomic<double> reportedMs { neverMs }; ///< When the newest report was made.
     std::atomic<double> observedMs { neverMs }; ///< Newest report or answer.
