Change: Deepen crash containment, probe budget and retry budgets

Crash containment: started() now says whether another suspect is in flight on the target, because two threads can choose the same one (void -> bool). Answered requests are remembered in a bounded queue instead of a scan of all records, suspects are indexed, and what the leader cleared is cleared here. Probe budget: a number of VMs that follows an unknown one takes effect after a lease term, an unknown number allows at most one probe a lease term, and saved-up probes are dropped between the two. Retries: the saved-up hedges of a kind are bounded by its own share. Routing: failures of a target fade within seconds, since a target that is avoided has no successes.

--- a/packages/coordination/include/kingcup/CrashContainment.h
+++ b/packages/coordination/include/kingcup/CrashContainment.h
@@ -35,8 +35,11 @@
     /** Returns the verdict for a request. @param wallMs Wall time. */
     ContainmentVerdict verdict(const std::string& service, const Fingerprint& fingerprint, int64_t wallMs) const;
 
-    /** Notes that a request is in flight on a target. */
-    void started(const std::string& service, const Fingerprint& fingerprint, const std::string& address);
+    /**
+     * Notes that a request is in flight on a target. Returns false when it is a suspect and another suspect is in flight there,
+     * which two threads can bring about together; the caller then notes ended() and picks again.
+     */
+    bool started(const std::string& service, const Fingerprint& fingerprint, const std::string& address);
 
     /** Returns the targets on which suspects are in flight, to be excluded for another suspect. */
     std::vector<std::string> targetsWithSuspects(const std::string& service) const;
--- a/packages/coordination/include/kingcup/ProbeBudget.h
+++ b/packages/coordination/include/kingcup/ProbeBudget.h
@@ -17,7 +17,11 @@
     /** Changes the budget. */
     void setBudget(const MeasuringBudget& budget);
 
-    /** Sets the number of live entry VMs; 0: unknown. A fall in number takes effect only after a lease term. */
+    /**
+     * Sets the number of live entry VMs; 0: unknown. To be called with every session answer and when the lease lapses.
+     * A fall in number takes effect only after a lease term, and so does a number that follows an unknown one:
+     * until then other VMs may not count this one.
+     */
     void setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now);
 
     /** Takes one probe of a target from the budget. A process that just started has no saved-up budget. @param bytes Expected cost, both ways. */
@@ -31,9 +35,8 @@
         double tokens = 0; ///< Probes.
         TimePoint filled {}; ///< Last refill.
     };
-    double share(TimePoint now) const;
+    double share() const;
     void settle(TimePoint now);
-    void clearBuckets();
 
     MeasuringBudget budget; ///< From the manifest.
     uint32_t assumedVms; ///< Divisor when unknown.
--- a/packages/coordination/src/Admission.cpp
+++ b/packages/coordination/src/Admission.cpp
@@ -50,6 +50,8 @@
     {
     }
 
+    QueueKey keyOf(const AdmissionRequest& request, TimePoint now) const;
+    bool startsTooLate(const AdmissionRequest& request, TimePoint now) const;
     void enqueue(const AdmissionRequest& request, TimePoint now);
     Waiting remove(uint64_t id);
     void startWaiting(std::vector<AdmissionDecision>& decisions);
@@ -70,10 +72,24 @@
     TimePoint returnsBookedUntil {}; ///< Refused callers were told to come back up to here.
 };
 
-void Admission::State::enqueue(const AdmissionRequest& request, TimePoint now)
+QueueKey Admission::State::keyOf(const AdmissionRequest& request, TimePoint now) const
 {
     auto step = static_cast<int64_t>(std::floor(now.time_since_epoch().count() / ageingStepMs));
-    QueueKey key { step + request.priority, request.deadline, request.id };
+    return { step + request.priority, request.deadline, request.id };
+}
+
+bool Admission::State::startsTooLate(const AdmissionRequest& request, TimePoint now) const
+{
+    if (std::min(request.mayWait, request.deadline - now) <= Milliseconds(0))
+        return true;
+    Milliseconds wait = this->expectedWait(this->keyOf(request, now));
+    bool endsTooLate = now + wait + this->concurrency.typicalLatency() > request.deadline;
+    return request.mayRefuse && (wait > request.mayWait || endsTooLate);
+}
+
+void Admission::State::enqueue(const AdmissionRequest& request, TimePoint now)
+{
+    QueueKey key = this->keyOf(request, now);
     TimePoint expiry = std::min(now + request.mayWait, request.deadline);
     this->waiting.emplace(request.id, Waiting { request, now, expiry, key });
     this->order.insert(key);
@@ -173,14 +189,11 @@
         decisions.push_back({ request.id, ResultCode::Ok, Milliseconds(0) });
         return decisions;
     }
-    auto step = static_cast<int64_t>(std::floor(now.time_since_epoch().count() / ageingStepMs));
-    QueueKey key { step + request.priority, request.deadline, request.id };
-    Milliseconds patience = std::min(request.mayWait, request.deadline - now);
-    if (patience <= Milliseconds(0) || (request.mayRefuse && state.expectedWait(key) > patience)) {
+    if (state.startsTooLate(request, now)) {
         decisions.push_back(state.refusal(request.id, ResultCode::WaitTooLong, now));
         return decisions;
     }
-    if (!state.makeRoom(key, now, decisions)) {
+    if (!state.makeRoom(state.keyOf(request, now), now, decisions)) {
         decisions.push_back(state.refusal(request.id, ResultCode::QueueFull, now));
         return decisions;
     }
--- a/packages/coordination/src/CrashContainment.cpp
+++ b/packages/coordination/src/CrashContainment.cpp
@@ -1,11 +1,9 @@
 /** @file CrashContainment.cpp Suspicions against requests that were in flight on lost connections. */
 #include "kingcup/CrashContainment.h"
 
-#include "kingcup/Rcu.h"
-
 #include <absl/container/flat_hash_map.h>
 #include <algorithm>
-#include <atomic>
+#include <deque>
 #include <mutex>
 #include <set>
 #include <xxhash.h>
@@ -16,7 +14,8 @@
 
 constexpr int64_t exonerationMs = 10000; ///< How long a whole answer speaks for a request.
 constexpr int64_t defaultQuarantineMs = 60000;
-constexpr size_t maxRecords = 65536;
+constexpr size_t maxAnswered = 16384; ///< Requests whose last whole answer is remembered.
+constexpr size_t maxSuspects = 4096; ///< Local suspicions beyond this number are left to the leader's record.
 constexpr size_t suspectsForQuarantine = 2;
 
 /** Service and fingerprint. */
@@ -53,11 +52,16 @@
     ContainmentVerdict localVerdict(const RequestKey& key, int64_t wallMs) const;
     ContainmentVerdict currentVerdict(const RequestKey& key, int64_t wallMs) const;
     void remove(RequestRecord& record, const std::string& address);
-    void prune();
+    void forgetOldAnswers();
+    void forgetOldSuspicions();
+    std::set<std::string> suspectTargets(const std::string& service) const;
+    void addSuspectTargets(const RequestKey& key, const std::string& service, std::set<std::string>& addresses) const;
     bool exonerated(const RequestRecord& record, const std::string& address) const;
 
     mutable std::mutex mutex; ///< Guards all below; held for a few map operations only.
     absl::flat_hash_map<RequestKey, RequestRecord> records; ///< Requests in flight, answered recently or suspected.
+    std::set<RequestKey> suspects; ///< Requests that this VM suspects.
+    std::deque<std::pair<RequestKey, uint64_t>> answered; ///< Whole answers with their event numbers, oldest first.
     LeaderRecords leader; ///< As of the last snapshot.
     uint64_t events = 0; ///< Counts starts and answers.
     mutable int64_t wallMs = 0; ///< Latest time heard.
@@ -102,16 +106,56 @@
         record.inFlight.erase(copies);
 }
 
-void CrashContainment::State::prune()
+void CrashContainment::State::forgetOldAnswers()
 {
-    if (this->records.size() < maxRecords)
+    while (this->answered.size() > maxAnswered) {
+        auto [key, event] = std::move(this->answered.front());
+        this->answered.pop_front();
+        auto found = this->records.find(key);
+        if (found == this->records.end() || found->second.succeededEvent != event)
+            continue;
+        found->second.succeededEvent = 0;
+        if (found->second.inFlight.empty() && found->second.suspectedOn.empty())
+            this->records.erase(found);
+    }
+}
+
+void CrashContainment::State::forgetOldSuspicions()
+{
+    for (auto it = this->suspects.begin(); it != this->suspects.end();) {
+        auto found = this->records.find(*it);
+        bool over = found == this->records.end() || this->localVerdict(*it, this->wallMs) == ContainmentVerdict::Run;
+        if (!over && this->suspects.size() <= maxSuspects) {
+            ++it;
+            continue;
+        }
+        if (found != this->records.end())
+            found->second.suspectedOn.clear();
+        if (found != this->records.end() && found->second.inFlight.empty())
+            this->records.erase(found);
+        it = this->suspects.erase(it);
+    }
+}
+
+void CrashContainment::State::addSuspectTargets(const RequestKey& key, const std::string& service, std::set<std::string>& addresses) const
+{
+    auto found = this->records.find(key);
+    if (key.first != service || found == this->records.end() || found->second.inFlight.empty())
+        return;
+    if (this->currentVerdict(key, this->wallMs) == ContainmentVerdict::Run)
         return;
-    absl::erase_if(this->records, [&](const auto& item) {
-        const RequestRecord& record = item.second;
-        bool recent = record.succeededMs + exonerationMs > this->wallMs;
-        bool suspect = this->localVerdict(item.first, this->wallMs) != ContainmentVerdict::Run;
-        return record.inFlight.empty() && !suspect && (!recent || this->records.size() >= 2 * maxRecords);
-    });
+    for (const auto& [address, copies] : found->second.inFlight)
+        addresses.insert(address);
+}
+
+std::set<std::string> CrashContainment::State::suspectTargets(const std::string& service) const
+{
+    std::set<std::string> addresses;
+    for (const RequestKey& key : this->suspects)
+        this->addSuspectTargets(key, service, addresses);
+    for (const auto& [key, quarantine] : this->leader.quarantines)
+        this->addSuspectTargets(key, service, addresses);
+    return addresses;
 }
 
 bool CrashContainment::State::exonerated(const RequestRecord& record, const std::string& address) const
@@ -158,9 +202,13 @@
     this->state->leader = std::move(next);
     for (auto& [key, record] : this->state->records) {
         auto found = this->state->leader.quarantines.find(key);
-        if (found == this->state->leader.quarantines.end() || found->second.cleared())
+        bool absent = found == this->state->leader.quarantines.end();
+        if (absent || found->second.cleared())
             record.clearTold = false;
+        if (!absent && found->second.cleared())
+            record.suspectedOn.clear();
     }
+    this->state->forgetOldSuspicions();
 }
 
 ContainmentVerdict CrashContainment::verdict(const std::string& service, const Fingerprint& fingerprint, int64_t wallMs) const
@@ -170,27 +218,22 @@
     return this->state->currentVerdict({ service, fingerprint }, wallMs);
 }
 
-void CrashContainment::started(const std::string& service, const Fingerprint& fingerprint, const std::string& address)
+bool CrashContainment::started(const std::string& service, const Fingerprint& fingerprint, const std::string& address)
 {
     std::lock_guard<std::mutex> lock(this->state->mutex);
-    this->state->prune();
-    Copies& copies = this->state->records[{ service, fingerprint }].inFlight[address];
+    RequestKey key { service, fingerprint };
+    bool suspect = this->state->currentVerdict(key, this->state->wallMs) != ContainmentVerdict::Run;
+    bool taken = suspect && this->state->suspectTargets(service).contains(address);
+    Copies& copies = this->state->records[key].inFlight[address];
     if (copies.count++ == 0)
         copies.firstStarted = ++this->state->events;
+    return !taken;
 }
 
 std::vector<std::string> CrashContainment::targetsWithSuspects(const std::string& service) const
 {
     std::lock_guard<std::mutex> lock(this->state->mutex);
-    std::set<std::string> addresses;
-    for (const auto& [key, record] : this->state->records) {
-        if (key.first != service || record.inFlight.empty())
-            continue;
-        if (this->state->currentVerdict(key, this->state->wallMs) == ContainmentVerdict::Run)
-            continue;
-        for (const auto& [address, copies] : record.inFlight)
-            addresses.insert(address);
-    }
+    std::set<std::string> addresses = this->state->suspectTargets(service);
     return { addresses.begin(), addresses.end() };
 }
 
@@ -206,13 +249,17 @@
     record.lostSinceSuccess.clear();
     record.suspectedOn.clear();
     record.clearTold |= suspect;
+    this->state->suspects.erase(key);
+    this->state->answered.emplace_back(key, record.succeededEvent);
+    this->state->forgetOldAnswers();
     return suspect;
 }
 
 bool CrashContainment::connectionLost(const std::string& service, const Fingerprint& fingerprint, const std::string& address)
 {
     std::lock_guard<std::mutex> lock(this->state->mutex);
-    RequestRecord& record = this->state->records[{ service, fingerprint }];
+    RequestKey key { service, fingerprint };
+    RequestRecord& record = this->state->records[key];
     bool innocent = this->state->exonerated(record, address);
     this->state->remove(record, address);
     record.lostSinceSuccess.insert(address);
@@ -221,6 +268,9 @@
     record.suspectedOn.insert(address);
     record.suspectedMs = this->state->wallMs;
     record.clearTold = false;
+    this->state->suspects.insert(key);
+    if (this->state->suspects.size() > maxSuspects)
+        this->state->forgetOldSuspicions();
     return true;
 }
 
@@ -231,7 +281,7 @@
     if (found == this->state->records.end())
         return;
     this->state->remove(found->second, address);
-    bool known = found->second.succeededEvent || !found->second.lostSinceSuccess.empty() || !found->second.suspectedOn.empty();
+    bool known = found->second.succeededEvent || !found->second.suspectedOn.empty();
     if (!known && found->second.inFlight.empty())
         this->state->records.erase(found);
 }
--- a/packages/coordination/src/ProbeBudget.cpp
+++ b/packages/coordination/src/ProbeBudget.cpp
@@ -35,12 +35,12 @@
 {
     this->leaseTerm = leaseTerm;
     bool wasKnown = this->liveVms > 0;
-    if (!liveVms || !wasKnown)
-        this->pendingVms = 0;
-    if (liveVms && !wasKnown)
+    if ((liveVms > 0) != wasKnown) {
+        // What was saved up under one share must not be spent on top of another.
+        this->buckets.clear();
+        this->settled = false;
         this->settledAt = now + leaseTerm;
-    if ((liveVms > 0) != wasKnown)
-        this->clearBuckets();
+    }
     if (!liveVms || !wasKnown || liveVms >= this->liveVms) {
         this->liveVms = liveVms;
         this->pendingVms = 0;
@@ -71,7 +71,7 @@
         this->buckets.erase(this->buckets.begin());
     auto [found, inserted] = this->buckets.try_emplace(address, Bucket { 0, now });
     Bucket& bucket = found->second;
-    bucket.tokens = std::min(bucket.tokens + earned(this->share(now), bucket.filled, now), maxProbeTokens);
+    bucket.tokens = std::min(bucket.tokens + earned(this->share(), bucket.filled, now), maxProbeTokens);
     bucket.filled = now;
     if (bucket.tokens < maxProbeTokens || this->byteTokens < cost) {
         ++this->deniedCount;
@@ -93,10 +93,10 @@
     return this->deniedCount;
 }
 
-double ProbeBudget::share(TimePoint now) const
+double ProbeBudget::share() const
 {
     double rate = std::max(this->budget.probesPerSecondPerTarget, 0.0);
-    if (this->liveVms && now >= this->settledAt)
+    if (this->settled)
         return rate / this->liveVms;
     // Others may not count this VM, so its probes come on top of theirs: at most one a lease term.
     double unsettled = rate / std::max(this->assumedVms, this->liveVms);
@@ -109,11 +109,6 @@
     if (this->settled || !this->liveVms || now < this->settledAt)
         return;
     this->settled = true;
-    this->clearBuckets();
-}
-
-void ProbeBudget::clearBuckets()
-{
     this->buckets.clear();
 }
 
--- a/packages/coordination/src/RetryPolicy.cpp
+++ b/packages/coordination/src/RetryPolicy.cpp
@@ -32,14 +32,14 @@
         while (!this->tokens.compare_exchange_weak(old, std::min(old + amount, std::max(old, limit)), relaxed)) { }
     }
 
-    /** Takes tokens if there are enough. */
-    bool take(double amount)
+    /** Takes tokens if there are enough. What exceeds the limit is dropped. */
+    bool take(double amount, double limit)
     {
         double old = this->tokens.load(relaxed);
         do {
-            if (old < amount)
+            if (std::min(old, limit) < amount)
                 return false;
-        } while (!this->tokens.compare_exchange_weak(old, old - amount, relaxed));
+        } while (!this->tokens.compare_exchange_weak(old, std::min(old, limit) - amount, relaxed));
         return true;
     }
 
@@ -86,7 +86,7 @@
     std::optional<Milliseconds> quickest = this->state->latencies.quantile(quickestUsefulQuantile, fewestObservations, now);
     if (now + quickest.value_or(Milliseconds(0)) >= question.deadline)
         return false;
-    return this->state->retryShare.load(relaxed) > 0 && this->state->retries.take(1);
+    return this->state->retryShare.load(relaxed) > 0 && this->state->retries.take(1, retryBurst);
 }
 
 void RetryPolicy::latency(Milliseconds latency, TimePoint now)
@@ -105,7 +105,8 @@
 {
     if (!kind.hedge || !kind.repeatable || kind.hedge->budgetShare <= 0)
         return false;
-    return this->state->hedges.take(1 / kind.hedge->budgetShare);
+    double callsPerHedge = 1 / kind.hedge->budgetShare;
+    return this->state->hedges.take(callsPerHedge, hedgeBurst * callsPerHedge);
 }
 
 } // namespace kingcup
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -212,7 +212,7 @@
         load.set_in_flight(static_cast<uint32_t>(std::max(0, target.reportedInFlight.load(relaxed))));
         load.set_latency_ms(std::exp(target.logLatency.load(relaxed)));
         load.set_age_ms(static_cast<uint32_t>(std::max(0.0, age)));
-        double surprise = std::abs(target.logLatency.load(relaxed) - fleetLog) + target.failureShare.load(relaxed);
+        double surprise = std::abs(target.logLatency.load(relaxed) - fleetLog) + target.recentFailures(inMs(now));
         ranked.emplace_back(surprise * std::exp(-age / observationLifetimeMs), std::move(load));
     }
     std::stable_sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
@@ -236,7 +236,7 @@
             { "slots", entry.slots },
             { "outstanding", target.outstanding.load(relaxed) },
             { "latencyMs", target.latency(this->state->fleet.latencyMs.load(relaxed), inMs(now)) },
-            { "failureShare", target.failureShare.load(relaxed) },
+            { "recentFailures", target.recentFailures(inMs(now)) },
             { "ejected", target.ejected(inMs(now)) },
             { "ramp", target.ramp(inMs(now)) },
             { "reportedInFlight", target.reportedInFlight.load(relaxed) },
--- a/packages/coordination/src/TargetChooser.cpp
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -106,7 +106,7 @@
     double load = outstandingOf(entry) + others + 1;
     double crowding = load / (slots * target.ramp(choice.nowMs));
     double latency = target.latency(std::max(choice.fleet.latencyMs.load(relaxed), unknownLatencyMs), choice.nowMs);
-    double cost = latency * (1 + crowding) * (1 + failureCost * target.failureShare.load(relaxed));
+    double cost = latency * (1 + crowding) * (1 + failureCost * target.recentFailures(choice.nowMs));
     bool remote = choice.table.zonePreference == ZonePreference::Own && !entry.local;
     return remote ? cost + remoteCostMs : cost;
 }
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -11,6 +11,7 @@
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr double latencyWeight = 0.2;
 constexpr double failureWeight = 0.2;
+constexpr double failureForgetMs = 2000;
 constexpr double peakDecayMs = 10000;
 constexpr double reportDecayMs = 20; ///< The load of a target changes within a few service times.
 constexpr double latencyForgetMs = 1000;
@@ -49,7 +50,7 @@
     this->progressMs.store(nowMs, relaxed);
     this->observedMs.store(nowMs, relaxed);
     bool answered = outcome == AttemptOutcome::Answered;
-    this->learnFailure(!answered);
+    this->learnFailure(!answered, nowMs);
     bool connected = answered || outcome == AttemptOutcome::ServerError || outcome == AttemptOutcome::TimedOut;
     this->connectionFailures.store(connected ? 0 : this->connectionFailures.load(relaxed) + 1, relaxed);
     if (answered || outcome == AttemptOutcome::TimedOut)
@@ -112,6 +113,13 @@
     return std::max(estimate, stallWeight * (nowMs - this->progressMs.load(relaxed)));
 }
 
+double TargetEstimate::recentFailures(double nowMs) const
+{
+    // A target that is avoided has no successes, so its failures have to be forgotten by time.
+    double age = std::max(0.0, nowMs - this->failedMs.load(relaxed));
+    return this->failureShare.load(relaxed) * std::exp(-age / failureForgetMs);
+}
+
 double TargetEstimate::others(double fleetOthers, double nowMs) const
 {
     double reported = this->reportedMs.load(relaxed);
@@ -148,11 +156,12 @@
     this->peakUpdatedMs.store(nowMs, relaxed);
 }
 
-void TargetEstimate::learnFailure(bool failed)
+void TargetEstimate::learnFailure(bool failed, double nowMs)
 {
     double share = this->failureShare.load(relaxed);
     this->failureShare.store(share + failureWeight * ((failed ? 1 : 0) - share), relaxed);
     if (failed) {
+        this->failedMs.store(nowMs, relaxed);
         this->failures.fetch_add(1, relaxed);
         return;
     }
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -44,6 +44,9 @@
     /** Returns the latency that the next request has to expect before queueing. @param fleetLatencyMs Used while nothing is known. */
     double latency(double fleetLatencyMs, double nowMs) const;
 
+    /** Returns the share of recent attempts that failed; it fades while there are no further failures. */
+    double recentFailures(double nowMs) const;
+
     /** Returns the estimated calls of other VMs on the target. @param fleetOthers What is assumed of a target without report. */
     double others(double fleetOthers, double nowMs) const;
 
@@ -60,7 +63,6 @@
     std::atomic<double> logLatency { 0 }; ///< Moving average of the logarithm of the latency in milliseconds.
     std::atomic<uint32_t> answers { 0 }; ///< Latencies seen.
     std::atomic<double> answeredMs { neverMs }; ///< When the last of them was seen.
-    std::atomic<double> failureShare { 0 }; ///< Moving average of failed attempts.
     std::atomic<double> reportedMs { neverMs }; ///< When the newest report was made.
     std::atomic<double> observedMs { neverMs }; ///< Newest report or answer.
     std::atomic<int32_t> reportedInFlight { 0 }; ///< From the newest report.
@@ -70,8 +72,10 @@
 
 private:
     void learnLatency(double latencyMs, double nowMs);
-    void learnFailure(bool failed);
+    void learnFailure(bool failed, double nowMs);
 
+    std::atomic<double> failureShare { 0 }; ///< Moving average of failed attempts.
+    std::atomic<double> failedMs { neverMs }; ///< Last failure.
     std::atomic<double> peakLatencyMs { 0 };
     std::atomic<double> peakUpdatedMs { 0 };
     std::atomic<double> progressMs { neverMs }; ///< When an attempt last ended, or the first one in flight started.
--- /dev/null
+++ b/packages/coordination/tests/CrashContainmentTest.cpp
@@ -0,0 +1,228 @@
+/** @file CrashContainmentTest.cpp Guards against requests that crash target after target, and against quarantining innocent ones. */
+#include "kingcup/CrashContainment.h"
+
+#include "kingcup/RandomSource.h"
+#include "testing/Story.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <set>
+#include <thread>
+
+using namespace kingcup;
+using kingcup::testing::section;
+using kingcup::testing::testSeed;
+
+namespace {
+
+const std::string service = "ledger";
+
+/** Counts how a mix of requests fares when one of them crashes every target that runs it. */
+class CrashStory {
+public:
+    explicit CrashStory(uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    /** Runs steps in which requests start, end and crash targets. */
+    void run(int steps)
+    {
+        for (int i = 0; i < steps; ++i) {
+            this->wallMs += 5;
+            if (this->random.below(20) == 0)
+                this->start("poison");
+            this->start("popular-" + std::to_string(this->random.below(5)));
+            this->endSome();
+        }
+    }
+
+    size_t crashes = 0; ///< Targets that crashed.
+    std::set<std::string> refused; ///< Requests that were refused.
+
+private:
+    struct InFlight {
+        Fingerprint request; ///< Which.
+        std::string target; ///< Where.
+    };
+
+    void start(const std::string& name)
+    {
+        ContainmentVerdict verdict = this->containment.verdict(service, name, this->wallMs);
+        if (verdict == ContainmentVerdict::Refuse) {
+            this->refused.insert(name);
+            return;
+        }
+        std::vector<std::string> excluded;
+        if (verdict == ContainmentVerdict::RunAlone)
+            excluded = this->containment.targetsWithSuspects(service);
+        std::string target = "t" + std::to_string(this->random.below(8));
+        if (std::find(excluded.begin(), excluded.end(), target) != excluded.end())
+            return;
+        EXPECT_TRUE(this->containment.started(service, name, target));
+        this->inFlight.push_back({ name, target });
+    }
+
+    void endSome()
+    {
+        while (this->inFlight.size() > 6) {
+            InFlight first = this->inFlight.front();
+            if (first.request == "poison") {
+                this->crash(first.target);
+                continue;
+            }
+            this->inFlight.erase(this->inFlight.begin());
+            this->containment.succeeded(service, first.request, first.target);
+        }
+    }
+
+    void crash(const std::string& target)
+    {
+        ++this->crashes;
+        std::erase_if(this->inFlight, [&](const InFlight& call) {
+            if (call.target == target)
+                this->containment.connectionLost(service, call.request, target);
+            return call.target == target;
+        });
+    }
+
+    RandomSource random;
+    CrashContainment containment;
+    std::vector<InFlight> inFlight;
+    int64_t wallMs = 1000;
+};
+
+/** Returns a snapshot with one quarantine record. */
+ConfigurationSnapshot snapshotWith(const Fingerprint& fingerprint, uint32_t targets, bool cleared)
+{
+    ConfigurationSnapshot snapshot;
+    wire::Quarantine& quarantine = snapshot.quarantines[{ service, fingerprint }];
+    quarantine.set_suspected_targets(targets);
+    quarantine.set_until_wall_ms(60000);
+    quarantine.set_cleared(cleared);
+    return snapshot;
+}
+
+} // namespace
+
+TEST(CrashContainmentTest, stopsTheCulpritAndSparesTheOthers)
+{
+    uint64_t first = testSeed(1);
+    for (uint64_t seed = first; seed < first + 100; ++seed) {
+        CrashStory story(seed);
+        story.run(2000);
+        section("seed " + std::to_string(seed) + ": the culprit crashes few targets and only it is refused", [&] {
+            // Copies that were already in flight when the second target crashed still run.
+            EXPECT_LE(story.crashes, 4u);
+            EXPECT_EQ(story.refused, std::set<std::string> { "poison" });
+        });
+    }
+}
+
+TEST(CrashContainmentTest, judgesSingleRequests)
+{
+    section("a first crash makes a suspect that runs alone, a second target a quarantine that ends", [] {
+        CrashContainment containment;
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::Run);
+        containment.started(service, "a", "t1");
+        EXPECT_TRUE(containment.connectionLost(service, "a", "t1"));
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::RunAlone);
+        containment.started(service, "a", "t2");
+        EXPECT_TRUE(containment.connectionLost(service, "a", "t2"));
+        EXPECT_EQ(containment.verdict(service, "a", 1001), ContainmentVerdict::Refuse);
+        EXPECT_EQ(containment.verdict(service, "a", 1001 + 60000), ContainmentVerdict::Run);
+    });
+    section("two suspects never run on one target, not even when both were started by a race", [] {
+        CrashContainment containment;
+        containment.verdict(service, "a", 1000);
+        for (const char* request : { "a", "b" }) {
+            containment.started(service, request, "t1");
+            containment.connectionLost(service, request, "t1");
+        }
+        EXPECT_TRUE(containment.started(service, "a", "t2"));
+        EXPECT_EQ(containment.targetsWithSuspects(service), std::vector<std::string> { "t2" });
+        EXPECT_FALSE(containment.started(service, "b", "t2"));
+        containment.ended(service, "b", "t2");
+        EXPECT_TRUE(containment.succeeded(service, "a", "t2"));
+        EXPECT_TRUE(containment.targetsWithSuspects(service).empty());
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::Run);
+    });
+    section("an answer to another copy exonerates, but a second lost target counts again", [] {
+        CrashContainment containment;
+        containment.verdict(service, "a", 1000);
+        containment.started(service, "a", "t1");
+        containment.started(service, "a", "t2");
+        containment.started(service, "a", "t3");
+        EXPECT_FALSE(containment.succeeded(service, "a", "t2"));
+        containment.verdict(service, "b", 100000);
+        EXPECT_FALSE(containment.connectionLost(service, "a", "t1"));
+        EXPECT_EQ(containment.verdict(service, "a", 100000), ContainmentVerdict::Run);
+        EXPECT_TRUE(containment.connectionLost(service, "a", "t3"));
+    });
+    section("an old answer does not exonerate a new attempt", [] {
+        CrashContainment containment;
+        containment.verdict(service, "a", 1000);
+        containment.started(service, "a", "t1");
+        containment.succeeded(service, "a", "t1");
+        containment.verdict(service, "a", 60000);
+        containment.started(service, "a", "t2");
+        EXPECT_TRUE(containment.connectionLost(service, "a", "t2"));
+    });
+}
+
+TEST(CrashContainmentTest, followsTheLeader)
+{
+    CrashContainment containment;
+    section("a quarantine of the leader refuses until it ends", [&] {
+        containment.update(snapshotWith("a", 2, false));
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::Refuse);
+        EXPECT_EQ(containment.verdict("other", "a", 1000), ContainmentVerdict::Run);
+    });
+    section("a suspicion of the leader is cleared by an answer, and the leader is told once", [&] {
+        containment.update(snapshotWith("a", 1, false));
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::RunAlone);
+        containment.started(service, "a", "t1");
+        EXPECT_TRUE(containment.succeeded(service, "a", "t1"));
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::Run);
+        containment.started(service, "a", "t1");
+        EXPECT_FALSE(containment.succeeded(service, "a", "t1"));
+    });
+    section("what another VM cleared is cleared here", [&] {
+        containment.started(service, "b", "t1");
+        EXPECT_TRUE(containment.connectionLost(service, "b", "t1"));
+        containment.update(snapshotWith("b", 1, true));
+        EXPECT_EQ(containment.verdict(service, "b", 1000), ContainmentVerdict::Run);
+    });
+}
+
+TEST(CrashContainmentTest, fingerprintsNameRequests)
+{
+    EXPECT_EQ(requestFingerprint("s", "GET", "/a", "").size(), 16u);
+    EXPECT_EQ(requestFingerprint("s", "GET", "/a", "x"), requestFingerprint("s", "GET", "/a", "x"));
+    EXPECT_NE(requestFingerprint("s", "GET", "/a", "x"), requestFingerprint("s", "GET", "/ax", ""));
+    EXPECT_NE(requestFingerprint("s", "GET", "/a", ""), requestFingerprint("t", "GET", "/a", ""));
+}
+
+TEST(CrashContainmentTest, isThreadSafe)
+{
+    CrashContainment containment;
+    auto work = [&](int number) {
+        for (int i = 0; i < 5000; ++i) {
+            std::string request = std::to_string(i % 50);
+            containment.verdict(service, request, i);
+            containment.started(service, request, std::to_string(number));
+            if (i % 7 == 0)
+                containment.connectionLost(service, request, std::to_string(number));
+            else
+                containment.succeeded(service, request, std::to_string(number));
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i)
+        threads.emplace_back(work, i);
+    for (std::thread& thread : threads)
+        thread.join();
+    section("after all attempts have ended no target holds a suspect", [&] {
+        EXPECT_TRUE(containment.targetsWithSuspects(service).empty());
+    });
+}
--- /dev/null
+++ b/packages/coordination/tests/ProbeBudgetTest.cpp
@@ -0,0 +1,174 @@
+/** @file ProbeBudgetTest.cpp Guards the probe budget against exceeding it while entry VMs join, restart or are cut off. */
+#include "kingcup/ProbeBudget.h"
+
+#include "kingcup/RandomSource.h"
+#include "testing/Story.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <memory>
+
+using namespace kingcup;
+using kingcup::testing::section;
+using kingcup::testing::testSeed;
+
+namespace {
+
+constexpr double leaseMs = 3000;
+constexpr double stepMs = 10;
+constexpr double renewMs = 1000;
+
+/** One entry VM with its lease, as the leader and as it sees itself. */
+struct ProbingVm {
+    std::unique_ptr<ProbeBudget> budget; ///< Class under test.
+    bool cutOff = false; ///< No session requests reach the leader.
+    double ownLeaseEndMs = -1; ///< As the VM knows it.
+    double leaderLeaseEndMs = -1; ///< As the leader knows it; later, because answers and requests take time.
+    double nextRenewalMs = 0; ///< Next session request.
+};
+
+/** A group of VMs that probe one target as often as they may. */
+class ProbingFleet {
+public:
+    /** @param rulesOn Whether the budget knows the lease term; without it a new number takes effect at once. */
+    ProbingFleet(uint64_t seed, double probesPerSecond, bool rulesOn)
+        : random(seed)
+        , vms(4 + this->random.below(14))
+        , rulesOn(rulesOn)
+    {
+        this->measuring.probesPerSecondPerTarget = probesPerSecond;
+        this->measuring.bytesPerSecondPerVm = 1e9;
+        for (ProbingVm& vm : this->vms)
+            this->restart(vm);
+    }
+
+    /** Runs for a while and returns the largest excess over budget and allowance, in probes within one lease term. */
+    double largestExcess(double forMs)
+    {
+        double largest = -1e9;
+        for (this->nowMs = 0; this->nowMs < forMs; this->nowMs += stepMs) {
+            this->disturb();
+            for (ProbingVm& vm : this->vms)
+                this->run(vm);
+            while (!this->granted.empty() && this->granted.front() <= this->nowMs - leaseMs)
+                this->granted.pop_front();
+            double allowed = this->measuring.probesPerSecondPerTarget * leaseMs / 1000 + static_cast<double>(this->vms.size());
+            largest = std::max(largest, static_cast<double>(this->granted.size()) - allowed);
+        }
+        return largest;
+    }
+
+    uint64_t total = 0; ///< Probes granted.
+
+private:
+    void disturb()
+    {
+        if (this->random.below(100) == 0)
+            this->restart(this->vms[this->random.below(this->vms.size())]);
+        if (this->random.below(100) == 0)
+            this->vms[this->random.below(this->vms.size())].cutOff ^= true;
+    }
+
+    void restart(ProbingVm& vm)
+    {
+        vm.budget = std::make_unique<ProbeBudget>(this->measuring, 16);
+        vm.ownLeaseEndMs = -1;
+        vm.nextRenewalMs = this->nowMs + static_cast<double>(this->random.below(100)) * stepMs;
+    }
+
+    void run(ProbingVm& vm)
+    {
+        Milliseconds term(this->rulesOn ? leaseMs : 0);
+        if (!vm.cutOff && this->nowMs >= vm.nextRenewalMs) {
+            vm.ownLeaseEndMs = this->nowMs + leaseMs;
+            vm.leaderLeaseEndMs = vm.ownLeaseEndMs + stepMs;
+            vm.nextRenewalMs = this->nowMs + renewMs;
+            vm.budget->setLiveVms(this->countedVms(), term, timeAt(this->nowMs));
+        } else if (vm.ownLeaseEndMs <= this->nowMs)
+            vm.budget->setLiveVms(0, term, timeAt(this->nowMs));
+        if (!vm.budget->take("target", 100, timeAt(this->nowMs)))
+            return;
+        this->granted.push_back(this->nowMs);
+        ++this->total;
+    }
+
+    uint32_t countedVms() const
+    {
+        uint32_t count = 0;
+        for (const ProbingVm& vm : this->vms)
+            count += vm.leaderLeaseEndMs > this->nowMs;
+        return count;
+    }
+
+    RandomSource random;
+    MeasuringBudget measuring;
+    std::vector<ProbingVm> vms;
+    bool rulesOn;
+    double nowMs = 0;
+    std::deque<double> granted; ///< Times of the probes of the last lease term.
+};
+
+} // namespace
+
+TEST(ProbeBudgetTest, staysWithinItsBudget)
+{
+    uint64_t first = testSeed(1);
+    section("over joins, partitions and restarts the sum exceeds the budget by at most one probe per VM and lease term", [&] {
+        for (uint64_t seed = first; seed < first + 60; ++seed) {
+            for (double rate : { 1.0, 10.0, 60.0 }) {
+                ProbingFleet fleet(seed, rate, true);
+                EXPECT_LE(fleet.largestExcess(60000), 0) << "seed " << seed << ", " << rate << " probes/s";
+                EXPECT_GT(fleet.total, 0u) << "seed " << seed;
+            }
+        }
+    });
+    section("the check finds the excess when a new number takes effect at once", [&] {
+        int found = 0;
+        for (uint64_t seed = first; seed < first + 20; ++seed)
+            found += ProbingFleet(seed, 60, false).largestExcess(60000) > 0;
+        EXPECT_GT(found, 0);
+    });
+    section("undisturbed VMs use most of their budget", [] {
+        ProbeBudget budget(MeasuringBudget { 10, 1e9 }, 5);
+        budget.setLiveVms(10, Milliseconds(leaseMs), timeAt(0));
+        for (double ms = 0; ms < 100000; ms += stepMs)
+            budget.take("target", 100, timeAt(ms));
+        EXPECT_GE(budget.granted(), 90u);
+    });
+}
+
+TEST(ProbeBudgetTest, isConservative)
+{
+    section("an unknown number of VMs divides by the assumed one", [] {
+        ProbeBudget budget(MeasuringBudget { 10, 1e9 }, 20);
+        for (double ms = 0; ms < 60000; ms += stepMs)
+            budget.take("target", 100, timeAt(ms));
+        EXPECT_GE(budget.granted(), 29u);
+        EXPECT_LE(budget.granted(), 30u);
+    });
+    section("a process that just started has nothing saved up, and a target that was not probed for long saves one probe", [] {
+        ProbeBudget budget(MeasuringBudget { 1, 1e9 }, 1);
+        EXPECT_FALSE(budget.take("target", 100, timeAt(500)));
+        EXPECT_TRUE(budget.take("target", 100, timeAt(60000)));
+        EXPECT_FALSE(budget.take("target", 100, timeAt(60001)));
+    });
+    section("bytes are bounded over all targets", [] {
+        ProbeBudget budget(MeasuringBudget { 1000, 4096 }, 1);
+        uint64_t bytes = 0;
+        for (double ms = 0; ms < 10000; ms += stepMs) {
+            for (const char* target : { "a", "b", "c" })
+                bytes += budget.take(target, 512, timeAt(ms)) ? 512 : 0;
+        }
+        EXPECT_LE(bytes, 4096u * 10);
+        EXPECT_GE(bytes, 4096u * 9);
+    });
+    section("a lower number of VMs takes effect only after a lease term", [] {
+        ProbeBudget budget(MeasuringBudget { 10, 1e9 }, 20);
+        for (double ms = 0; ms < 20000; ms += stepMs) {
+            budget.setLiveVms(ms < 10000 ? 10 : 1, Milliseconds(leaseMs), timeAt(ms));
+            if (ms >= 10000 && ms < 10000 + leaseMs)
+                budget.take("target", 100, timeAt(ms));
+        }
+        EXPECT_LE(budget.granted(), 4u);
+    });
+}
