--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -15,7 +15,7 @@
  * Estimates of one incarnation of a target, shared by successive routing tables.
  * Fields are independent atomics: a reader that mixes two updates gets a slightly older estimate, which is harmless.
  */
-class TargetEstimate {
+class alignas(64) TargetEstimate {
 public:
     /** @param serial Unique number of this object within its router. @param coldSinceMs Start of the ramp; neverMs: warm. */
     TargetEstimate(std::string address, uint64_t incarnation, uint32_t serial, double coldSinceMs);
@@ -44,9 +44,15 @@
     /** Returns the latency that the next request has to expect before queueing. @param fleetLatencyMs Used while nothing is known. */
     double latency(double fleetLatencyMs, double nowMs) const;
 
+    /** Returns the share of recent attempts that failed; it fades while there are no further failures. */
+    double recentFailures(double nowMs) const;
+
     /** Returns the estimated calls of other VMs on the target. @param fleetOthers What is assumed of a target without report. */
     double others(double fleetOthers, double nowMs) const;
 
+    /** Returns the calls of other VMs by the newest report. */
+    double reportedOthers() const;
+
     /** Returns the latency estimate that jumps to peaks and decays slowly. */
     double peakLatency(double nowMs) const;
 
@@ -56,7 +62,7 @@
     std::atomic<int32_t> outstanding { 0 }; ///< Own calls in flight.
     std::atomic<double> logLatency { 0 }; ///< Moving average of the logarithm of the latency in milliseconds.
     std::atomic<uint32_t> answers { 0 }; ///< Latencies seen.
-    std::atomic<double> failureShare { 0 }; ///< Moving average of failed attempts.
+    std::atomic<double> answeredMs { neverMs }; ///< When the last of them was seen.
     std::atomic<double> reportedMs { neverMs }; ///< When the newest report was made.
     std::atomic<double> observedMs { neverMs }; ///< Newest report or answer.
     std::atomic<int32_t> reportedInFlight { 0 }; ///< From the newest report.
@@ -66,8 +72,10 @@
 
 private:
     void learnLatency(double latencyMs, double nowMs);
-    void learnFailure(bool failed);
+    void learnFailure(bool failed, double nowMs);
 
+    std::atomic<double> failureShare { 0 }; ///< Moving average of failed attempts.
+    std::atomic<double> failedMs { neverMs }; ///< Last failure.
     std::atomic<double> peakLatencyMs { 0 };
     std::atomic<double> peakUpdatedMs { 0 };
     std::atomic<double> progressMs { neverMs }; ///< When an attempt last ended, or the first one in flight started.
--- /dev/null
+++ b/packages/coordination/tests/CrashContainmentTest.cpp
@@ -0,0 +1,249 @@
+/** @file CrashContainmentTest.cpp Guards against requests that crash target after target, and against quarantining innocent ones. */
+#include "kingcup/CrashContainment.h"
+
+#include "kingcup/RandomSource.h"
+#include "testing/Story.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <set>
+#include <thread>
+
+using namespace kingcup;
+using kingcup::testing::section;
+using kingcup::testing::testSeed;
+
+namespace {
+
+const std::string service = "ledger";
+
+/** Three entry VMs and a leader that serve a mix of requests, one of which crashes every target that runs it. */
+class CrashStory {
+public:
+    explicit CrashStory(uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    /**
+     * Runs steps in which requests start, end and crash targets; the leader's decisions arrive every few steps.
+     * @param withPoison Whether the request that crashes targets is in the mix.
+     */
+    void run(int steps, bool withPoison)
+    {
+        for (int i = 0; i < steps; ++i) {
+            this->wallMs += 5;
+            this->start(withPoison && this->random.below(12) == 0 ? "poison" : "popular-" + std::to_string(this->random.below(8)));
+            this->endSome();
+            if (i % 4 == 0)
+                this->publish();
+        }
+    }
+
+    size_t crashes = 0; ///< Targets that crashed.
+    std::set<std::string> refused; ///< Requests that were refused.
+
+private:
+    struct InFlight {
+        size_t vm; ///< Which entry VM.
+        Fingerprint request; ///< Which request.
+        std::string target; ///< Where.
+    };
+
+    void start(const std::string& name)
+    {
+        size_t vm = this->random.below(std::size(this->vms));
+        ContainmentVerdict verdict = this->vms[vm].verdict(service, name, this->wallMs);
+        if (verdict == ContainmentVerdict::Refuse) {
+            this->refused.insert(name);
+            return;
+        }
+        std::vector<std::string> excluded;
+        if (verdict == ContainmentVerdict::RunAlone)
+            excluded = this->vms[vm].targetsWithSuspects(service);
+        std::string target = "t" + std::to_string(this->random.below(10));
+        if (std::find(excluded.begin(), excluded.end(), target) != excluded.end())
+            return;
+        EXPECT_TRUE(this->vms[vm].started(service, name, target));
+        this->inFlight.push_back({ vm, name, target });
+    }
+
+    void endSome()
+    {
+        while (this->inFlight.size() > 12) {
+            InFlight first = this->inFlight.front();
+            if (first.request == "poison") {
+                this->crash(first.target);
+                continue;
+            }
+            this->inFlight.erase(this->inFlight.begin());
+            if (this->vms[first.vm].succeeded(service, first.request, first.target))
+                this->suspicions.erase(first.request);
+        }
+    }
+
+    void crash(const std::string& target)
+    {
+        ++this->crashes;
+        std::erase_if(this->inFlight, [&](const InFlight& call) {
+            bool lost = call.target == target;
+            if (lost && this->vms[call.vm].connectionLost(service, call.request, target))
+                this->suspicions[call.request].insert(target);
+            return lost;
+        });
+    }
+
+    void publish()
+    {
+        ConfigurationSnapshot snapshot;
+        for (const auto& [request, targets] : this->suspicions) {
+            wire::Quarantine& quarantine = snapshot.quarantines[{ service, request }];
+            quarantine.set_suspected_targets(static_cast<uint32_t>(targets.size()));
+            quarantine.set_until_wall_ms(static_cast<uint64_t>(this->wallMs) + 60000);
+        }
+        for (CrashContainment& vm : this->vms)
+            vm.update(snapshot);
+    }
+
+    RandomSource random;
+    CrashContainment vms[3];
+    std::map<Fingerprint, std::set<std::string>> suspicions; ///< As the leader counts them.
+    std::vector<InFlight> inFlight;
+    int64_t wallMs = 1000;
+};
+
+/** Returns a snapshot with one quarantine record. */
+ConfigurationSnapshot snapshotWith(const Fingerprint& fingerprint, uint32_t targets, bool cleared)
+{
+    ConfigurationSnapshot snapshot;
+    wire::Quarantine& quarantine = snapshot.quarantines[{ service, fingerprint }];
+    quarantine.set_suspected_targets(targets);
+    quarantine.set_until_wall_ms(60000);
+    quarantine.set_cleared(cleared);
+    return snapshot;
+}
+
+} // namespace
+
+TEST(CrashContainmentTest, stopsTheCulpritAndSparesTheOthers)
+{
+    uint64_t first = testSeed(1);
+    for (uint64_t seed = first; seed < first + 100; ++seed) {
+        section("seed " + std::to_string(seed) + ": requests that were answered before are never refused", [&] {
+            CrashStory story(seed);
+            story.run(200, false);
+            story.run(2000, true);
+            // Copies that were already in flight when the second target crashed still run.
+            EXPECT_LE(story.crashes, 6u);
+            EXPECT_EQ(story.refused, std::set<std::string> { "poison" });
+        });
+    }
+}
+
+TEST(CrashContainmentTest, judgesSingleRequests)
+{
+    section("a first crash makes a suspect that runs alone, a second target a quarantine that ends", [] {
+        CrashContainment containment;
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::Run);
+        containment.started(service, "a", "t1");
+        EXPECT_TRUE(containment.connectionLost(service, "a", "t1"));
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::RunAlone);
+        containment.started(service, "a", "t2");
+        EXPECT_TRUE(containment.connectionLost(service, "a", "t2"));
+        EXPECT_EQ(containment.verdict(service, "a", 1001), ContainmentVerdict::Refuse);
+        EXPECT_EQ(containment.verdict(service, "a", 1001 + 60000), ContainmentVerdict::Run);
+    });
+    section("two suspects never run on one target, not even when both were started by a race", [] {
+        CrashContainment containment;
+        containment.verdict(service, "a", 1000);
+        for (const char* request : { "a", "b" }) {
+            containment.started(service, request, "t1");
+            containment.connectionLost(service, request, "t1");
+        }
+        EXPECT_TRUE(containment.started(service, "a", "t2"));
+        EXPECT_EQ(containment.targetsWithSuspects(service), std::vector<std::string> { "t2" });
+        EXPECT_FALSE(containment.started(service, "b", "t2"));
+        containment.ended(service, "b", "t2");
+        EXPECT_TRUE(containment.succeeded(service, "a", "t2"));
+        EXPECT_TRUE(containment.targetsWithSuspects(service).empty());
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::Run);
+    });
+    section("an answer to another copy exonerates, but a second lost target counts again", [] {
+        CrashContainment containment;
+        containment.verdict(service, "a", 1000);
+        containment.started(service, "a", "t1");
+        containment.started(service, "a", "t2");
+        containment.started(service, "a", "t3");
+        EXPECT_FALSE(containment.succeeded(service, "a", "t2"));
+        containment.verdict(service, "b", 100000);
+        EXPECT_FALSE(containment.connectionLost(service, "a", "t1"));
+        EXPECT_EQ(containment.verdict(service, "a", 100000), ContainmentVerdict::Run);
+        EXPECT_TRUE(containment.connectionLost(service, "a", "t3"));
+    });
+    section("an old answer does not exonerate a new attempt", [] {
+        CrashContainment containment;
+        containment.verdict(service, "a", 1000);
+        containment.started(service, "a", "t1");
+        containment.succeeded(service, "a", "t1");
+        containment.verdict(service, "a", 60000);
+        containment.started(service, "a", "t2");
+        EXPECT_TRUE(containment.connectionLost(service, "a", "t2"));
+    });
+}
+
+TEST(CrashContainmentTest, followsTheLeader)
+{
+    CrashContainment containment;
+    section("a quarantine of the leader refuses until it ends", [&] {
+        containment.update(snapshotWith("a", 2, false));
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::Refuse);
+        EXPECT_EQ(containment.verdict("other", "a", 1000), ContainmentVerdict::Run);
+    });
+    section("a suspicion of the leader is cleared by an answer, and the leader is told once", [&] {
+        containment.update(snapshotWith("a", 1, false));
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::RunAlone);
+        containment.started(service, "a", "t1");
+        EXPECT_TRUE(containment.succeeded(service, "a", "t1"));
+        EXPECT_EQ(containment.verdict(service, "a", 1000), ContainmentVerdict::Run);
+        containment.started(service, "a", "t1");
+        EXPECT_FALSE(containment.succeeded(service, "a", "t1"));
+    });
+    section("what another VM cleared is cleared here", [&] {
+        containment.started(service, "b", "t1");
+        EXPECT_TRUE(containment.connectionLost(service, "b", "t1"));
+        containment.update(snapshotWith("b", 1, true));
+        EXPECT_EQ(containment.verdict(service, "b", 1000), ContainmentVerdict::Run);
+    });
+}
+
+TEST(CrashContainmentTest, fingerprintsNameRequests)
+{
+    EXPECT_EQ(requestFingerprint("s", "GET", "/a", "").size(), 16u);
+    EXPECT_EQ(requestFingerprint("s", "GET", "/a", "x"), requestFingerprint("s", "GET", "/a", "x"));
+    EXPECT_NE(requestFingerprint("s", "GET", "/a", "x"), requestFingerprint("s", "GET", "/ax", ""));
+    EXPECT_NE(requestFingerprint("s", "GET", "/a", ""), requestFingerprint("t", "GET", "/a", ""));
+}
+
+TEST(CrashContainmentTest, isThreadSafe)
+{
+    CrashContainment containment;
+    auto work = [&](int number) {
+        for (int i = 0; i < 5000; ++i) {
+            std::string request = std::to_string(i % 50);
+            containment.verdict(service, request, i);
+            containment.started(service, request, std::to_string(number));
+            if (i % 7 == 0)
+                containment.connectionLost(service, request, std::to_string(number));
+            else
+                containment.succeeded(service, request, std::to_string(number));
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i)
+        threads.emplace_back(work, i);
+    for (std::thread& thread : threads)
+        thread.join();
+    section("after all attempts have ended no target holds a suspect", [&] {
+        EXPECT_TRUE(containment.targetsWithSuspects(service).empty());
+    });
+}
