Add: refusal of slow senders, early answers and oversized bodies in the HTTP listener

libmicrohttpd cannot queue an answer while a body arrives, restarts its timeout with every byte and hangs on unknown transfer codings.

--- a/packages/transport/src/ConnectionWatcher.cpp
+++ b/packages/transport/src/ConnectionWatcher.cpp
@@ -1,15 +1,23 @@
 /** @file ConnectionWatcher.cpp The epoll loop that waits for callers to close. */
 #include "ConnectionWatcher.h"
 
+#include "RefusalAnswer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <utility>
 
 namespace kingcup {
 
 namespace {
 
 constexpr int eventsPerWait = 256;
+constexpr Milliseconds minSweepInterval { 20 };
 
 /** Adds a descriptor to an epoll set. */
 void watch(int epoll, int descriptor, uint32_t events, uint64_t id)
@@ -20,10 +28,28 @@
     epoll_ctl(epoll, EPOLL_CTL_ADD, descriptor, &event);
 }
 
+/** Returns the time between sweeps: a slow sender is refused at most this much later than its timeout. */
+Milliseconds sweepInterval(Milliseconds slowSenderTimeout)
+{
+    return std::max(minSweepInterval, slowSenderTimeout / 4);
+}
+
+/** Returns the bytes that a TCP socket has received, acknowledged and unread ones included. */
+uint64_t receivedBytes(int socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size);
+    return info.tcpi_bytes_received;
+}
+
 } // namespace
 
-ConnectionWatcher::ConnectionWatcher()
-    : epoll(epoll_create1(EPOLL_CLOEXEC))
+ConnectionWatcher::ConnectionWatcher(Milliseconds headerTimeout, std::function<void()> slowSenderHook)
+    : slowSenderTimeout(headerTimeout)
+    , slowHook(std::move(slowSenderHook))
+    , nextSweep(MillisecondClock::now() + sweepInterval(headerTimeout))
+    , epoll(epoll_create1(EPOLL_CLOEXEC))
     , wakeup(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
     watch(this->epoll, this->wakeup, EPOLLIN | EPOLLET, 0);
@@ -55,7 +81,10 @@
     std::shared_ptr<CallerConnection> connection = this->find(id);
     if (!connection)
         return;
-    epoll_ctl(this->epoll, EPOLL_CTL_DEL, connection->socket, nullptr);
+    {
+        std::lock_guard connectionLock(connection->mutex);
+        epoll_ctl(this->epoll, EPOLL_CTL_DEL, std::exchange(connection->socket, -1), nullptr);
+    }
     std::lock_guard lock(this->mutex);
     this->connections.erase(id);
 }
@@ -82,13 +111,59 @@
 {
     epoll_event events[eventsPerWait];
     while (!this->stopping) {
-        int count = epoll_wait(this->epoll, events, eventsPerWait, -1);
+        int limitMs = std::max(0, static_cast<int>(std::ceil((this->nextSweep - MillisecondClock::now()).count())));
+        int count = epoll_wait(this->epoll, events, eventsPerWait, limitMs);
         for (int index = 0; index < count; ++index) {
             if (events[index].data.u64 != 0)
                 this->handleGone(events[index].data.u64);
         }
         this->runTasks();
+        TimePoint now = MillisecondClock::now();
+        if (now >= this->nextSweep)
+            this->sweep(now);
+    }
+}
+
+void ConnectionWatcher::sweep(TimePoint now)
+{
+    this->nextSweep = now + sweepInterval(this->slowSenderTimeout);
+    std::vector<std::shared_ptr<CallerConnection>> watched;
+    {
+        std::lock_guard lock(this->mutex);
+        for (const auto& [id, connection] : this->connections)
+            watched.push_back(connection);
+    }
+    for (const std::shared_ptr<CallerConnection>& connection : watched) {
+        std::unique_lock lock(connection->mutex);
+        bool refused = !connection->goneHook && this->refuseSlowHeader(*connection, now);
+        std::function<void(TimePoint)> hook = connection->sweepHook;
+        lock.unlock();
+        if (refused && this->slowHook)
+            this->slowHook();
+        if (hook)
+            hook(now);
+    }
+}
+
+bool ConnectionWatcher::refuseSlowHeader(CallerConnection& connection, TimePoint now) const
+{
+    if (connection.socket < 0 || connection.peerGone)
+        return false;
+    uint64_t received = receivedBytes(connection.socket);
+    if (std::exchange(connection.requestEnded, false))
+        connection.idleBytes = received;
+    bool incomplete = received != connection.idleBytes;
+    if (!incomplete || connection.headerSince == TimePoint {}) {
+        connection.headerSince = incomplete ? now : TimePoint {};
+        return false;
     }
+    if (now - connection.headerSince < this->slowSenderTimeout)
+        return false;
+    // From here on the request cannot reach the handler, even if the rest of its header arrives now.
+    connection.peerGone = true;
+    sendRefusal(connection.socket, ResultCode::SlowSender);
+    shutdown(connection.socket, SHUT_RDWR);
+    return true;
 }
 
 void ConnectionWatcher::handleGone(uint64_t id)
--- a/packages/transport/src/ConnectionWatcher.h
+++ b/packages/transport/src/ConnectionWatcher.h
@@ -1,6 +1,8 @@
 /** @file ConnectionWatcher.h Notices callers that close their connection while libmicrohttpd does not watch it. */
 #pragma once
 
+#include "kingcup/MillisecondClock.h"
+
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -16,14 +18,19 @@
     int socket = -1; ///< Owned by libmicrohttpd.
     uint64_t id = 0; ///< Never reused, unlike the socket.
     std::mutex mutex; ///< Guards the fields below.
-    bool peerGone = false; ///< The caller closed its side.
-    std::function<void()> goneHook; ///< Called on the watcher's thread when the caller closes its side.
+    bool peerGone = false; ///< The caller closed its side, or was refused as a slow sender.
+    std::function<void()> goneHook; ///< Called on the watcher's thread when the caller closes its side; empty between requests.
+    std::function<void(TimePoint)> sweepHook; ///< Called by the periodic sweep while a request is open.
+    uint64_t idleBytes = 0; ///< Bytes received when no request was in progress.
+    bool requestEnded = false; ///< A request ended since the last sweep; idleBytes is outdated.
+    TimePoint headerSince {}; ///< When a sweep first found an incomplete header; default: none.
 };
 
 /** Waits for FIN and RST on the sockets of all connections, on a thread with its own epoll set. */
 class ConnectionWatcher {
 public:
-    ConnectionWatcher();
+    /** @param slowSenderTimeout Longest time for a header. @param slowHook Called for each sender that takes longer. */
+    ConnectionWatcher(Milliseconds slowSenderTimeout, std::function<void()> slowHook);
     ~ConnectionWatcher();
     ConnectionWatcher(const ConnectionWatcher&) = delete;
     ConnectionWatcher& operator=(const ConnectionWatcher&) = delete;
@@ -50,9 +57,18 @@
     /** Runs the posted tasks. */
     void runTasks();
 
+    /** Looks for slow senders on all connections. */
+    void sweep(TimePoint now);
+
+    /** Refuses the sender of a header that is incomplete for too long. Returns whether it did. */
+    bool refuseSlowHeader(CallerConnection& connection, TimePoint now) const;
+
     /** Returns a watched connection, or null. */
     std::shared_ptr<CallerConnection> find(uint64_t id);
 
+    Milliseconds slowSenderTimeout; ///< Longest time for a header.
+    std::function<void()> slowHook; ///< Called for each slow sender.
+    TimePoint nextSweep {}; ///< When to look for slow senders again.
     int epoll = -1; ///< Edge-triggered set of sockets and the wakeup.
     int wakeup = -1; ///< eventfd for tasks and stop().
     std::atomic<bool> stopping = false; ///< Set by stop().
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -147,7 +147,7 @@
 bool HttpListener::State::startDaemon()
 {
     unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-    auto timeoutSeconds = static_cast<unsigned>(std::ceil(this->options.slowSenderTimeout.count() / 1000));
+    auto timeoutSeconds = static_cast<unsigned>(std::ceil(this->options.slowSenderTimeout.count() / 1000)) + 1;
     size_t poolBytes = 2 * this->options.maxHeaderBytes + poolExtraBytes;
     unsigned poolThreads = this->options.threads > 1 ? this->options.threads : 0;
     this->daemon = MHD_start_daemon(flags, 0, nullptr, nullptr, &DaemonCallbacks<State>::access, this,
@@ -212,7 +212,10 @@
     this->state->options = std::move(options);
     this->state->handler = std::move(handler);
     this->state->refusedHook = std::move(refusedHook);
-    this->state->watcher = std::make_shared<ConnectionWatcher>();
+    this->state->watcher = std::make_shared<ConnectionWatcher>(this->state->options.slowSenderTimeout, [hook = this->state->refusedHook] {
+        if (hook)
+            hook(ResultCode::SlowSender);
+    });
     this->state->self = this->state;
 }
 
--- /dev/null
+++ b/packages/transport/src/RefusalAnswer.cpp
@@ -0,0 +1,55 @@
+/** @file RefusalAnswer.cpp Answers by which the listener itself refuses requests. */
+#include "RefusalAnswer.h"
+
+#include "HttpText.h"
+#include "kingcup/HttpRules.h"
+
+#include <microhttpd.h>
+#include <sys/socket.h>
+
+namespace kingcup {
+
+HttpAnswerHead refusalHead(ResultCode code)
+{
+    const ResultCodeRow& row = resultCodeRow(code);
+    HttpAnswerHead head { row.httpStatus, {}, std::nullopt };
+    head.headers.add("Content-Type", jsonContentType);
+    head.headers.add(headerResult, std::to_string(static_cast<int>(code)) + " " + std::string(row.name));
+    head.headers.add(headerRun, runStateName(row.runState));
+    return head;
+}
+
+std::string refusalBody(ResultCode code)
+{
+    const ResultCodeRow& row = resultCodeRow(code);
+    std::string body = "{\"code\":" + std::to_string(static_cast<int>(code));
+    body.append(",\"result\":\"").append(row.name);
+    body.append("\",\"text\":\"").append(row.text).append("\"}\n");
+    return body;
+}
+
+std::string closingAnswerText(const HttpAnswerHead& head, std::string_view body)
+{
+    const char* reason = MHD_get_reason_phrase_for(static_cast<unsigned>(head.status));
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " " + reason + "\r\n";
+    std::string_view connectionValue = head.headers.find("Connection").value_or("");
+    for (const HttpHeader& field : head.headers.fields) {
+        if (!isHopByHop(field.name, connectionValue) && !equalsIgnoreCase(field.name, "Content-Length"))
+            text.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    text.append("Connection: close\r\nContent-Length: ").append(std::to_string(body.size()));
+    return text.append("\r\n\r\n").append(body);
+}
+
+bool sendPastDaemon(int socket, const std::string& text)
+{
+    ssize_t sent = send(socket, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent == static_cast<ssize_t>(text.size());
+}
+
+void sendRefusal(int socket, ResultCode code)
+{
+    sendPastDaemon(socket, closingAnswerText(refusalHead(code), refusalBody(code)));
+}
+
+} // namespace kingcup
--- a/packages/transport/src/ServedAnswer.cpp
+++ b/packages/transport/src/ServedAnswer.cpp
@@ -1,8 +1,9 @@
 /** @file ServedAnswer.cpp Answer side of an exchange. */
 #include "HttpText.h"
+#include "RefusalAnswer.h"
 #include "ServedExchange.h"
 
-#include "kingcup/HttpRules.h"
+#include <sys/socket.h>
 
 #include <algorithm>
 
@@ -13,6 +14,9 @@
 /** Block that libmicrohttpd allocates for each streamed answer. */
 constexpr size_t streamBlockBytes = 32u << 10;
 
+/** Largest body of an early answer, so that the socket takes it at once. */
+constexpr size_t maxEarlyAnswerBytes = 16u << 10;
+
 /** Reads a streamed answer. */
 ssize_t readStream(void* exchange, uint64_t, char* buffer, size_t limit)
 {
@@ -56,6 +60,7 @@
     this->answerBody = std::move(bodyText);
     this->answerState = AnswerState::Whole;
     this->body.clear();
+    this->sendEarlyAnswer();
     this->resume();
     return true;
 }
@@ -102,6 +107,8 @@
     if (this->over || this->answerState == AnswerState::Whole || this->answerState == AnswerState::Finished)
         return;
     this->answerState = AnswerState::Aborted;
+    if (this->queued && this->connection)
+        this->reset();
     this->resume();
 }
 
@@ -129,17 +136,31 @@
 
 void ServedExchange::refuse(ResultCode code)
 {
-    const ResultCodeRow& row = resultCodeRow(code);
-    std::string number = std::to_string(static_cast<int>(code));
-    this->answerHead = { row.httpStatus, {}, std::nullopt };
-    this->answerHead.headers.add("Content-Type", jsonContentType);
-    this->answerHead.headers.add(headerResult, number + " " + std::string(row.name));
-    this->answerHead.headers.add(headerRun, runStateName(row.runState));
-    this->answerBody = "{\"code\":" + number + ",\"result\":\"" + std::string(row.name) + "\",\"text\":\"" + std::string(row.text) + "\"}\n";
+    if (this->answerState != AnswerState::None)
+        return;
+    this->answerHead = refusalHead(code);
+    this->answerBody = refusalBody(code);
     this->answerState = AnswerState::Whole;
-    this->closeAfterAnswer = true;
-    if (this->context->refusedHook)
-        this->context->refusedHook(code);
+    this->refused = true;
+}
+
+bool ServedExchange::maySendEarly() const
+{
+    bool waitsForBody = this->connection && this->handedOver && !this->bodyEnded && !this->queued;
+    // The caller must have got its interim answer first, if it waits for one.
+    bool interimSent = this->bodyBytes > 0 || !this->requestHead.headers.find("Expect");
+    return waitsForBody && interimSent && this->answerState == AnswerState::Whole && this->answerBody.size() <= maxEarlyAnswerBytes;
+}
+
+void ServedExchange::sendEarlyAnswer()
+{
+    if (!this->maySendEarly())
+        return;
+    this->sentEarly = sendPastDaemon(this->caller->socket, closingAnswerText(this->answerHead, this->answerBody));
+    if (this->sentEarly)
+        shutdown(this->caller->socket, SHUT_WR);
+    else
+        this->reset();
 }
 
 MHD_Response* ServedExchange::makeResponse()
@@ -171,7 +192,7 @@
     if (!response)
         return MHD_NO;
     addFields(response, this->answerHead.headers);
-    if (this->context->closing || this->closeAfterAnswer)
+    if (this->context->closing || this->refused)
         MHD_add_response_header(response, "Connection", "close");
     this->queued = true;
     MHD_Result result = MHD_queue_response(this->connection, static_cast<unsigned>(this->answerHead.status), response);
--- a/packages/transport/src/ServedExchange.cpp
+++ b/packages/transport/src/ServedExchange.cpp
@@ -8,6 +8,13 @@
 
 namespace kingcup {
 
+namespace {
+
+/** Body bytes that are received and discarded after an early answer. */
+constexpr uint64_t maxDrainedBytes = 1u << 20;
+
+} // namespace
+
 ServedExchange::ServedExchange(std::shared_ptr<ExchangeContext> exchangeContext, MHD_Connection* usedConnection, std::shared_ptr<CallerConnection> usedCaller)
     : context(std::move(exchangeContext))
     , caller(std::move(usedCaller))
@@ -96,6 +103,7 @@
 {
     if (!this->connection || !std::exchange(this->suspended, false))
         return;
+    this->bodyTime = MillisecondClock::now();
     MHD_resume_connection(this->connection);
 }
 
@@ -139,9 +147,12 @@
     bool hasBody = this->framing.chunked || this->framing.contentLength.value_or(0) > 0;
     Lock lock(this->mutex);
     this->bodyEnded = !hasBody;
+    this->bodyTime = MillisecondClock::now();
     if (code == ResultCode::Ok)
         return true;
     this->refuse(code);
+    lock.unlock();
+    this->reportRefusal(code);
     return false;
 }
 
@@ -152,17 +163,23 @@
         if (auto self = weak.lock())
             self->onGone(false);
     };
+    this->caller->sweepHook = [weak = this->weak_from_this()](TimePoint now) {
+        if (auto self = weak.lock())
+            self->onSweep(now);
+    };
+    this->caller->headerSince = {};
     return !this->caller->peerGone;
 }
 
 MHD_Result ServedExchange::onHandedOver()
 {
     Lock lock(this->mutex);
-    if (this->gone)
+    this->handedOver = true;
+    if (this->gone || this->context->stopping)
         return MHD_NO;
     // An early answer saves the caller from sending its body. Without a body the next call queues the answer.
     bool answered = this->answerState != AnswerState::None;
-    return answered && !this->bodyEnded ? this->queueAnswer() : MHD_YES;
+    return answered && (this->refused || !this->bodyEnded) ? this->queueAnswer() : MHD_YES;
 }
 
 MHD_Result ServedExchange::onBody(const char* bytes, size_t* size)
@@ -171,10 +188,17 @@
     if (this->gone)
         return MHD_NO;
     if (*size > 0) {
+        bool wasBroken = this->bodyBroken;
         MHD_Result result = this->takeBody(bytes, size);
+        bool brokenNow = this->bodyBroken && !wasBroken;
         this->callHooks(lock);
+        lock.unlock();
+        if (brokenNow)
+            this->reportRefusal(ResultCode::BodyTooLarge);
         return result;
     }
+    if (this->sentEarly)
+        return MHD_NO;
     if (!std::exchange(this->bodyEnded, true))
         this->due.readable = true;
     this->callHooks(lock);
@@ -190,12 +214,21 @@
 {
     std::string_view received(bytes, std::exchange(*size, 0));
     this->bodyBytes += received.size();
-    if (this->bodyBytes > this->context->options.maxBodyBytes && !std::exchange(this->bodyBroken, true))
+    this->bodyTime = MillisecondClock::now();
+    if (this->sentEarly) {
+        // Closing at once would make the kernel send RST, which can destroy the answer before the caller reads it.
+        this->drainedBytes += received.size();
+        return this->drainedBytes <= maxDrainedBytes ? MHD_YES : MHD_NO;
+    }
+    if (this->bodyBytes > this->context->options.maxBodyBytes && !std::exchange(this->bodyBroken, true)) {
+        this->due.readable = true;
         this->refuse(ResultCode::BodyTooLarge);
-    this->due.readable = true;
+        this->sendEarlyAnswer();
+    }
     bool unwanted = this->bodyBroken || this->answerState != AnswerState::None;
     if (unwanted)
-        return MHD_YES;
+        return this->bodyBytes <= this->context->options.maxBodyBytes || this->sentEarly ? MHD_YES : MHD_NO;
+    this->due.readable = true;
     this->body.append(received);
     if (this->body.size() >= this->context->options.bodyBufferBytes)
         this->suspend();
@@ -207,21 +240,43 @@
     {
         std::lock_guard callerLock(this->caller->mutex);
         this->caller->goneHook = nullptr;
+        this->caller->sweepHook = nullptr;
+        this->caller->requestEnded = true;
     }
     Lock lock(this->mutex);
     this->connection = nullptr;
-    bool slow = reason == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED && !this->bodyEnded;
-    this->markOver(reason == MHD_REQUEST_TERMINATED_COMPLETED_OK && this->queued);
+    bool slow = reason == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED && !(this->headSeen && this->bodyEnded);
+    bool refusedByDaemon = reason == MHD_REQUEST_TERMINATED_COMPLETED_OK && !this->headSeen;
+    this->markOver((reason == MHD_REQUEST_TERMINATED_COMPLETED_OK && this->queued) || this->sentEarly);
     this->due.readable = false;
     this->callHooks(lock);
     lock.unlock();
-    if (slow && this->context->refusedHook)
-        this->context->refusedHook(ResultCode::SlowSender);
+    if (slow || refusedByDaemon)
+        this->reportRefusal(slow ? ResultCode::SlowSender : ResultCode::BadRequest);
     std::lock_guard contextLock(this->context->mutex);
     if (--this->context->open == 0)
         this->context->idle.notify_all();
 }
 
+void ServedExchange::onSweep(TimePoint now)
+{
+    Lock lock(this->mutex);
+    bool waitsForBody = !this->bodyEnded && !this->bodyBroken && !this->suspended && !this->over;
+    if (!waitsForBody || now - this->bodyTime < this->context->options.slowSenderTimeout)
+        return;
+    this->bodyBroken = true;
+    this->due.readable = true;
+    this->callHooks(lock);
+    lock.unlock();
+    this->reportRefusal(ResultCode::SlowSender);
+}
+
+void ServedExchange::reportRefusal(ResultCode code) const
+{
+    if (this->context->refusedHook)
+        this->context->refusedHook(code);
+}
+
 void ServedExchange::onGone(bool force)
 {
     Lock lock(this->mutex);
--- a/packages/transport/src/ServedExchange.h
+++ b/packages/transport/src/ServedExchange.h
@@ -49,6 +49,9 @@
     /** Lets the watcher report that the caller closed. Returns false if it did already. */
     bool watchCaller();
 
+    /** Ends the body if the caller has paused too long. */
+    void onSweep(TimePoint now);
+
     /** Continues after the handler has seen the request. */
     MHD_Result onHandedOver();
 
@@ -102,12 +105,21 @@
     /** Marks the end for the hooks. */
     void markOver(bool completed);
 
+    /** Sends a whole answer before the body has ended, which libmicrohttpd cannot do. */
+    void sendEarlyAnswer();
+
+    /** Returns whether the answer can be sent by sendEarlyAnswer(). */
+    bool maySendEarly() const;
+
     /** Closes the connection with RST, so that the caller cannot take what it has for complete. */
     void reset();
 
-    /** Refuses the request with an answer of the listener. */
+    /** Refuses the request with an answer of the listener, unless there is an answer. */
     void refuse(ResultCode code);
 
+    /** Reports the refusal to the listener's user. Called without the lock. */
+    void reportRefusal(ResultCode code) const;
+
     /** Gives the answer to libmicrohttpd. */
     MHD_Result queueAnswer();
 
@@ -128,13 +140,17 @@
     bool gone = false; ///< The caller is gone or the listener stops.
     bool over = false; ///< The closed hook is due or was called.
     bool completed = false; ///< The whole answer was sent.
+    bool handedOver = false; ///< onHandedOver() was called.
+    bool refused = false; ///< The listener itself answers.
+    bool sentEarly = false; ///< The answer was sent by sendEarlyAnswer().
     bool queued = false; ///< The answer was given to libmicrohttpd.
-    bool closeAfterAnswer = false; ///< The rest of the connection cannot be trusted.
 
     ByteQueue body; ///< Received, not yet read.
     uint64_t bodyBytes = 0; ///< Received so far.
     bool bodyEnded = false; ///< All of it was received.
-    bool bodyBroken = false; ///< It exceeds its limit.
+    bool bodyBroken = false; ///< It exceeds its limit or stalls.
+    TimePoint bodyTime {}; ///< When the caller could last send body bytes or did so.
+    uint64_t drainedBytes = 0; ///< Discarded after an early answer.
 
     AnswerState answerState = AnswerState::None; ///< Progress.
     HttpAnswerHead answerHead; ///< Of the answer.
