--- a/testing/Deployment.cpp
+++ b/testing/Deployment.cpp
@@ -1,6 +1,8 @@
 /** @file Deployment.cpp Makes folders, keys and settings, and starts the processes of a deployment. */
 #include "testing/Deployment.h"
 
+#include "kingcup/ResultCode.h"
+
 #include <algorithm>
 #include <filesystem>
 #include <zmq.h>
@@ -11,7 +13,7 @@
 
 constexpr Milliseconds commandLimit { 15000 };
 constexpr Milliseconds startLimit { 20000 };
-constexpr Milliseconds requestLimit { 3000 };
+constexpr Milliseconds requestLimit { 4000 };
 constexpr size_t logTailBytes = 3000; ///< Of each log in the message of a failed test.
 constexpr size_t curveTextBytes = 41; ///< A CURVE key in Z85 with its end.
 
@@ -35,6 +37,11 @@
 
 } // namespace
 
+int OperatorAnswer::code() const
+{
+    return this->body.is_object() ? this->body.value("code", -1) : -1;
+}
+
 Deployment::Deployment(DeploymentOptions givenOptions)
     : options(std::move(givenOptions))
     , tokenOfOperators("operator-" + checksumOf(this->files.path()))
@@ -243,14 +250,10 @@
 
 bool Deployment::bootstrap(Milliseconds limit)
 {
-    return waitUntil(limit, [this] { return this->control(this->controls.front(), { "bootstrap" }).status == 0; });
-}
-
-CommandResult Deployment::applyManifest(const Vm& vm, const nlohmann::json& manifest)
-{
-    std::string file = this->folder() + "/manifest-" + std::to_string(++this->manifestFiles) + ".json";
-    writeFile(file, manifest.dump());
-    return this->control(vm, { "manifest", "apply", file });
+    return waitUntil(limit, [this] {
+        int code = this->ask(this->controls.front().operatorAddress, "POST", "/v1/bootstrap").code();
+        return code == static_cast<int>(ResultCode::Ok) || code == static_cast<int>(ResultCode::AlreadyBootstrapped);
+    });
 }
 
 std::string Deployment::start(const nlohmann::json& manifest)
@@ -261,9 +264,9 @@
         return "the control group was not formed\n" + this->logs();
     if (!this->startEntries())
         return "an entry VM cannot be started";
-    CommandResult applied;
-    if (!waitUntil(startLimit, [&] { return (applied = this->applyManifest(this->controls.front(), manifest)).status == 0; }))
-        return "the manifest was not accepted: " + applied.output + "\n" + this->logs();
+    OperatorAnswer applied;
+    if (!waitUntil(startLimit, [&] { return (applied = this->applyManifest(this->controls.front(), manifest)).code() == 0; }))
+        return "the manifest was not accepted: " + applied.body.dump() + "\n" + this->logs();
     if (!this->startTargets())
         return "a target cannot be started";
     if (!this->waitReady(startLimit))
@@ -271,34 +274,47 @@
     return {};
 }
 
-std::optional<HttpMessage> Deployment::ask(const Vm& vm, const std::string& method, const std::string& path, const std::string& body, const std::string& token) const
-{
-    return exchangeOnce(vm.operatorAddress, makeRequest(method, path, body, token), requestLimit);
-}
-
-nlohmann::json Deployment::query(const Vm& vm, const std::string& path) const
+OperatorAnswer Deployment::ask(const std::string& address, const std::string& method, const std::string& path, const std::string& body) const
 {
-    std::optional<HttpMessage> answer = this->ask(vm, "GET", path, {}, this->tokenOfOperators);
-    if (!answer || answer->status() != 200)
-        return nullptr;
+    Milliseconds limit = method == "POST" ? commandLimit : requestLimit;
+    std::optional<HttpMessage> answer = exchangeOnce(address, makeRequest(method, path, body, this->tokenOfOperators), limit);
+    if (!answer)
+        return {};
     nlohmann::json json = nlohmann::json::parse(answer->body, nullptr, false);
-    return json.is_discarded() ? nlohmann::json(nullptr) : json;
+    return { answer->status(), json.is_discarded() ? nlohmann::json(nullptr) : json };
 }
 
 Vm* Deployment::leader()
 {
-    for (Vm& vm : this->controls) {
-        nlohmann::json status = vm.process->running() ? this->query(vm, "/v1/status") : nlohmann::json();
-        if (status.is_object() && status.value("role", "") == "leader")
-            return &vm;
+    for (Vm& asked : this->controls) {
+        nlohmann::json status = asked.process->running() ? this->query(asked, "/v1/status") : nlohmann::json();
+        if (!status.is_object() || status.value("role", "") != "leader")
+            continue;
+        for (Vm& vm : this->controls) {
+            if (vm.name == status.value("vm", "") && vm.process->running())
+                return &vm;
+        }
     }
     return nullptr;
 }
 
+Vm* Deployment::waitLeader(Milliseconds limit)
+{
+    Vm* found = nullptr;
+    waitUntil(limit, [&] { return (found = this->leader()) != nullptr; });
+    return found;
+}
+
+uint64_t Deployment::manifestInForce(const Vm& vm) const
+{
+    nlohmann::json dump = this->query(vm, "/v1/dump");
+    nlohmann::json entry = dump.is_object() ? dump.value("entry", nlohmann::json::object()) : nlohmann::json::object();
+    return entry.value("manifestNumber", uint64_t { 0 });
+}
+
 bool Deployment::ready(const Vm& vm) const
 {
-    std::optional<HttpMessage> answer = this->ask(vm, "GET", "/readyz", {}, {});
-    return answer && answer->status() == 200;
+    return this->ask(vm.operatorAddress, "GET", "/readyz").status == 200;
 }
 
 bool Deployment::allTargetsKnown() const
--- a/testing/Deployment.h
+++ b/testing/Deployment.h
@@ -33,6 +33,14 @@
     nlohmann::json targetFaults = nlohmann::json::object(); ///< Initial faults of all targets.
 };
 
+/** What an operator listener answered. */
+struct OperatorAnswer {
+    int status = 0; ///< HTTP status; 0: no answer.
+    nlohmann::json body; ///< Null when there is none.
+
+    int code() const; ///< Numbered result code; -1: none.
+};
+
 /** One daemon process. */
 struct Vm {
     std::string name; ///< VM name.
@@ -81,15 +89,17 @@
     bool bootstrap(Milliseconds limit);
 
     /** Applies a manifest through a VM. */
-    CommandResult applyManifest(const Vm& vm, const nlohmann::json& manifest);
+    OperatorAnswer applyManifest(const Vm& vm, const nlohmann::json& manifest) const { return this->ask(vm.operatorAddress, "POST", "/v1/manifest", manifest.dump()); }
 
-    /** Sends a request to the operator listener of a VM. @param token Bearer token; empty: none. */
-    std::optional<HttpMessage> ask(const Vm& vm, const std::string& method, const std::string& path, const std::string& body, const std::string& token) const;
+    /** Sends a request with the operators' token to an operator listener. */
+    OperatorAnswer ask(const std::string& address, const std::string& method, const std::string& path, const std::string& body = {}) const;
 
     /** Returns the JSON that a VM gives for a path; null when it gives none. */
-    nlohmann::json query(const Vm& vm, const std::string& path) const;
+    nlohmann::json query(const Vm& vm, const std::string& path) const { return this->ask(vm.operatorAddress, "GET", path).body; }
 
     Vm* leader(); ///< The control VM that leads by its own word and runs, or null.
+    Vm* waitLeader(Milliseconds limit); ///< Waits for a leader; null when the limit passed.
+    uint64_t manifestInForce(const Vm& vm) const; ///< Manifest number in force on an entry VM; 0: none.
     bool ready(const Vm& vm) const; ///< Whether a VM reports itself ready.
     bool allTargetsKnown() const; ///< Whether all targets are serving in the table of each entry VM.
     bool waitReady(Milliseconds limit); ///< Waits until all entry VMs are ready.
@@ -132,7 +142,6 @@
     std::vector<Vm> entries; ///< Entry VMs.
     std::vector<TargetPlace> places; ///< Targets.
     std::vector<std::unique_ptr<Process>> targetProcesses; ///< Processes of the targets.
-    uint64_t manifestFiles = 0; ///< Manifest files written so far.
 };
 
 } // namespace kingcup::testing
--- a/testing/demo/DemoRun.cpp
+++ b/testing/demo/DemoRun.cpp
@@ -2,6 +2,7 @@
 #include "testing/demo/DemoRun.h"
 
 #include "testing/MachineTime.h"
+#include "testing/Scenario.h"
 
 #include <csignal>
 #include <memory>
@@ -83,8 +84,7 @@
 /** Kills the leader of the control group and the first target. Returns what was killed. */
 std::string injectFault(Deployment& deployment)
 {
-    Vm* leader = nullptr;
-    waitUntil(leaderLimit, [&] { return (leader = deployment.leader()) != nullptr; });
+    Vm* leader = deployment.waitLeader(leaderLimit);
     std::string text = "no leader found";
     if (leader) {
         leader->process->kill();
@@ -134,14 +134,9 @@
     DemoResult result;
     AddressPool addresses;
     Deployment deployment(plan.deployment);
-    result.failure = deployment.start(makeManifest(1, plan.deployment.services));
+    result.failure = startAll(deployment);
     if (!result.failure.empty())
         return result;
-    bool warm = waitUntil(leaderLimit, [&] { return deployment.allTargetsKnown(); });
-    if (!warm) {
-        result.failure = "not all targets are known\n" + deployment.logs();
-        return result;
-    }
     result.directCalls = runDirect(plan, deployment, addresses);
     runLoad(plan, deployment, addresses, result);
     result.probesPerSecond = probeRates(deployment);
