--- a/testing/Scenario.h
+++ b/testing/Scenario.h
@@ -1,6 +1,7 @@
 /** @file Scenario.h What most integration tests share: a small deployment, load, and the history of both. */
 #pragma once
 
+#include "kingcup/ResultCode.h"
 #include "testing/Deployment.h"
 
 #include <atomic>
