--- a/testing/demo/DemoRun.cpp
+++ b/testing/demo/DemoRun.cpp
@@ -107,24 +107,20 @@
     double started = machineTimeMs();
     load.start();
     waitUntil(faultTime, [] { return false; });
-    double faultMs = machineTimeMs() - started;
-    result.fault = injectFault(deployment) + " after " + std::to_string(static_cast<int>(faultMs)) + " ms";
+    result.faultMs = machineTimeMs();
+    result.fault = injectFault(deployment) + " after " + std::to_string(static_cast<int>(result.faultMs - started)) + " ms";
     load.join();
     result.seconds = (machineTimeMs() - started) / 1000;
     result.calls = load.records();
 }
 
-/** Returns the probes per second of the targets that still run. */
-std::vector<double> probeRates(Deployment& deployment)
+/** Returns the probes that each target has counted; 0 for a target that does not run. */
+std::vector<uint64_t> countProbes(Deployment& deployment)
 {
-    std::vector<double> rates;
-    for (size_t target = 0; target < deployment.targets().size(); ++target) {
-        FakeTargetStats stats = deployment.targetStats(target);
-        double seconds = (stats.lastProbeMs - stats.firstProbeMs) / 1000;
-        if (deployment.targetProcess(target).running())
-            rates.push_back(seconds > 0 ? static_cast<double>(stats.probes - 1) / seconds : 0);
-    }
-    return rates;
+    std::vector<uint64_t> probes;
+    for (size_t target = 0; target < deployment.targets().size(); ++target)
+        probes.push_back(deployment.targetStats(target).probes);
+    return probes;
 }
 
 } // namespace
@@ -138,8 +134,13 @@
     if (!result.failure.empty())
         return result;
     result.directCalls = runDirect(plan, deployment, addresses);
+    std::vector<uint64_t> before = countProbes(deployment);
     runLoad(plan, deployment, addresses, result);
-    result.probesPerSecond = probeRates(deployment);
+    std::vector<uint64_t> after = countProbes(deployment);
+    for (size_t target = 0; target < after.size(); ++target) {
+        if (deployment.targetProcess(target).running())
+            result.probes.push_back(after[target] - before[target]);
+    }
 
     History history;
     for (const auto* records : { &result.calls, &result.directCalls }) {
--- a/testing/demo/DemoRun.h
+++ b/testing/demo/DemoRun.h
@@ -23,7 +23,8 @@
     std::vector<CallRecord> calls; ///< Calls through the entry VMs.
     std::vector<CallRecord> directCalls; ///< The same mix sent straight to the targets.
     std::vector<Violation> violations; ///< What the history checker found.
-    std::vector<double> probesPerSecond; ///< Of each target that still runs.
+    std::vector<uint64_t> probes; ///< During the load, of each target that still runs.
+    double faultMs = 0; ///< Machine time of the fault.
     std::string fault; ///< What was killed and when.
     double seconds = 0; ///< Length of the load.
 };
--- a/testing/demo/DemoTable.cpp
+++ b/testing/demo/DemoTable.cpp
@@ -32,20 +32,25 @@
 }
 
 /** Prints one row of the table. */
-void printRow(const std::string& name, const std::vector<CallRecord>& records, const std::vector<CallRecord>& direct, const std::vector<Violation>& violations)
+void printRow(const std::string& name, const std::vector<CallRecord>& records, const std::vector<CallRecord>& direct, const DemoResult& result)
 {
-    LoadSummary through = summarise(records);
+    std::vector<CallRecord> undisturbed;
+    std::copy_if(records.begin(), records.end(), std::back_inserter(undisturbed), [&result](const CallRecord& record) { return record.view.endMs < result.faultMs; });
+    LoadSummary all = summarise(records);
+    LoadSummary before = summarise(undisturbed);
     LoadSummary straight = summarise(direct);
-    std::printf("  %-28s %7lu %9lu %8lu %8lu %8lu %9.2f %9.2f %9.2f %9.2f\n", name.c_str(), through.calls, through.answered, through.refused, through.unknown,
-        countDoubled(records, violations), through.p50Ms, through.p99Ms, through.p50Ms - straight.p50Ms, through.p99Ms - straight.p99Ms);
+    std::printf("  %-20s %7lu %9lu %8lu %8lu %8lu | %8.2f %8.2f | %8.2f %8.2f %8.2f %8.2f\n", name.c_str(), all.calls, all.answered, all.refused, all.unknown,
+        countDoubled(records, result.violations), all.p50Ms, all.p99Ms, before.p50Ms, before.p99Ms, before.p50Ms - straight.p50Ms, before.p99Ms - straight.p99Ms);
 }
 
 /** Prints how often the targets were probed. */
-void printProbes(const std::vector<double>& rates)
+void printProbes(const DemoResult& result)
 {
-    double sum = std::accumulate(rates.begin(), rates.end(), 0.0);
-    double most = rates.empty() ? 0 : *std::max_element(rates.begin(), rates.end());
-    std::printf("  probes per target and second: mean %.2f, most %.2f (%zu targets)\n", rates.empty() ? 0 : sum / static_cast<double>(rates.size()), most, rates.size());
+    if (result.probes.empty())
+        return;
+    uint64_t sum = std::accumulate(result.probes.begin(), result.probes.end(), uint64_t { 0 });
+    uint64_t most = *std::max_element(result.probes.begin(), result.probes.end());
+    std::printf("  probes per target: mean %.2f, most %lu (%zu targets)\n", static_cast<double>(sum) / static_cast<double>(result.probes.size()), most, result.probes.size());
 }
 
 /** Prints the calls by result. */
@@ -68,13 +73,14 @@
         return;
     }
     std::printf("  fault: %s\n", result.fault.c_str());
-    std::printf("  %-28s %7s %9s %8s %8s %8s %9s %9s %9s %9s\n", "kind", "calls", "answered", "not run", "unknown", "doubled", "p50 ms", "p99 ms", "+p50 ms", "+p99 ms");
+    std::printf("  %-20s %7s %9s %8s %8s %8s | %-17s | %-35s\n", "", "", "", "", "", "", "whole run", "before the fault, + against direct");
+    std::printf("  %-20s %7s %9s %8s %8s %8s | %8s %8s | %8s %8s %8s %8s\n", "kind", "calls", "answered", "not run", "unknown", "doubled", "p50 ms", "p99 ms", "p50 ms", "p99 ms", "+p50 ms", "+p99 ms");
     for (size_t kind = 0; kind < plan.mix.size(); ++kind)
-        printRow(plan.mix[kind].name, ofKind(result.calls, kind), ofKind(result.directCalls, kind), result.violations);
-    printRow("all", result.calls, result.directCalls, result.violations);
-    std::printf("  +p50 and +p99: added latency against the same mix sent straight to the targets, before the fault\n");
+        printRow(plan.mix[kind].name, ofKind(result.calls, kind), ofKind(result.directCalls, kind), result);
+    printRow("all", result.calls, result.directCalls, result);
+    std::printf("  direct: the same mix sent straight to the targets\n");
     printResults(result.calls);
-    printProbes(result.probesPerSecond);
+    printProbes(result);
     std::printf("  load of %.1f s; violations: %zu\n%s", result.seconds, result.violations.size(), describeViolations(result.violations).c_str());
     std::fflush(stdout);
 }
