--- a/testing/demo/DemoRun.cpp
+++ b/testing/demo/DemoRun.cpp
@@ -2,6 +2,7 @@
 #include "testing/demo/DemoRun.h"
 
 #include "testing/MachineTime.h"
+#include "testing/Scenario.h"
 
 #include <csignal>
 #include <memory>
@@ -83,8 +84,7 @@
 /** Kills the leader of the control group and the first target. Returns what was killed. */
 std::string injectFault(Deployment& deployment)
 {
-    Vm* leader = nullptr;
-    waitUntil(leaderLimit, [&] { return (leader = deployment.leader()) != nullptr; });
+    Vm* leader = deployment.waitLeader(leaderLimit);
     std::string text = "no leader found";
     if (leader) {
         leader->process->kill();
@@ -107,24 +107,20 @@
     double started = machineTimeMs();
     load.start();
     waitUntil(faultTime, [] { return false; });
-    double faultMs = machineTimeMs() - started;
-    result.fault = injectFault(deployment) + " after " + std::to_string(static_cast<int>(faultMs)) + " ms";
+    result.faultMs = machineTimeMs();
+    result.fault = injectFault(deployment) + " after " + std::to_string(static_cast<int>(result.faultMs - started)) + " ms";
     load.join();
     result.seconds = (machineTimeMs() - started) / 1000;
     result.calls = load.records();
 }
 
-/** Returns the probes per second of the targets that still run. */
-std::vector<double> probeRates(Deployment& deployment)
+/** Returns the probes that each target has counted; 0 for a target that does not run. */
+std::vector<uint64_t> countProbes(Deployment& deployment)
 {
-    std::vector<double> rates;
-    for (size_t target = 0; target < deployment.targets().size(); ++target) {
-        FakeTargetStats stats = deployment.targetStats(target);
-        double seconds = (stats.lastProbeMs - stats.firstProbeMs) / 1000;
-        if (deployment.targetProcess(target).running())
-            rates.push_back(seconds > 0 ? static_cast<double>(stats.probes - 1) / seconds : 0);
-    }
-    return rates;
+    std::vector<uint64_t> probes;
+    for (size_t target = 0; target < deployment.targets().size(); ++target)
+        probes.push_back(deployment.targetStats(target).probes);
+    return probes;
 }
 
 } // namespace
@@ -134,17 +130,17 @@
     DemoResult result;
     AddressPool addresses;
     Deployment deployment(plan.deployment);
-    result.failure = deployment.start(makeManifest(1, plan.deployment.services));
+    result.failure = startAll(deployment);
     if (!result.failure.empty())
         return result;
-    bool warm = waitUntil(leaderLimit, [&] { return deployment.allTargetsKnown(); });
-    if (!warm) {
-        result.failure = "not all targets are known\n" + deployment.logs();
-        return result;
-    }
     result.directCalls = runDirect(plan, deployment, addresses);
+    std::vector<uint64_t> before = countProbes(deployment);
     runLoad(plan, deployment, addresses, result);
-    result.probesPerSecond = probeRates(deployment);
+    std::vector<uint64_t> after = countProbes(deployment);
+    for (size_t target = 0; target < after.size(); ++target) {
+        if (deployment.targetProcess(target).running())
+            result.probes.push_back(after[target] - before[target]);
+    }
 
     History history;
     for (const auto* records : { &result.calls, &result.directCalls }) {
