Fix: Answer heartbeats of the leader before entries are synced

With a disk that stalled for longer than the election timeout, answers to heartbeats waited behind the sync and the leader stepped down. A follower now answers the round at once, with no statement about entries, as long as its term is synced.

--- a/packages/coordination/include/kingcup/ReplicatedLog.h
+++ b/packages/coordination/include/kingcup/ReplicatedLog.h
@@ -50,6 +50,9 @@
     /** Tells that all entries up to this index (of this term) and the last hard state are synced. */
     LogOutput synced(LogIndex index, Term term, TimePoint now);
 
+    /** Tells that the hard state of a term is synced. Until then heartbeats are answered only after their sync. */
+    void hardStateSynced(Term term);
+
     /** Tells that a snapshot up to this index was stored; entries before it are dropped from memory. */
     void compacted(const SnapshotMeta& meta);
 
--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -31,6 +31,7 @@
     , hardState(durable.hardState)
     , commitIndex(durable.snapshot.lastIndex)
     , syncedIndex(log.lastIndex())
+    , syncedTerm(durable.hardState.term)
     , lastLeaderContact(now)
 {
     this->resetElectionTimer(now);
@@ -158,6 +159,11 @@
     });
 }
 
+void ReplicatedLog::hardStateSynced(Term term)
+{
+    this->state->syncedTerm = std::max(this->state->syncedTerm, term);
+}
+
 void ReplicatedLog::compacted(const SnapshotMeta& meta)
 {
     State& member = *this->state;
--- a/packages/coordination/src/ReplicatedLogFollower.cpp
+++ b/packages/coordination/src/ReplicatedLogFollower.cpp
@@ -35,9 +35,25 @@
         }
     }
     answer.set_term(this->hardState.term);
+    this->answerRound(from, answer, output);
     this->send(from, std::move(message), false, output);
 }
 
+void ReplicatedLog::State::answerRound(const MemberId& from, const wire::AppendAnswer& answer, LogOutput& output) const
+{
+    // A disk that stalls for longer than the election timeout must not look like a lost member to the leader.
+    bool termIsSynced = this->syncedTerm == this->hardState.term && !output.write.hardState;
+    if (!answer.accepted() || !termIsSynced)
+        return;
+    wire::LogMessage message;
+    wire::AppendAnswer& early = *message.mutable_append_answer();
+    early.set_term(answer.term());
+    early.set_accepted(true);
+    early.set_round(answer.round());
+    early.set_round_only(true);
+    this->send(from, std::move(message), true, output);
+}
+
 LogIndex ReplicatedLog::State::appendMissing(const wire::AppendRequest& request, LogOutput& output)
 {
     LogIndex match = request.previous_index();
--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -126,6 +126,8 @@
     if (!peer || this->role != LogRole::Leader || answer.term() != this->hardState.term)
         return;
     this->noteRound(*peer, answer.round());
+    if (answer.round_only())
+        return;
     if (answer.accepted()) {
         peer->match = std::max<LogIndex>(peer->match, answer.match_index());
         peer->next = std::max(peer->next, peer->match + 1);
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -83,6 +83,8 @@
     // Follower (ReplicatedLogFollower.cpp).
     bool acceptLeader(const MemberId& from, Term leaderTerm, TimePoint now, LogOutput& output);
     void receiveAppend(const MemberId& from, const wire::AppendRequest& request, TimePoint now, LogOutput& output);
+    /** Answers the heartbeat round before the entries are synced. */
+    void answerRound(const MemberId& from, const wire::AppendAnswer& answer, LogOutput& output) const;
     LogIndex appendMissing(const wire::AppendRequest& request, LogOutput& output);
     LogIndex conflictIndex(LogIndex previous) const;
     void receiveSnapshot(const MemberId& from, const wire::SnapshotRequest& request, TimePoint now, LogOutput& output);
@@ -123,6 +125,7 @@
     VmId leader = 0; ///< Known leader; 0 for none.
     LogIndex commitIndex = 0;
     LogIndex syncedIndex = 0; ///< Own entries known to be synced.
+    Term syncedTerm = 0; ///< Term known to be synced.
     bool diskFull = false;
     TimePoint lastLeaderContact; ///< A start counts as contact, because the answers sent before it support the leader's lease.
     TimePoint electionDeadline;
--- a/programs/kingcupswitchd/LogDriver.cpp
+++ b/programs/kingcupswitchd/LogDriver.cpp
@@ -136,11 +136,13 @@
     } else if (writes || !output.messagesAfterSync.empty()) {
         LogIndex lastIndex = output.write.entries.empty() ? 0 : output.write.entries.back().index();
         Term lastTerm = output.write.entries.empty() ? 0 : output.write.entries.back().term();
+        Term hardTerm = output.write.hardState ? output.write.hardState->term : 0;
         LogWriteJob job;
         job.write = std::move(output.write);
         job.receivedSnapshot = std::move(output.snapshot);
-        job.written = [this, lastIndex, lastTerm, messages = std::move(output.messagesAfterSync)] {
-            this->hub.post([this, lastIndex, lastTerm, messages] {
+        job.written = [this, lastIndex, lastTerm, hardTerm, messages = std::move(output.messagesAfterSync)] {
+            this->hub.post([this, lastIndex, lastTerm, hardTerm, messages] {
+                this->replicatedLog.hardStateSynced(hardTerm);
                 this->send(messages);
                 if (lastIndex)
                     this->process(this->replicatedLog.synced(lastIndex, lastTerm, MillisecondClock::now()));
