Fix: A request that crashes targets was sent to more than two

Cause: the quarantine reached the other entry VMs up to 10 ms after the caller had its answer, so a caller that sent its request again at once took a third target and more. Ruled out by a trace: lost or refused suspicions, and exoneration.

--- a/programs/kingcupswitchd/ControlNode.cpp
+++ b/programs/kingcupswitchd/ControlNode.cpp
@@ -1,11 +1,12 @@
 /** @file ControlNode.cpp Implementation of the role control. */
 #include "ControlNode.h"
 
-#include "kingcup/JsonLog.h"
 #include "kingcup/ApplyManifest.h"
+#include "kingcup/JsonLog.h"
 #include "kingcup/ManifestParser.h"
 #include "kingcup/TargetStates.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <sys/statvfs.h>
 
@@ -19,6 +20,7 @@
 constexpr uint64_t diskReserveBytes = 32u << 20; ///< New commands are refused below this, so that what is accepted can still be written.
 constexpr int diskFailureExitCode = 70;
 constexpr size_t loadDigestBytes = 2048; ///< In one answer a second, within the 4 KB/s of control traffic.
+constexpr Milliseconds confirmationLimit { 400 }; ///< An entry VM that failed must not hold up an answer for its whole lease.
 constexpr int maxManifestAttempts = 5; ///< Tries of a change whose base was replaced meanwhile.
 
 /** Returns whether an announcement changes the record of a target. */
@@ -107,6 +109,8 @@
         const wire::TargetRecord& target = command.change_target().target();
         this->pendingTargets.erase({ target.service(), target.address() });
     }
+    if (this->machine.configurationIndex() == index)
+        this->schedulePush();
     return result;
 }
 
@@ -121,6 +125,10 @@
     this->soundLeader = false;
     this->subscribers.clear();
     this->pendingTargets.clear();
+    std::vector<AwaitedConfiguration> waiting;
+    waiting.swap(this->awaitedConfigurations);
+    for (const AwaitedConfiguration& awaited : waiting)
+        awaited.answer();
 }
 
 void ControlNode::receive(const LinkOrigin& origin, const wire::Envelope& envelope)
@@ -196,6 +204,51 @@
             this->proposeInternal(std::move(command));
     }
     this->pushConfiguration();
+    this->answerConfirmed(now);
+}
+
+/** Sends pushes right after the entries that are being applied, without waiting for the next tick. */
+void ControlNode::schedulePush()
+{
+    if (this->pushPosted)
+        return;
+    this->pushPosted = true;
+    this->hub->post([this] {
+        this->pushPosted = false;
+        if (this->leaderCode() == ResultCode::Ok)
+            this->pushConfiguration();
+    });
+}
+
+/** Returns a hook that answers a quarantine once every live entry VM holds it, because the caller may send the request again to any of them. */
+LogDriver::Done ControlNode::answeredOnceInForce(LogDriver::Done done)
+{
+    return [this, done = std::move(done)](const wire::CommandResult& result) {
+        bool quarantined = result.result_code() == 0 && result.quarantined_until_ms() > 0;
+        if (!quarantined) {
+            done(result);
+            return;
+        }
+        TimePoint deadline = MillisecondClock::now() + confirmationLimit;
+        this->awaitedConfigurations.push_back({ this->machine.configurationIndex(), deadline, [done, result] { done(result); } });
+    };
+}
+
+/** Sends the answers whose configuration is confirmed by all live entry VMs, or whose time is over. */
+void ControlNode::answerConfirmed(TimePoint now)
+{
+    auto held = [this](LogIndex index) {
+        const auto& sessions = this->sessions->sessions();
+        return std::all_of(sessions.begin(), sessions.end(), [index](const auto& entry) { return entry.second.heldIndex >= index; });
+    };
+    std::vector<AwaitedConfiguration> waiting;
+    waiting.swap(this->awaitedConfigurations);
+    for (AwaitedConfiguration& awaited : waiting) {
+        if (now >= awaited.deadline || held(awaited.index))
+            awaited.answer();
+        else
+            this->awaitedConfigurations.push_back(std::move(awaited));
+    }
 }
 
 /** Sends new changes to every entry VM that lacks them. */
@@ -229,6 +282,7 @@
         if (known != this->sessions->sessions().end() && known->second.incarnation < request.incarnation())
             this->proposeEntryVmGone(request.entry_vm(), request.incarnation());
         this->sessions->renew(request, now);
+        this->answerConfirmed(now);
         body->set_lease_ms(static_cast<uint64_t>(this->settings.leaseTerm.count()));
         body->set_live_entry_vms(this->sessions->liveEntryVms(now));
         *body->mutable_changes() = this->machine.changesSince(request.held_index());
@@ -269,7 +323,7 @@
         done(checked);
         return;
     }
-    this->driver->propose(request.command(), done);
+    this->driver->propose(request.command(), request.command().has_suspicion() ? this->answeredOnceInForce(done) : done);
 }
 
 /** Checks a manifest again, turns it into a change against the one in force and proposes that. */
@@ -420,7 +474,7 @@
     if (now < this->nextDiskCheck)
         return;
     this->nextDiskCheck = now + diskCheckInterval;
-    struct statvfs space {};
+    struct statvfs space { };
     if (statvfs(this->folder->path().c_str(), &space) == 0)
         this->driver->setDiskFull(static_cast<uint64_t>(space.f_bavail) * space.f_frsize < diskReserveBytes);
 }
--- a/programs/kingcupswitchd/ControlNode.h
+++ b/programs/kingcupswitchd/ControlNode.h
@@ -62,6 +62,11 @@
         LinkOrigin origin; ///< Where pushes go.
         LogIndex sentIndex = 0; ///< Configuration sent last.
     };
+    struct AwaitedConfiguration {
+        LogIndex index = 0; ///< Entry VMs have to confirm this.
+        TimePoint deadline {}; ///< Answered then in any case.
+        std::function<void()> answer; ///< Sends the answer.
+    };
     wire::CommandResult apply(LogIndex index, const wire::Command& command);
     void roleChanged();
     void receiveSession(const LinkOrigin& origin, const wire::Envelope& envelope);
@@ -76,7 +81,10 @@
     void proposeEntryVmGone(const std::string& entryVm, uint64_t incarnation);
     void proposeInternal(wire::Command command);
     void leaderTick(TimePoint now);
+    void schedulePush();
     void pushConfiguration();
+    LogDriver::Done answeredOnceInForce(LogDriver::Done done);
+    void answerConfirmed(TimePoint now);
     void checkDisk(TimePoint now);
     ResultCode leaderCode() const;
     nlohmann::json answerQuery(const std::string& subject) const;
@@ -94,6 +102,8 @@
     std::unique_ptr<MembershipManager> membership; ///< Changes of members.
     std::map<std::string, Subscriber> subscribers; ///< Entry VMs by name.
     std::set<std::pair<std::string, std::string>> pendingTargets; ///< Targets with a proposal under way.
+    std::vector<AwaitedConfiguration> awaitedConfigurations; ///< Answers that wait until all entry VMs hold a configuration.
+    bool pushPosted = false; ///< A push is waiting in the hub.
     bool wasLeader = false; ///< Role at the last change.
     bool soundLeader = false; ///< Whether the soft state was set up for this term of leadership.
     TimePoint nextExpiry {}; ///< Next command that expires claims.
--- a/programs/kingcupswitchd/EntryNode.cpp
+++ b/programs/kingcupswitchd/EntryNode.cpp
@@ -53,8 +53,8 @@
     if (envelope.has_configuration_push()) {
         if (this->configuration.receive(envelope.configuration_push())) {
             this->publish();
-            // The leader counts a configuration as in force once the next session request confirms it.
-            this->nextSession = now;
+            // The leader counts a configuration as in force once a session request confirms it.
+            this->sendSessionRequest(now);
         }
         return true;
     }
@@ -88,17 +88,18 @@
 void EntryNode::tick(TimePoint now)
 {
     this->metrics.gauge("kingcup_lease_valid", this->gateway.leaseValid() ? 1 : 0);
-    if (now >= this->nextSession)
-        this->sendSessionRequest(now);
+    if (now < this->nextSession)
+        return;
+    if (++this->unanswered > unansweredBeforeNextVm) {
+        this->unanswered = 1;
+        this->leader.tryNextVm();
+    }
+    this->sendSessionRequest(now);
 }
 
 void EntryNode::sendSessionRequest(TimePoint now)
 {
     this->nextSession = now + this->settings.sessionInterval;
-    if (++this->unanswered > unansweredBeforeNextVm) {
-        this->unanswered = 1;
-        this->leader.tryNextVm();
-    }
     wire::Envelope envelope;
     uint64_t id = this->leader.nextRequestId();
     envelope.set_request_id(id);
