Fix: HTTP listener closed connections whose answer came right after the last body byte

A body with Content-Length now ends with its last byte. Answers with status 304 keep their connection whatever length they state, and chunked answers in HTTP/1.0 are refused.

--- a/packages/transport/src/AnswerParser.cpp
+++ b/packages/transport/src/AnswerParser.cpp
@@ -11,8 +11,6 @@
 constexpr size_t statusOffset = 9; ///< Length of "HTTP/1.1 ".
 constexpr size_t statusDigits = 3;
 constexpr int switchingProtocols = 101;
-constexpr int noContent = 204;
-constexpr int notModified = 304;
 
 } // namespace
 
@@ -48,6 +46,7 @@
     uint64_t status = parseDigits(line.substr(statusOffset, statusDigits)).value_or(0);
     if (status < 100 || status > 599 || status == switchingProtocols)
         return Progress::Invalid;
+    this->oldVersion = line.starts_with("HTTP/1.0");
     this->answerHead.status = static_cast<int>(status);
     return Progress::More;
 }
@@ -69,9 +68,9 @@
         return Progress::More;
     }
     std::optional<BodyFraming> framing = bodyFraming(this->answerHead.headers);
-    if (!framing)
+    if (!framing || (framing->chunked && this->oldVersion))
         return Progress::Invalid;
-    bool bodyless = this->headRequest || status == noContent || status == notModified;
+    bool bodyless = this->headRequest || isBodylessStatus(status);
     // A body that ends with the connection looks the same when the target crashes halfway.
     if (!bodyless && !framing->chunked && !framing->contentLength)
         return Progress::Invalid;
--- a/packages/transport/src/AnswerParser.h
+++ b/packages/transport/src/AnswerParser.h
@@ -43,6 +43,7 @@
     bool headRequest = false; ///< The request's method is HEAD.
     uint64_t maxHeaderBytes = 0; ///< Limit.
     uint64_t headerBytes = 0; ///< Received.
+    bool oldVersion = false; ///< HTTP/1.0, which has no chunked coding.
     bool isComplete = false; ///< The final header ended.
     HttpAnswerHead answerHead; ///< Being built.
 };
--- a/packages/transport/src/HttpFraming.h
+++ b/packages/transport/src/HttpFraming.h
@@ -35,6 +35,12 @@
 /** Returns whether the text is a path with optional query, without blanks, control characters or a fragment. */
 bool isOriginForm(std::string_view target);
 
+/** Returns whether answers with this status never have a body, whatever their Content-Length. */
+constexpr bool isBodylessStatus(int status)
+{
+    return status == 204 || status == 304;
+}
+
 /** Returns the framing that the fields state, or nothing if it is ambiguous or malformed. */
 std::optional<BodyFraming> bodyFraming(const HttpHeaders& headers);
 
--- a/packages/transport/src/ServedAnswer.cpp
+++ b/packages/transport/src/ServedAnswer.cpp
@@ -96,7 +96,7 @@
     if (this->over || this->answerState != AnswerState::Streaming)
         return;
     bool complete = this->streamBytes == this->answerHead.contentLength.value_or(this->streamBytes);
-    bool bodyless = this->requestHead.method == "HEAD";
+    bool bodyless = this->requestHead.method == "HEAD" || isBodylessStatus(this->answerHead.status);
     this->answerState = complete || bodyless ? AnswerState::Finished : AnswerState::Aborted;
     this->resume();
 }
--- a/packages/transport/src/ServedExchange.cpp
+++ b/packages/transport/src/ServedExchange.cpp
@@ -230,7 +230,10 @@
         return this->bodyBytes <= this->context->options.maxBodyBytes || this->sentEarly ? MHD_YES : MHD_NO;
     this->due.readable = true;
     this->body.append(received);
-    if (this->body.size() >= this->context->options.bodyBufferBytes)
+    // libmicrohttpd reports the end in a later call. An answer given in between must not count as early, because that
+    // closes the connection.
+    this->bodyEnded = this->bodyBytes == this->framing.contentLength;
+    if (!this->bodyEnded && this->body.size() >= this->context->options.bodyBufferBytes)
         this->suspend();
     return MHD_YES;
 }
--- a/packages/transport/tests/HttpListenerTest.cpp
+++ b/packages/transport/tests/HttpListenerTest.cpp
@@ -185,6 +185,26 @@
     EXPECT_TRUE(noting.wait([](const Calls& seen) { return seen.completed == 1; }));
 }
 
+TEST(HttpListenerTest, keepsTheConnectionWhenTheAnswerFollowsTheLastBodyByte)
+{
+    // The answer is given before libmicrohttpd reports the end of the body, as a fast target does.
+    HttpListener listener({ .address = "127.0.0.1:0" }, [](auto exchange) {
+        exchange->setReadableHook([exchange] {
+            std::string bytes;
+            if (exchange->readBody(bytes, 100) == HttpExchange::BodyState::More)
+                exchange->answer(head(200), bytes);
+        });
+    });
+    ASSERT_FALSE(listener.start());
+    RawSocket caller = RawSocket::connectTo(listener.port());
+    for (int round = 0; round < 3; ++round) {
+        caller.send(postHead + "Content-Length: 4\r\n\r\nbody");
+        std::string answer = caller.takeMessage();
+        EXPECT_TRUE(answer.ends_with("\r\n\r\nbody")) << "round " << round;
+        EXPECT_EQ(answer.find("Connection: close"), std::string::npos) << answer;
+    }
+}
+
 TEST(HttpListenerTest, stopsInOrder)
 {
     NotingListener noting;
--- a/packages/transport/tests/HttpPathTest.cpp
+++ b/packages/transport/tests/HttpPathTest.cpp
@@ -52,9 +52,13 @@
 
 TEST(HttpPathTest, forwardsRequestsAndAnswers)
 {
-    RawServer target([](RawSocket& socket, int) {
+    const std::string length = "100000"; // Above the size that the forwarder buffers in full.
+    RawServer target([&](RawSocket& socket, int) {
         for (std::string request = socket.takeMessage(); !request.empty(); request = socket.takeMessage())
-            socket.send(answerText(request, "X-Answer: yes\r\n"));
+            if (request.find("/" + length) != std::string::npos)
+                socket.send((request.starts_with("HEAD") ? "HTTP/1.1 200 OK\r\nContent-Length: " : "HTTP/1.1 304 Not Modified\r\nContent-Length: ") + length + "\r\n\r\n");
+            else
+                socket.send(answerText(request, "X-Answer: yes\r\n"));
     });
     PassThrough path(anyPort, target.address());
     ASSERT_TRUE(path.started);
@@ -71,6 +75,13 @@
             EXPECT_EQ(answer.find("User-Agent"), std::string::npos) << answer;
         }
     });
+    section("answers without body keep the connection, whatever length they state", [&] {
+        for (const std::string& request : { "HEAD /" + length, "GET /304/" + length }) {
+            caller.send(request + " HTTP/1.1\r\nHost: service\r\n\r\n");
+            std::string answer = caller.takeUntil("\r\n\r\n");
+            EXPECT_TRUE(answer.starts_with("HTTP/1.1 200") || answer.starts_with("HTTP/1.1 304")) << answer;
+        }
+    });
     section("a body reaches the target", [&] {
         caller.send("POST /post HTTP/1.1\r\nHost: service\r\nContent-Length: 5\r\n\r\nhello");
         std::string answer = caller.takeMessage();
--- a/packages/transport/tests/PassThrough.h
+++ b/packages/transport/tests/PassThrough.h
@@ -33,6 +33,15 @@
     bool started = false; ///< Whether the listener listens.
 
 private:
+    static constexpr uint64_t wholeAnswerLimit = 64u << 10; ///< Shorter answers are buffered in full.
+
+    /** An answer that is buffered in full. */
+    struct WholeAnswer {
+        bool used = false; ///< Otherwise the answer is streamed.
+        HttpAnswerHead head; ///< From onHead.
+        std::string body; ///< From onData.
+    };
+
     /** Starts the attempt of one request. */
     void forward(const std::shared_ptr<HttpExchange>& exchange)
     {
@@ -47,9 +56,18 @@
         request.bodyLength = exchange->head().contentLength;
         request.hasBody = request.bodyLength.value_or(0) > 0 || exchange->head().headers.find("Transfer-Encoding").has_value();
         request.bodySource = [exchange](char* buffer, size_t size) { return takeBody(*exchange, buffer, size); };
-        request.onHead = [exchange](const HttpAnswerHead& head) { exchange->startAnswer(head); };
-        request.onData = [exchange](std::string_view bytes) { return exchange->write(bytes); };
-        request.onEnd = [exchange](const UpstreamResult& result) { endAnswer(*exchange, result); };
+        auto whole = std::make_shared<WholeAnswer>();
+        request.onHead = [exchange, whole](const HttpAnswerHead& head) {
+            whole->used = head.contentLength.value_or(wholeAnswerLimit) < wholeAnswerLimit;
+            whole->head = head;
+            if (!whole->used)
+                exchange->startAnswer(head);
+        };
+        request.onData = [exchange, whole](std::string_view bytes) {
+            whole->body += whole->used ? bytes : "";
+            return whole->used || exchange->write(bytes);
+        };
+        request.onEnd = [exchange, whole](const UpstreamResult& result) { endAnswer(*exchange, *whole, result); };
         exchange->setClosedHook([this, handle, closed](bool completed) {
             *closed = true;
             if (!completed)
@@ -80,12 +98,15 @@
     }
 
     /** Ends the caller's answer as the attempt ended. */
-    static void endAnswer(HttpExchange& exchange, const UpstreamResult& result)
+    static void endAnswer(HttpExchange& exchange, WholeAnswer& whole, const UpstreamResult& result)
     {
-        if (result.outcome == UpstreamOutcome::Complete) {
+        bool complete = result.outcome == UpstreamOutcome::Complete;
+        if (complete && whole.used)
+            exchange.answer(std::move(whole.head), std::move(whole.body));
+        else if (complete)
             exchange.finish();
+        if (complete)
             return;
-        }
         if (!exchange.answer({ 502, {}, std::nullopt }, "no answer\n"))
             exchange.abort();
     }
--- a/packages/transport/tests/UpstreamClientTest.cpp
+++ b/packages/transport/tests/UpstreamClientTest.cpp
@@ -114,6 +114,7 @@
         { "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", UpstreamOutcome::Invalid },
         { "length and chunked", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", UpstreamOutcome::Invalid },
         { "unknown coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc", UpstreamOutcome::Invalid },
+        { "chunked in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", UpstreamOutcome::Invalid },
         { "folded field", "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 3\r\n\r\nabc", UpstreamOutcome::Invalid },
         { "control character", "HTTP/1.1 200 OK\r\nX: a\x01\r\nContent-Length: 3\r\n\r\nabc", UpstreamOutcome::Invalid },
         { "no HTTP", "220 mail ready\r\n", UpstreamOutcome::Invalid },
