Fix: Bound what a leader sends to a member that does not answer

The window counted entries only, so large entries could queue up a gigabyte for a member that was down, and each heartbeat to it repeated up to 512 KiB. Messages ahead of the answers are now limited to 256 and 4 MiB, and a member whose log end is unknown gets messages without entries until it accepts one.

--- a/packages/coordination/src/LogEntries.cpp
+++ b/packages/coordination/src/LogEntries.cpp
@@ -3,7 +3,7 @@
 
 namespace kingcup {
 
-LogEntries::LogEntries(SnapshotMeta snapshot, std::vector<wire::LogEntry> entries)
+LogEntries::LogEntries(const SnapshotMeta& snapshot, std::vector<wire::LogEntry> entries)
 {
     this->reset(snapshot);
     for (wire::LogEntry& entry : entries)
--- a/packages/coordination/src/LogEntries.h
+++ b/packages/coordination/src/LogEntries.h
@@ -11,7 +11,7 @@
 /** Entries after a snapshot. Positions outside are reported as missing, never as entries. */
 class LogEntries {
 public:
-    LogEntries(SnapshotMeta snapshot, std::vector<wire::LogEntry> entries);
+    LogEntries(const SnapshotMeta& snapshot, std::vector<wire::LogEntry> entries);
 
     LogIndex lastIndex() const; ///< Last entry, or the snapshot's position.
     Term lastTerm() const; ///< Term of that entry.
--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -7,7 +7,26 @@
 
 namespace {
 
-constexpr size_t maxMessagesInFlight = 8; ///< Full append messages sent to a member ahead of its answers.
+constexpr size_t maxMessagesInFlight = 256; ///< Messages with entries sent to a member ahead of its answers.
+constexpr size_t maxBytesInFlight = 4u << 20; ///< Their size, which bounds what queues up for a member that is down.
+
+/** Forgets the messages that a member has answered. */
+void dropAnswered(LogPeer& peer)
+{
+    while (!peer.inFlight.empty() && peer.inFlight.front().first <= peer.match) {
+        peer.inFlightBytes -= peer.inFlight.front().second;
+        peer.inFlight.pop_front();
+    }
+}
+
+/** Goes back to finding out where the log of a member ends. */
+void probeFrom(LogPeer& peer, LogIndex next)
+{
+    peer.next = next;
+    peer.probing = true;
+    peer.inFlight.clear();
+    peer.inFlightBytes = 0;
+}
 
 } // namespace
 
@@ -64,14 +83,21 @@
             this->sendSnapshotChunk(id, peer, output);
         return;
     }
-    if (heartbeat)
-        this->sendEntries(id, peer, output);
-    size_t window = maxMessagesInFlight * this->options.maxEntriesPerMessage;
-    while (!peer.probing && peer.next <= this->log.lastIndex() && peer.next <= peer.match + window)
-        this->sendEntries(id, peer, output);
+    bool sent = false;
+    for (; this->takesEntries(peer); sent = true)
+        this->sendEntries(id, peer, this->log.slice(peer.next, this->options.maxEntriesPerMessage, this->options.maxBytesPerMessage), output);
+    // A message without entries finds out what was lost: it is refused when the entry before it is missing.
+    if (heartbeat && !sent)
+        this->sendEntries(id, peer, {}, output);
 }
 
-void ReplicatedLog::State::sendEntries(const MemberId& id, LogPeer& peer, LogOutput& output)
+bool ReplicatedLog::State::takesEntries(const LogPeer& peer) const
+{
+    bool room = peer.inFlight.size() < maxMessagesInFlight && peer.inFlightBytes < maxBytesInFlight;
+    return !peer.probing && room && peer.next <= this->log.lastIndex();
+}
+
+void ReplicatedLog::State::sendEntries(const MemberId& id, LogPeer& peer, std::vector<wire::LogEntry> entries, LogOutput& output)
 {
     wire::LogMessage message;
     wire::AppendRequest& request = *message.mutable_append_request();
@@ -80,10 +106,13 @@
     request.set_previous_term(*this->log.termAt(peer.next - 1));
     request.set_commit_index(this->commitIndex);
     request.set_round(this->round);
-    for (wire::LogEntry& entry : this->log.slice(peer.next, this->options.maxEntriesPerMessage, this->options.maxBytesPerMessage))
+    for (wire::LogEntry& entry : entries)
         *request.add_entries() = std::move(entry);
-    if (!peer.probing)
+    if (request.entries_size()) {
         peer.next += static_cast<LogIndex>(request.entries_size());
+        peer.inFlight.emplace_back(peer.next - 1, request.ByteSizeLong());
+        peer.inFlightBytes += peer.inFlight.back().second;
+    }
     this->send(id, std::move(message), this->termSynced, output);
 }
 
@@ -130,10 +159,10 @@
         peer->match = std::max<LogIndex>(peer->match, answer.match_index());
         peer->next = std::max(peer->next, peer->match + 1);
         peer->probing = false;
+        dropAnswered(*peer);
         this->advanceCommit(now, output);
     } else if (answer.conflict_index()) {
-        peer->next = std::clamp<LogIndex>(answer.conflict_index(), peer->match + 1, this->log.lastIndex() + 1);
-        peer->probing = true;
+        probeFrom(*peer, std::clamp<LogIndex>(answer.conflict_index(), peer->match + 1, this->log.lastIndex() + 1));
     }
     if (this->role != LogRole::Leader)
         return;
@@ -151,7 +180,7 @@
     this->noteRound(*peer, answer.round());
     if (answer.installed()) {
         peer->match = std::max<LogIndex>(peer->match, answer.last_index());
-        peer->next = peer->match + 1;
+        probeFrom(*peer, peer->match + 1);
         peer->snapshotData.reset();
         this->advanceCommit(now, output);
         if (this->role == LogRole::Leader)
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace kingcup {
 
@@ -14,7 +15,8 @@
 struct MemberId {
     VmId vm = 0; ///< Control VM.
     uint64_t incarnation = 0; ///< Incarnation of its data folder.
-    auto operator<=>(const MemberId&) const = default;
+    bool operator==(const MemberId&) const = default;
+    bool operator<(const MemberId& other) const { return std::pair(this->vm, this->incarnation) < std::pair(other.vm, other.incarnation); }
 };
 
 /** What a leader knows about another member. */
@@ -22,7 +24,9 @@
     bool voter = false; ///< False for a learner.
     LogIndex next = 1; ///< Next entry to send.
     LogIndex match = 0; ///< Last entry known to be synced there.
-    bool probing = true; ///< Its log end is unknown: one message per heartbeat or answer.
+    bool probing = true; ///< Its log end is unknown, so it gets no entries until it accepts a message.
+    std::deque<std::pair<LogIndex, size_t>> inFlight {}; ///< Last index and bytes of the messages ahead of its answers.
+    size_t inFlightBytes = 0; ///< Sum of these bytes.
     std::optional<TimePoint> answeredRound; ///< Sending time of the newest round that it answered.
     std::shared_ptr<const std::string> snapshotData; ///< Snapshot in transfer, null for none.
     SnapshotMeta snapshotMeta; ///< What it covers.
@@ -95,7 +99,8 @@
     void startRound(TimePoint now, LogOutput& output);
     void sendAll(bool heartbeat, LogOutput& output);
     void sendTo(const MemberId& id, LogPeer& peer, bool heartbeat, LogOutput& output);
-    void sendEntries(const MemberId& id, LogPeer& peer, LogOutput& output);
+    bool takesEntries(const LogPeer& peer) const;
+    void sendEntries(const MemberId& id, LogPeer& peer, std::vector<wire::LogEntry> entries, LogOutput& output);
     void sendSnapshotChunk(const MemberId& id, LogPeer& peer, LogOutput& output);
     void noteRound(LogPeer& peer, uint64_t answeredRound);
     void receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, LogOutput& output);
--- a/packages/coordination/tests/LogNetwork.h
+++ b/packages/coordination/tests/LogNetwork.h
@@ -173,8 +173,8 @@
             this->check(!known || known == node.incarnation, "two leaders in term " + std::to_string(node.log->term()));
             known = node.incarnation;
         }
-        for (OutgoingLogMessage& message : output.messagesBeforeSync)
-            this->send(node, std::move(message));
+        for (const OutgoingLogMessage& message : output.messagesBeforeSync)
+            this->send(node, message);
         output.messagesBeforeSync.clear();
         if (node.unsynced.empty())
             this->after(this->random.fraction() * (node.vm == this->slowDisk ? 200 : this->syncMs), [this, &node, run = node.run] { this->sync(node, run); });
@@ -258,7 +258,7 @@
         });
     }
 
-    void send(const Node& from, OutgoingLogMessage message)
+    void send(const Node& from, const OutgoingLogMessage& message)
     {
         if (this->cut.contains({ from.vm, message.to }) || this->random.fraction() < this->dropShare)
             return;
@@ -281,9 +281,9 @@
         node.unsynced.clear();
         for (const LogOutput& output : outputs)
             this->writeToDisk(node, output);
-        for (LogOutput& output : outputs) {
-            for (OutgoingLogMessage& message : output.messagesAfterSync)
-                this->send(node, std::move(message));
+        for (const LogOutput& output : outputs) {
+            for (const OutgoingLogMessage& message : output.messagesAfterSync)
+                this->send(node, message);
             if (output.snapshot) {
                 node.applied = output.snapshot->data;
                 node.position = output.snapshot->meta;
--- a/packages/coordination/tests/ReplicatedLogRulesTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogRulesTest.cpp
@@ -66,10 +66,10 @@
     }
 
     /** Asks for a vote with a log at least as new as this member's. */
-    LogOutput requestVote(Term lastTerm, double ms)
+    LogOutput requestVote(Term lastTerm, double ms, Term term = 6)
     {
         wire::LogMessage message;
-        message.mutable_vote_request()->set_term(6);
+        message.mutable_vote_request()->set_term(term);
         message.mutable_vote_request()->set_last_index(1);
         message.mutable_vote_request()->set_last_term(lastTerm);
         return this->receive(2, message, ms);
@@ -118,12 +118,14 @@
     });
     section("the quorum counts from the sending of the answered round, however late the answer arrives", [&] {
         log.tick(timeAt(3100));
-        member.answerAppend(2, 3, 1, 3500);
+        member.answerAppend(3, 3, 1, 3500);
         EXPECT_TRUE(log.hasQuorum(timeAt(3599)));
         EXPECT_FALSE(log.hasQuorum(timeAt(3600)));
         member.answerAppend(3, 3, 2, 3599);
         EXPECT_TRUE(log.hasQuorum(timeAt(3699)));
         EXPECT_FALSE(log.hasQuorum(timeAt(3700)));
+        member.requestVote(9, 3699, 7);
+        EXPECT_EQ(log.role(), LogRole::Leader) << "a leader with a quorum is not deposed by a candidate";
         log.tick(timeAt(3700));
         EXPECT_EQ(log.role(), LogRole::Follower);
     });
@@ -145,7 +147,7 @@
         LogOutput output = member.requestVote(0, 1600);
         EXPECT_FALSE(output.messagesAfterSync.at(0).message.vote_answer().granted());
     });
-    section("a vote of another incarnation does not count", [] {
+    section("a vote of another incarnation or of a learner does not count", [] {
         Member member;
         member.log->tick(timeAt(3000));
         wire::LogMessage message;
@@ -153,6 +155,7 @@
         message.mutable_vote_answer()->set_term(6);
         message.mutable_vote_answer()->set_granted(true);
         member.log->receive(2, 999, message, timeAt(3000));
+        member.answerVote(4, true, 3000);
         EXPECT_EQ(member.log->role(), LogRole::PreCandidate);
     });
     section("a group of one sends nothing to its learner before its new term is synced", [] {
--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -196,9 +196,10 @@
     network.wipe(behind % 3 + 1);
     network.crash(leading);
     network.start(leading);
+    network.delayMs = 20;
     network.cut.clear();
     network.runUntil([&] { return network.nodes[leading].log->role() == LogRole::Leader; });
-    network.runFor(network.random.fraction() * 20);
+    network.runFor(network.random.fraction() * 100);
     network.isolate(leading);
     network.runFor(5000);
     proposeMany(network, 5);
@@ -357,6 +358,16 @@
         leading.log->propose({ std::string(network.options.maxBytesPerMessage + 1, 'x') }, network.now, proposal);
         EXPECT_EQ(proposal.code, ResultCode::CommandTooLarge);
     });
+    section("a follower with a full disk takes no entries, the others go on, and it catches up afterwards", [&] {
+        Node& follower = network.nodes[leading.vm % 3 + 1];
+        follower.log->setDiskFull(true);
+        LogIndex held = follower.log->lastIndex();
+        proposeMany(network, 20);
+        EXPECT_TRUE(network.runUntil([&] { return network.acknowledged.size() == 20; }));
+        EXPECT_EQ(follower.log->lastIndex(), held);
+        follower.log->setDiskFull(false);
+        EXPECT_TRUE(network.runUntil([&] { return network.converged(); }));
+    });
     section("members change one at a time, and new ones start as learners", [&] {
         wire::Membership next = membership;
         wire::Member& added = *next.add_members();
--- a/packages/state/tests/JournalTest.cpp
+++ b/packages/state/tests/JournalTest.cpp
@@ -35,6 +35,7 @@
 std::vector<std::string> contents(const std::vector<JournalRecord>& records)
 {
     std::vector<std::string> result;
+    result.reserve(records.size());
     for (const JournalRecord& record : records)
         result.push_back(record.data);
     return result;
