--- a/packages/coordination/include/kingcup/LogStorage.h
+++ b/packages/coordination/include/kingcup/LogStorage.h
@@ -48,6 +48,8 @@
     void truncateFrom(LogIndex index);
     bool dropCovered();
     std::error_code loadSnapshot(std::string& data);
+    std::error_code readStored(wire::SnapshotRequest& stored) const;
+    std::error_code compactJournal();
     std::vector<JournalRecord> currentRecords() const;
 
     DataFolder& folder;
@@ -55,6 +57,7 @@
     std::unique_ptr<Journal> journal;
     HardState hardState;
     SnapshotMeta snapshotMeta;
+    bool compactionPending = false; ///< The journal still holds entries that the snapshot covers, for lack of space.
     std::deque<wire::LogEntry> entries; ///< Entries in the journal, for its compaction.
 };
 
--- a/packages/coordination/src/LogStorage.cpp
+++ b/packages/coordination/src/LogStorage.cpp
@@ -74,8 +74,13 @@
             return ResultCode::JournalDamaged;
     }
     // A crash between storing a snapshot and compacting the journal leaves entries that the snapshot covers.
+    size_t read = opened->entries.size();
     if (!opened->dropCovered())
         return ResultCode::JournalDamaged;
+    if (opened->entries.size() < read)
+        error = opened->compactJournal();
+    if (error)
+        return error;
     state.hardState = opened->hardState;
     state.snapshot = opened->snapshotMeta;
     state.entries.assign(opened->entries.begin(), opened->entries.end());
@@ -85,21 +90,27 @@
 
 std::error_code LogStorage::loadSnapshot(std::string& data)
 {
-    std::string content;
-    std::error_code error = this->folder.loadFile(snapshotFile, content);
     data.clear();
+    wire::SnapshotRequest stored;
+    std::error_code error = this->readStored(stored);
     if (error == ResultCode::NotFound)
         return {};
     if (error)
         return error;
-    wire::SnapshotRequest stored;
-    if (!stored.ParseFromString(content))
-        return ResultCode::JournalDamaged;
     this->snapshotMeta = { stored.last_index(), stored.last_term(), stored.membership() };
     data = std::move(*stored.mutable_chunk());
     return {};
 }
 
+std::error_code LogStorage::readStored(wire::SnapshotRequest& stored) const
+{
+    std::string content;
+    std::error_code error = this->folder.loadFile(snapshotFile, content);
+    if (error)
+        return error;
+    return stored.ParseFromString(content) ? ResultCode::Ok : ResultCode::JournalDamaged;
+}
+
 bool LogStorage::replay(const JournalRecord& record)
 {
     switch (static_cast<LogRecordType>(record.type)) {
@@ -161,7 +172,11 @@
         records.push_back(entryRecord(entry));
     if (records.empty())
         return {};
-    std::error_code error = this->journal->append(records);
+    // New entries may follow the snapshot only, so they cannot be appended to what it covers.
+    std::error_code error = this->compactionPending ? this->compactJournal() : std::error_code();
+    if (this->compactionPending)
+        return error ? error : ResultCode::DiskFull;
+    error = this->journal->append(records);
     if (error)
         return error;
     if (write.hardState)
@@ -191,8 +206,14 @@
         return error;
     this->snapshotMeta = meta;
     this->dropCovered();
-    error = this->journal->rewrite(this->currentRecords());
-    // The snapshot is in force; the journal stays longer than needed until the next snapshot.
+    return this->compactJournal();
+}
+
+std::error_code LogStorage::compactJournal()
+{
+    std::error_code error = this->journal->rewrite(this->currentRecords());
+    this->compactionPending = static_cast<bool>(error);
+    // The snapshot is in force; the next write tries again.
     return error == ResultCode::DiskFull ? std::error_code() : error;
 }
 
@@ -206,15 +227,11 @@
 
 std::error_code LogStorage::readSnapshot(std::string& data) const
 {
-    std::string content;
-    std::error_code error = this->folder.loadFile(snapshotFile, content);
-    if (error)
-        return error;
     wire::SnapshotRequest stored;
-    if (!stored.ParseFromString(content))
-        return ResultCode::JournalDamaged;
-    data = std::move(*stored.mutable_chunk());
-    return {};
+    std::error_code error = this->readStored(stored);
+    if (!error)
+        data = std::move(*stored.mutable_chunk());
+    return error;
 }
 
 uint64_t LogStorage::journalBytes() const
--- a/packages/coordination/tests/LogStorageTest.cpp
+++ b/packages/coordination/tests/LogStorageTest.cpp
@@ -128,6 +128,40 @@
     }
 }
 
+TEST(LogStorageTest, snapshotAheadOfTheJournal)
+{
+    ScratchFolder folder;
+    Store store(folder.path());
+    int allowedWrites = 100;
+    int writeError = EIO;
+    FileHooks hooks = systemFileHooks();
+    hooks.write = [&](int descriptor, std::string_view data) { return allowedWrites-- > 0 ? systemFileHooks().write(descriptor, data) : writeError; };
+    ASSERT_FALSE(store.reopen(hooks));
+    ASSERT_FALSE(store.storage->write({ HardState { 3, 2 }, 0, makeEntries(1, 10, 2) }));
+    section("entries that follow a snapshot from the leader can be read after a crash before the compaction", [&] {
+        allowedWrites = 1;
+        EXPECT_EQ(store.storage->storeSnapshot({ 50, 3, {} }, "state at 50"), ResultCode::FileError);
+        allowedWrites = 100;
+        ASSERT_FALSE(store.reopen(hooks));
+        EXPECT_EQ(store.range(), Range());
+        ASSERT_FALSE(store.storage->write({ std::nullopt, 0, makeEntries(51, 52, 3) }));
+        ASSERT_FALSE(store.reopen(hooks));
+        EXPECT_EQ(store.range(), Range(51, 52));
+    });
+    section("with no space for the compaction, writes are refused until it succeeds", [&] {
+        allowedWrites = 1;
+        writeError = ENOSPC;
+        ASSERT_FALSE(store.storage->storeSnapshot({ 90, 3, {} }, "state at 90"));
+        LogWrite write { std::nullopt, 0, makeEntries(91, 91, 3) };
+        EXPECT_EQ(store.storage->write(write), ResultCode::DiskFull);
+        allowedWrites = 100;
+        ASSERT_FALSE(store.storage->write(write));
+        ASSERT_FALSE(store.reopen(hooks));
+        EXPECT_EQ(store.range(), Range(91, 91));
+        EXPECT_EQ(store.state.hardState, (HardState { 3, 2 }));
+    });
+}
+
 TEST(LogStorageTest, fullDisk)
 {
     ScratchFolder folder;
