--- a/packages/coordination/include/kingcup/ReplicatedLog.h
+++ b/packages/coordination/include/kingcup/ReplicatedLog.h
@@ -50,7 +50,10 @@
     /** Tells that all entries up to this index (of this term) and the last hard state are synced. */
     LogOutput synced(LogIndex index, Term term, TimePoint now);
 
-    /** Tells that a snapshot up to this index was stored; entries before it are dropped from memory. */
+    /**
+     * Tells that a snapshot up to this index was stored. Entries before it are dropped from memory, except for the last
+     * ones that fit in one message, so that a member which lags by less needs no snapshot.
+     */
     void compacted(const SnapshotMeta& meta);
 
     /** Sets whether the disk takes writes; proposals are refused with DiskFull while it does not. */
--- a/packages/coordination/src/LogEntries.cpp
+++ b/packages/coordination/src/LogEntries.cpp
@@ -12,31 +12,31 @@
 
 LogIndex LogEntries::lastIndex() const
 {
-    return this->base.lastIndex + this->entries.size();
+    return this->baseIndex + this->entries.size();
 }
 
 Term LogEntries::lastTerm() const
 {
-    return this->entries.empty() ? this->base.lastTerm : this->entries.back().term();
+    return this->entries.empty() ? this->baseTerm : this->entries.back().term();
 }
 
 const SnapshotMeta& LogEntries::snapshot() const
 {
-    return this->base;
+    return this->newestSnapshot;
 }
 
 std::optional<Term> LogEntries::termAt(LogIndex index) const
 {
-    if (index == this->base.lastIndex)
-        return this->base.lastTerm;
-    if (index < this->base.lastIndex || index > this->lastIndex())
+    if (index == this->baseIndex)
+        return this->baseTerm;
+    if (index < this->baseIndex || index > this->lastIndex())
         return std::nullopt;
     return this->at(index).term();
 }
 
 const wire::LogEntry& LogEntries::at(LogIndex index) const
 {
-    return this->entries[index - this->base.lastIndex - 1];
+    return this->entries[index - this->baseIndex - 1];
 }
 
 void LogEntries::append(wire::LogEntry entry)
@@ -57,13 +57,20 @@
         this->memberships.pop_back();
 }
 
-void LogEntries::compact(const SnapshotMeta& meta)
+void LogEntries::compact(const SnapshotMeta& meta, size_t keepBytes)
 {
-    while (this->base.lastIndex < meta.lastIndex && !this->entries.empty()) {
+    LogIndex cut = meta.lastIndex;
+    for (size_t kept = 0; cut > this->baseIndex; --cut) {
+        kept += this->at(cut).payload().size();
+        if (kept > keepBytes)
+            break;
+    }
+    while (this->baseIndex < cut) {
+        this->baseTerm = this->entries.front().term();
         this->entries.pop_front();
-        ++this->base.lastIndex;
+        ++this->baseIndex;
     }
-    this->base = meta;
+    this->newestSnapshot = meta;
     while (this->memberships.size() > 1 && this->memberships[1].first <= meta.lastIndex)
         this->memberships.pop_front();
     this->memberships.front() = { meta.lastIndex, meta.membership };
@@ -71,7 +78,9 @@
 
 void LogEntries::reset(const SnapshotMeta& meta)
 {
-    this->base = meta;
+    this->newestSnapshot = meta;
+    this->baseIndex = meta.lastIndex;
+    this->baseTerm = meta.lastTerm;
     this->entries.clear();
     this->memberships.clear();
     this->memberships.emplace_back(meta.lastIndex, meta.membership);
@@ -101,12 +110,4 @@
     return this->memberships.back().first;
 }
 
-const wire::Membership& LogEntries::membershipAt(LogIndex index) const
-{
-    size_t position = this->memberships.size() - 1;
-    while (position > 0 && this->memberships[position].first > index)
-        --position;
-    return this->memberships[position].second;
-}
-
 } // namespace kingcup
--- a/packages/coordination/src/LogEntries.h
+++ b/packages/coordination/src/LogEntries.h
@@ -8,16 +8,16 @@
 
 namespace kingcup {
 
-/** Entries after a snapshot. Positions outside are reported as missing, never as entries. */
+/** Entries after a snapshot, and some before its position. Positions outside are reported as missing, never as entries. */
 class LogEntries {
 public:
     LogEntries(const SnapshotMeta& snapshot, std::vector<wire::LogEntry> entries);
 
     LogIndex lastIndex() const; ///< Last entry, or the snapshot's position.
     Term lastTerm() const; ///< Term of that entry.
-    const SnapshotMeta& snapshot() const; ///< What precedes the entries.
+    const SnapshotMeta& snapshot() const; ///< Newest snapshot.
 
-    /** Returns the term of an entry, of the snapshot's last entry or of index 0; nothing for other positions. */
+    /** Returns the term of an entry, or of the position before the first one; nothing for other positions. */
     std::optional<Term> termAt(LogIndex index) const;
 
     /** Returns an entry, which must be held. */
@@ -29,8 +29,11 @@
     /** Drops all entries from an index on. */
     void truncateFrom(LogIndex index);
 
-    /** Drops the entries that a snapshot covers. */
-    void compact(const SnapshotMeta& meta);
+    /**
+     * Drops entries that a snapshot covers.
+     * @param keepBytes Payload bytes of covered entries that are kept, for members that lag a little.
+     */
+    void compact(const SnapshotMeta& meta, size_t keepBytes);
 
     /** Replaces everything by a snapshot. */
     void reset(const SnapshotMeta& meta);
@@ -41,12 +44,11 @@
     const wire::Membership& membership() const; ///< Newest membership.
     LogIndex membershipIndex() const; ///< Its entry; the snapshot's position when it came with that.
 
-    /** Returns the membership as of an entry. */
-    const wire::Membership& membershipAt(LogIndex index) const;
-
 private:
-    SnapshotMeta base; ///< Snapshot before the entries.
-    std::deque<wire::LogEntry> entries; ///< Contiguous, from base.lastIndex + 1.
+    SnapshotMeta newestSnapshot;
+    LogIndex baseIndex = 0; ///< Position before the first entry.
+    Term baseTerm = 0; ///< Its term.
+    std::deque<wire::LogEntry> entries; ///< Contiguous, from baseIndex + 1.
     std::deque<std::pair<LogIndex, wire::Membership>> memberships; ///< By position; the first is the snapshot's.
 };
 
--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -162,7 +162,7 @@
 {
     State& member = *this->state;
     if (meta.lastIndex > member.log.snapshot().lastIndex && meta.lastIndex <= member.commitIndex)
-        member.log.compact(meta);
+        member.log.compact(meta, member.options.maxBytesPerMessage);
 }
 
 void ReplicatedLog::setDiskFull(bool full)
--- a/packages/coordination/src/ReplicatedLogFollower.cpp
+++ b/packages/coordination/src/ReplicatedLogFollower.cpp
@@ -25,14 +25,17 @@
     if (this->acceptLeader(from, request.term(), now, output)) {
         LogIndex previous = request.previous_index();
         // Committed entries are the same everywhere, so only a later position needs the comparison.
-        if (previous > this->commitIndex && this->log.termAt(previous) != request.previous_term()) {
-            answer.set_conflict_index(this->conflictIndex(previous));
-        } else {
-            LogIndex match = std::max(this->appendMissing(request, output), this->commitIndex);
+        bool continues = previous <= this->commitIndex || this->log.termAt(previous) == request.previous_term();
+        LogIndex match = continues ? this->appendMissing(request, output) : 0;
+        if (continues && match == previous + static_cast<LogIndex>(request.entries_size())) {
+            match = std::max(match, this->commitIndex);
             answer.set_accepted(true);
             answer.set_match_index(match);
             this->commitTo(std::min<LogIndex>(request.commit_index(), match), output);
+        } else if (!this->diskFull) {
+            answer.set_conflict_index(this->conflictIndex(previous));
         }
+        // With a full disk the refusal names no position, so that the leader does not send the entries again at once.
     }
     answer.set_term(this->hardState.term);
     this->send(from, std::move(message), false, output);
--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -147,6 +147,18 @@
     }
 }
 
+bool ReplicatedLog::State::probeAfterRefusal(LogPeer& peer, LogIndex conflict) const
+{
+    if (!conflict)
+        return false;
+    LogIndex next = std::clamp<LogIndex>(conflict, peer.match + 1, this->log.lastIndex() + 1);
+    // One lost message makes the member refuse all that follow it; the first refusal is enough.
+    if (peer.probing && next >= peer.next)
+        return false;
+    probeFrom(peer, next);
+    return true;
+}
+
 void ReplicatedLog::State::receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, LogOutput& output)
 {
     LogPeer* peer = this->findPeer(from);
@@ -161,8 +173,8 @@
         peer->probing = false;
         dropAnswered(*peer);
         this->advanceCommit(now, output);
-    } else if (answer.conflict_index()) {
-        probeFrom(*peer, std::clamp<LogIndex>(answer.conflict_index(), peer->match + 1, this->log.lastIndex() + 1));
+    } else if (!this->probeAfterRefusal(*peer, answer.conflict_index())) {
+        return;
     }
     if (this->role != LogRole::Leader)
         return;
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -100,6 +100,7 @@
     void sendAll(bool heartbeat, LogOutput& output);
     void sendTo(const MemberId& id, LogPeer& peer, bool heartbeat, LogOutput& output);
     bool takesEntries(const LogPeer& peer) const;
+    bool probeAfterRefusal(LogPeer& peer, LogIndex conflict) const;
     void sendEntries(const MemberId& id, LogPeer& peer, std::vector<wire::LogEntry> entries, LogOutput& output);
     void sendSnapshotChunk(const MemberId& id, LogPeer& peer, LogOutput& output);
     void noteRound(LogPeer& peer, uint64_t answeredRound);
--- a/packages/coordination/tests/LogNetwork.h
+++ b/packages/coordination/tests/LogNetwork.h
@@ -212,6 +212,7 @@
     double syncMs = 3; ///< Longest time to a sync.
     VmId slowDisk = 0; ///< Member whose syncs take much longer; 0 for none.
     LogIndex snapshotEvery = 20; ///< Applied entries between snapshots.
+    uint64_t messages = 0; ///< Messages sent and not lost.
     std::vector<std::string> violations;
     std::set<std::string> acknowledged; ///< Payloads whose proposer learned that they are committed.
 
@@ -262,6 +263,7 @@
     {
         if (this->cut.contains({ from.vm, message.to }) || this->random.fraction() < this->dropShare)
             return;
+        ++this->messages;
         int copies = this->random.fraction() < this->duplicateShare ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
             this->after(0.1 + this->random.fraction() * this->delayMs, [this, vm = from.vm, incarnation = from.incarnation, message] {
--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -20,6 +20,7 @@
 {
     ReplicatedLogOptions options;
     options.maxEntriesPerMessage = 4;
+    options.maxBytesPerMessage = 64;
     options.snapshotChunkBytes = 64;
     return options;
 }
@@ -362,9 +363,12 @@
         Node& follower = network.nodes[leading.vm % 3 + 1];
         follower.log->setDiskFull(true);
         LogIndex held = follower.log->lastIndex();
+        uint64_t messages = network.messages;
         proposeMany(network, 20);
         EXPECT_TRUE(network.runUntil([&] { return network.acknowledged.size() == 20; }));
         EXPECT_EQ(follower.log->lastIndex(), held);
+        network.runFor(1000);
+        EXPECT_LT(network.messages - messages, 200u) << "entries are sent again and again";
         follower.log->setDiskFull(false);
         EXPECT_TRUE(network.runUntil([&] { return network.converged(); }));
     });
