--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -136,6 +136,7 @@
     request.set_chunk(peer.snapshotData->substr(peer.snapshotOffset, this->options.snapshotChunkBytes));
     request.set_last_chunk(peer.snapshotOffset + request.chunk().size() == peer.snapshotData->size());
     request.set_round(this->round);
+    peer.snapshotRound = this->round;
     this->send(id, std::move(message), this->termSynced, output);
 }
 
@@ -199,7 +200,10 @@
             this->sendTo(from, *peer, true, output);
     } else if (peer->snapshotData && peer->snapshotMeta.lastIndex == answer.last_index()) {
         bool advanced = answer.next_offset() > peer->snapshotOffset;
-        peer->snapshotOffset = std::min<size_t>(answer.next_offset(), peer->snapshotData->size());
+        // Only an answer to the newest chunk shows that the receiver lost the earlier ones; others are merely late.
+        bool lost = answer.next_offset() < peer->snapshotOffset && answer.round() >= peer->snapshotRound;
+        if (advanced || lost)
+            peer->snapshotOffset = std::min<size_t>(answer.next_offset(), peer->snapshotData->size());
         // A repeated answer starts no second stream of chunks; after a loss the next heartbeat sends the chunk again.
         if (advanced)
             this->sendSnapshotChunk(from, *peer, output);
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -31,6 +31,7 @@
     std::shared_ptr<const std::string> snapshotData; ///< Snapshot in transfer, null for none.
     SnapshotMeta snapshotMeta; ///< What it covers.
     size_t snapshotOffset = 0; ///< Next byte to send.
+    uint64_t snapshotRound = 0; ///< Heartbeat round of the newest chunk.
 };
 
 /** A hand-over of leadership in progress. */
--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -54,6 +54,10 @@
     {
         this->network.cut.clear();
         this->network.dropShare = 0;
+        this->network.duplicateShare = 0;
+        this->network.delayMs = 2;
+        this->network.syncMs = 3;
+        this->network.slowDisk = 0;
         this->startAll();
         auto settled = [this] {
             this->replace();
