--- a/packages/coordination/tests/LogNetwork.h
+++ b/packages/coordination/tests/LogNetwork.h
@@ -173,8 +173,8 @@
             this->check(!known || known == node.incarnation, "two leaders in term " + std::to_string(node.log->term()));
             known = node.incarnation;
         }
-        for (OutgoingLogMessage& message : output.messagesBeforeSync)
-            this->send(node, std::move(message));
+        for (const OutgoingLogMessage& message : output.messagesBeforeSync)
+            this->send(node, message);
         output.messagesBeforeSync.clear();
         if (node.unsynced.empty())
             this->after(this->random.fraction() * (node.vm == this->slowDisk ? 200 : this->syncMs), [this, &node, run = node.run] { this->sync(node, run); });
@@ -212,6 +212,7 @@
     double syncMs = 3; ///< Longest time to a sync.
     VmId slowDisk = 0; ///< Member whose syncs take much longer; 0 for none.
     LogIndex snapshotEvery = 20; ///< Applied entries between snapshots.
+    uint64_t messages = 0; ///< Messages sent and not lost.
     std::vector<std::string> violations;
     std::set<std::string> acknowledged; ///< Payloads whose proposer learned that they are committed.
 
@@ -258,10 +259,11 @@
         });
     }
 
-    void send(const Node& from, OutgoingLogMessage message)
+    void send(const Node& from, const OutgoingLogMessage& message)
     {
         if (this->cut.contains({ from.vm, message.to }) || this->random.fraction() < this->dropShare)
             return;
+        ++this->messages;
         int copies = this->random.fraction() < this->duplicateShare ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
             this->after(0.1 + this->random.fraction() * this->delayMs, [this, vm = from.vm, incarnation = from.incarnation, message] {
@@ -281,9 +283,9 @@
         node.unsynced.clear();
         for (const LogOutput& output : outputs)
             this->writeToDisk(node, output);
-        for (LogOutput& output : outputs) {
-            for (OutgoingLogMessage& message : output.messagesAfterSync)
-                this->send(node, std::move(message));
+        for (const LogOutput& output : outputs) {
+            for (const OutgoingLogMessage& message : output.messagesAfterSync)
+                this->send(node, message);
             if (output.snapshot) {
                 node.applied = output.snapshot->data;
                 node.position = output.snapshot->meta;
