--- a/programs/kingcupctl/Commands.cpp
+++ b/programs/kingcupctl/Commands.cpp
@@ -55,11 +55,19 @@
     return exitCodeFor(answer.code);
 }
 
-/** Prints an answer as JSON or through a view, and failures with --json as JSON as well. */
+/** Prints an answer whole. */
+void viewJson(const json& body)
+{
+    std::cout << body.dump(2) << "\n";
+}
+
+/** Prints an answer as JSON or through a view. With --json there is always one object, so that pipelines can parse failures. */
 ExitCode report(const CommandOptions& options, const OperatorAnswer& answer, void (*view)(const json& body))
 {
-    if (options.json && answer.body.is_object())
-        std::cout << answer.body.dump(2) << "\n";
+    const ResultCodeRow& row = resultCodeRow(answer.code);
+    json failure = { { "code", static_cast<int>(row.code) }, { "name", row.name }, { "detail", answer.detail } };
+    if (options.json)
+        viewJson(answer.body.is_object() ? answer.body : failure);
     ExitCode exit = exitCodeFor(answer.code);
     if (exit != ExitCode::Success)
         return reportFailure(answer);
@@ -83,12 +91,6 @@
     std::cout << formatTable({ { "RESULT", "/name" }, { "DETAIL", "/detail" } }, json::array({ body }));
 }
 
-/** Prints an answer whole. */
-void viewJson(const json& body)
-{
-    std::cout << body.dump(2) << "\n";
-}
-
 /** Prints a manifest's number, digest and how far it is in force. */
 void viewManifest(const json& body)
 {
--- a/tests/ControlToolTest.cpp
+++ b/tests/ControlToolTest.cpp
@@ -178,6 +178,8 @@
     });
     section("a group without a leader is asked until the timeout", [&] {
         EXPECT_EQ(run("--vm " + follower.address() + token + " --timeout_ms 900 manifest apply " + file).exit, 4);
+        ToolResult down = run("--json --vm 127.0.0.1:1" + token + " --timeout_ms 300 status");
+        EXPECT_NE(down.output.find("\"name\": \"unreachable\""), std::string::npos) << down.output;
         EXPECT_GT(follower.requests, 2);
     });
     section("a conflict keeps its exit code", [&] {
