--- a/packages/coordination/src/Admission.cpp
+++ b/packages/coordination/src/Admission.cpp
@@ -15,6 +15,9 @@
 
 constexpr double ageingStepMs = 1000; ///< A request that has waited this long moves up by one priority.
 constexpr uint32_t startsPerOldest = 16; ///< One start in this many goes to the oldest request.
+constexpr double gapWeight = 0.05;
+constexpr double longestGapMs = 100;
+constexpr double lowestReturnShare = 0.25; ///< Share of the starts that refused callers are given even under overload.
 constexpr Milliseconds shortestRetryAfter { 10 };
 constexpr Milliseconds longestRetryAfter { 60000 };
 
@@ -60,6 +63,8 @@
     bool makeRoom(const QueueKey& key, TimePoint now, std::vector<AdmissionDecision>& decisions);
     Milliseconds expectedWait(const QueueKey& key) const;
     Milliseconds timePerStart() const;
+    Milliseconds timePerReturn() const;
+    void countArrival(TimePoint now);
 
     ServiceLimits limits; ///< From the manifest.
     ConcurrencyLimit concurrency; ///< Adaptive limit.
@@ -69,6 +74,9 @@
     std::set<QueueKey> order; ///< By position.
     std::set<TimedId> arrivals; ///< Oldest first.
     std::set<TimedId> expiries; ///< Next to expire first.
+    TimePoint queueingSince {}; ///< When the queue was last empty.
+    TimePoint lastArrival {}; ///< Last request.
+    double meanGapMs = longestGapMs; ///< Moving average of the time between requests.
     TimePoint returnsBookedUntil {}; ///< Refused callers were told to come back up to here.
 };
 
@@ -133,6 +141,19 @@
     return this->concurrency.typicalLatency() / std::max(this->concurrency.limit(), 1u);
 }
 
+Milliseconds Admission::State::timePerReturn() const
+{
+    double used = this->timePerStart().count() / std::max(this->meanGapMs, 1e-6);
+    return this->timePerStart() / std::clamp(1 - used, lowestReturnShare, 1.0);
+}
+
+void Admission::State::countArrival(TimePoint now)
+{
+    double gapMs = std::max(0.0, (now - this->lastArrival).count());
+    this->meanGapMs += gapWeight * (std::min(gapMs, longestGapMs) - this->meanGapMs);
+    this->lastArrival = now;
+}
+
 Milliseconds Admission::State::expectedWait(const QueueKey& key) const
 {
     auto ahead = std::distance(this->order.begin(), this->order.lower_bound(key));
@@ -143,7 +164,8 @@
 {
     // Each refused caller is given its own time, after the queue and after those who were refused before it.
     TimePoint free = now + this->timePerStart() * static_cast<double>(this->waiting.size() + 1);
-    this->returnsBookedUntil = std::max(this->returnsBookedUntil + this->timePerStart(), free);
+    free += now - this->queueingSince; // Overload that has lasted for some time is expected to last as long again.
+    this->returnsBookedUntil = std::max(this->returnsBookedUntil + this->timePerReturn(), free);
     this->returnsBookedUntil = std::min(this->returnsBookedUntil, now + longestRetryAfter);
     return { id, code, std::max(this->returnsBookedUntil - now, shortestRetryAfter) };
 }
@@ -180,6 +202,9 @@
 {
     std::vector<AdmissionDecision> decisions = this->tick(now);
     State& state = *this->state;
+    state.countArrival(now);
+    if (state.waiting.empty())
+        state.queueingSince = now;
     if (request.deadline <= now) {
         decisions.push_back(state.refusal(request.id, ResultCode::DeadlineBeforeSend, now));
         return decisions;
--- a/packages/coordination/src/ConcurrencyLimit.cpp
+++ b/packages/coordination/src/ConcurrencyLimit.cpp
@@ -12,11 +12,10 @@
 constexpr double lowestShare = 0.125; ///< Lowest limit in usable slots.
 constexpr double decrease = 0.9;
 constexpr double congestedRatio = 2; ///< Latency in multiples of the normal one that counts as congestion.
-constexpr double meanWeight = 0.05;
-constexpr double recentWeight = 0.05;
+constexpr double averageWeight = 0.05;
 constexpr double normalRise = 0.0005; ///< Slow, so that lasting congestion does not become normal within minutes.
 constexpr double normalFall = 0.05;
-constexpr uint64_t fewestObservations = 20;
+constexpr uint64_t fewestObservations = 50;
 
 } // namespace
 
@@ -38,13 +37,16 @@
 {
     double ms = std::max(latency.count(), 0.001);
     double log = std::log(ms);
-    bool first = this->observations++ == 0;
-    this->meanMs = first ? ms : this->meanMs + meanWeight * (ms - this->meanMs);
-    this->recentLog = first ? log : this->recentLog + recentWeight * (log - this->recentLog);
-    double weight = this->recentLog < this->normalLog ? normalFall : normalRise;
-    this->normalLog = first ? log : this->normalLog + weight * (this->recentLog - this->normalLog);
+    ++this->observations;
+    // The first observations are averaged: one of them alone would be a poor idea of the normal latency.
+    double weight = std::max(averageWeight, 1 / static_cast<double>(this->observations));
+    this->meanMs += weight * (ms - this->meanMs);
+    this->recentLog += weight * (log - this->recentLog);
+    bool starting = this->observations <= fewestObservations;
+    double normalWeight = this->recentLog < this->normalLog ? normalFall : normalRise;
+    this->normalLog += (starting ? 1 : normalWeight) * (this->recentLog - this->normalLog);
 
-    bool slow = this->observations >= fewestObservations && this->recentLog > this->normalLog + std::log(congestedRatio);
+    bool slow = this->recentLog > this->normalLog + std::log(congestedRatio);
     if (overloaded || slow) {
         // One decrease per round trip: calls that were sent before the last decrease say nothing about it.
         if (now - this->decreasedAt < Milliseconds(this->meanMs))
