--- /dev/null
+++ b/packages/coordination/tests/RouterTest.cpp
@@ -0,0 +1,289 @@
+/** @file RouterTest.cpp Guards routing against herding, black holes, lost counts and targets that must not get work. */
+#include "kingcup/Router.h"
+
+#include "testing/Story.h"
+
+#include <atomic>
+#include <gtest/gtest.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+
+using namespace kingcup;
+using kingcup::testing::section;
+using kingcup::testing::testSeed;
+
+namespace {
+
+constexpr RoutingPolicy allPolicies[] = { RoutingPolicy::Random, RoutingPolicy::RoundRobin, RoutingPolicy::LeastOutstanding,
+    RoutingPolicy::PowerOfTwo, RoutingPolicy::PeakEwma, RoutingPolicy::HotCold, RoutingPolicy::Adaptive };
+
+std::string addressOf(uint32_t target)
+{
+    return "127.0.0.1:" + std::to_string(9000 + target);
+}
+
+/** Makes serving targets over three zones. */
+std::vector<wire::TargetRecord> targetsOf(uint32_t count)
+{
+    std::vector<wire::TargetRecord> records(count);
+    for (uint32_t i = 0; i < count; ++i) {
+        records[i].set_address(addressOf(i));
+        records[i].set_availability_zone("zone-" + std::to_string(i % 3));
+        records[i].set_slots(4);
+        records[i].set_incarnation(1);
+        records[i].set_state(wire::TARGET_SERVING);
+    }
+    return records;
+}
+
+/** A router and how often it chose each target. */
+struct RoutingStory {
+    explicit RoutingStory(uint32_t targets, RoutingPolicy policy = RoutingPolicy::Adaptive)
+        : router(policy, "entry-1", "zone-0", RandomSource(testSeed(1)))
+        , records(targetsOf(targets))
+    {
+        this->router.update(this->service, this->records, timeAt(0));
+    }
+
+    /** Picks and ends attempts one after the other, a millisecond apart. */
+    template <typename Outcome>
+    std::map<std::string, int> run(int attempts, Outcome outcome)
+    {
+        std::map<std::string, int> chosen;
+        for (int i = 0; i < attempts; ++i) {
+            std::optional<Pick> pick = this->router.pick({}, timeAt(this->nowMs));
+            ++chosen[pick->address];
+            auto [result, latencyMs] = outcome(pick->address);
+            this->nowMs += 1;
+            this->router.finish(*pick, result, Milliseconds(latencyMs), timeAt(this->nowMs));
+        }
+        return chosen;
+    }
+
+    Router router;
+    Service service;
+    std::vector<wire::TargetRecord> records;
+    double nowMs = 1;
+};
+
+std::pair<AttemptOutcome, double> answered(const std::string&)
+{
+    return { AttemptOutcome::Answered, 5 };
+}
+
+} // namespace
+
+TEST(RouterTest, everyPolicyObeysTheTable)
+{
+    for (RoutingPolicy policy : allPolicies) {
+        section("policy " + std::to_string(static_cast<int>(policy)), [&] {
+            RoutingStory story(6, policy);
+            story.records[0].set_state(wire::TARGET_DRAINING);
+            story.records[1].set_state(wire::TARGET_STARTING);
+            story.router.update(story.service, story.records, timeAt(0));
+            std::vector<std::string> excluded { addressOf(2), addressOf(3) };
+            std::set<std::string> chosen;
+            for (int i = 0; i < 100; ++i)
+                chosen.insert(story.router.pick(excluded, timeAt(i))->address);
+            EXPECT_EQ(chosen, (std::set<std::string> { addressOf(4), addressOf(5) }));
+            for (const char* more : { "127.0.0.1:9004", "127.0.0.1:9005" })
+                excluded.emplace_back(more);
+            EXPECT_FALSE(story.router.pick(excluded, timeAt(100)));
+            EXPECT_EQ(story.router.outstanding(), 100u);
+            EXPECT_EQ(story.router.usableSlots(timeAt(100)), 16u);
+            story.router.update(story.service, {}, timeAt(100));
+            EXPECT_FALSE(story.router.pick({}, timeAt(100)));
+        });
+    }
+}
+
+TEST(RouterTest, countsAttemptsOfChangingTargets)
+{
+    RoutingStory story(1);
+    std::optional<Pick> old = story.router.pick({}, timeAt(0));
+    section("an attempt on an old incarnation ends without touching the new one", [&] {
+        story.records[0].set_incarnation(2);
+        story.router.update(story.service, story.records, timeAt(1));
+        std::optional<Pick> current = story.router.pick({}, timeAt(1));
+        EXPECT_EQ(current->incarnation, 2u);
+        story.router.finish(*old, AttemptOutcome::ConnectionLost, Milliseconds(1), timeAt(2));
+        EXPECT_EQ(story.router.outstanding(), 1u);
+        EXPECT_EQ(nlohmann::json::parse(story.router.dump(timeAt(2)))["targets"][0]["outstanding"], 1);
+        story.router.finish(*current, AttemptOutcome::Answered, Milliseconds(1), timeAt(2));
+    });
+    section("an attempt on a draining target is counted out", [&] {
+        std::optional<Pick> pick = story.router.pick({}, timeAt(3));
+        story.records[0].set_state(wire::TARGET_DRAINING);
+        story.router.update(story.service, story.records, timeAt(3));
+        EXPECT_EQ(nlohmann::json::parse(story.router.dump(timeAt(3)))["targets"][0]["outstanding"], 1);
+        story.router.finish(*pick, AttemptOutcome::Answered, Milliseconds(1), timeAt(4));
+        EXPECT_EQ(nlohmann::json::parse(story.router.dump(timeAt(4)))["targets"][0]["outstanding"], 0);
+        EXPECT_EQ(story.router.outstanding(), 0u);
+    });
+}
+
+TEST(RouterTest, ejectsWithinBounds)
+{
+    section("a target that fails fast is no black hole, and is tried again later", [] {
+        RoutingStory story(6);
+        story.run(600, answered);
+        bool healthy = false;
+        auto failing = [&](const std::string& address) {
+            bool fails = address == addressOf(0) && !healthy;
+            return std::pair(fails ? AttemptOutcome::ServerError : AttemptOutcome::Answered, fails ? 0.1 : 5);
+        };
+        EXPECT_LE(story.run(900, failing)[addressOf(0)], 15);
+        healthy = true;
+        story.run(30000, failing);
+        EXPECT_GE(story.run(1000, failing)[addressOf(0)], 50);
+    });
+    section("a lost connection ejects at once, but never more than the configured share", [] {
+        RoutingStory story(6);
+        auto lost = [](const std::string&) { return std::pair(AttemptOutcome::ConnectFailed, 0.1); };
+        story.run(1, lost);
+        EXPECT_EQ(story.router.usableSlots(timeAt(story.nowMs)), 20u);
+        story.run(50, lost);
+        EXPECT_EQ(story.router.usableSlots(timeAt(story.nowMs)), 12u);
+        EXPECT_TRUE(story.router.pick({}, timeAt(story.nowMs)));
+    });
+    section("a single failure does not keep a target without work for long", [] {
+        RoutingStory story(6);
+        int failures = 1;
+        auto once = [&](const std::string&) {
+            return std::pair(failures-- > 0 ? AttemptOutcome::ServerError : AttemptOutcome::Answered, 5.0);
+        };
+        story.run(10000, once);
+        for (const auto& target : nlohmann::json::parse(story.router.dump(timeAt(story.nowMs)))["targets"])
+            EXPECT_LT(target["recentFailures"], 0.05);
+    });
+}
+
+TEST(RouterTest, avoidsSlowAndColdTargets)
+{
+    auto slowFirst = [](const std::string& address) { return std::pair(AttemptOutcome::Answered, address == addressOf(0) ? 60.0 : 5.0); };
+    section("a straggler gets little work", [&] {
+        RoutingStory story(6);
+        EXPECT_LE(story.run(2000, slowFirst)[addressOf(0)], 100);
+    });
+    section("a straggler cannot talk itself quick", [&] {
+        RoutingStory story(6);
+        std::map<std::string, int> chosen;
+        for (int i = 0; i < 2000; ++i) {
+            story.router.report(addressOf(0), LoadReport { 0, 4, 0.5 }, Milliseconds(0), timeAt(story.nowMs));
+            chosen[addressOf(0)] += story.run(1, slowFirst)[addressOf(0)];
+        }
+        EXPECT_LE(chosen[addressOf(0)], 150);
+    });
+    section("calls that get no answer divert traffic before they time out", [] {
+        RoutingStory story(3);
+        story.run(300, answered);
+        std::vector<std::string> others { addressOf(1), addressOf(2) };
+        story.router.pick(others, timeAt(story.nowMs));
+        story.nowMs += 100;
+        EXPECT_EQ(story.run(200, answered)[addressOf(0)], 0);
+    });
+    section("a target that joins gets less than its share at first", [&] {
+        RoutingStory story(6);
+        story.run(300, answered);
+        story.records[0].set_incarnation(2);
+        story.router.update(story.service, story.records, timeAt(story.nowMs));
+        int cold = story.run(100, answered)[addressOf(0)];
+        story.run(5000, answered);
+        EXPECT_LT(cold, story.run(100, answered)[addressOf(0)]);
+    });
+}
+
+TEST(RouterTest, usesReportsAndZones)
+{
+    section("a busy report diverts traffic, an older one that arrives late changes nothing", [] {
+        RoutingStory story(3);
+        story.run(300, answered);
+        story.router.report(addressOf(0), LoadReport { 40, 4, 50 }, Milliseconds(0), timeAt(story.nowMs));
+        story.router.report(addressOf(0), LoadReport { 0, 4, 1 }, Milliseconds(100), timeAt(story.nowMs));
+        EXPECT_LE(story.run(10, answered)[addressOf(0)], 1);
+    });
+    section("the own zone is preferred until its targets are busier", [] {
+        RoutingStory story(9);
+        std::map<std::string, int> idle = story.run(900, answered);
+        EXPECT_GE(idle[addressOf(0)] + idle[addressOf(3)] + idle[addressOf(6)], 800);
+        int local = 0;
+        for (int i = 0; i < 36; ++i)
+            local += (std::stoi(story.router.pick({}, timeAt(story.nowMs))->address.substr(10)) - 9000) % 3 == 0;
+        EXPECT_LE(local, 24);
+    });
+    section("targets are probed least recently observed first", [] {
+        RoutingStory story(3);
+        for (uint32_t target : { 1u, 0u })
+            story.router.report(addressOf(target), LoadReport { 1, 4, 1 }, Milliseconds(0), timeAt(++story.nowMs));
+        EXPECT_EQ(story.router.leastObserved(2, timeAt(10)), (std::vector<std::string> { addressOf(2), addressOf(1) }));
+    });
+    section("a subset is stable, keeps to its size and prefers the own zone", [] {
+        RoutingStory story(300);
+        auto used = [&] {
+            auto addresses = story.router.leastObserved(1000, timeAt(0));
+            return std::set<std::string>(addresses.begin(), addresses.end());
+        };
+        std::set<std::string> before = used();
+        EXPECT_EQ(before.size(), 20u);
+        story.records[std::stoul(before.begin()->substr(10)) - 9000].set_state(wire::TARGET_DRAINING);
+        story.router.update(story.service, story.records, timeAt(1));
+        std::set<std::string> after = used();
+        EXPECT_EQ(after.size(), 20u);
+        std::erase_if(after, [&](const std::string& address) { return before.contains(address); });
+        EXPECT_EQ(after.size(), 1u);
+    });
+    section("a recent observation that differs most comes first", [] {
+        RoutingStory story(6);
+        story.run(600, [](const std::string& address) { return std::pair(AttemptOutcome::Answered, address == addressOf(3) ? 20.0 : 5.0); });
+        std::vector<wire::TargetLoad> observations = story.router.observations(timeAt(story.nowMs));
+        ASSERT_FALSE(observations.empty());
+        EXPECT_EQ(observations[0].target().address(), addressOf(3));
+        EXPECT_TRUE(story.router.observations(timeAt(story.nowMs + 60000)).empty());
+    });
+}
+
+TEST(RouterTest, isThreadSafe)
+{
+    RoutingStory story(12);
+    std::atomic<bool> stop { false };
+    auto work = [&] {
+        for (int i = 0; i < 20000; ++i) {
+            std::optional<Pick> pick = story.router.pick({}, timeAt(i * 0.1));
+            story.router.report(pick->address, LoadReport { 1, 4, 5 }, Milliseconds(1), timeAt(i * 0.1));
+            story.router.finish(*pick, i % 100 ? AttemptOutcome::Answered : AttemptOutcome::ServerError, Milliseconds(5), timeAt(i * 0.1));
+        }
+    };
+    std::thread updater([&] {
+        for (uint64_t incarnation = 2; !stop; ++incarnation) {
+            story.records[incarnation % 12].set_incarnation(incarnation);
+            story.router.update(story.service, story.records, timeAt(1));
+        }
+    });
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i)
+        threads.emplace_back(work);
+    for (std::thread& thread : threads)
+        thread.join();
+    stop = true;
+    updater.join();
+    section("no attempt is counted twice or lost while the table changes", [&] {
+        EXPECT_EQ(story.router.outstanding(), 0u);
+        for (const auto& target : nlohmann::json::parse(story.router.dump(timeAt(2000)))["targets"])
+            EXPECT_EQ(target["outstanding"], 0);
+    });
+}
+
+TEST(RouterTest, parsesLoadReports)
+{
+    std::optional<LoadReport> report = parseLoadReport("inflight=3, slots=6, latency-ms=4.5, later=x");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->inFlight, 3u);
+    EXPECT_EQ(report->slots, 6u);
+    EXPECT_EQ(report->latencyMs, 4.5);
+    EXPECT_TRUE(parseLoadReport(" inflight = 0 "));
+    for (const char* wrong : { "", "slots=6", "inflight=-1", "inflight=x", "inflight=99999999999", "inflight=1,latency-ms=nan", "inflight=1,latency-ms=-2", "inflight" })
+        EXPECT_FALSE(parseLoadReport(wrong)) << wrong;
+    EXPECT_FALSE(parseLoadReport("inflight=1," + std::string(1000, 'x')));
+}
