--- a/tests/AtMostOnceTest.cpp
+++ b/tests/AtMostOnceTest.cpp
@@ -49,9 +49,7 @@
 
 TEST(AtMostOnce, nothingRunsTwiceWhileProcessesDie)
 {
-    DeploymentOptions options = testOptions(21);
-    options.entryVms = 3;
-    options.services = { { "ledger", 4, 6 } };
+    DeploymentOptions options = testOptions(21, 3, { { "ledger", 4, 6 } });
     options.proxyTargets = true;
     Deployment deployment(options);
     ASSERT_EQ(startAll(deployment), "");
--- a/tests/ConfigurationTest.cpp
+++ b/tests/ConfigurationTest.cpp
@@ -17,8 +17,7 @@
 
 TEST(Configuration, isInForceEverywhereSoonAndNeverGoesBack)
 {
-    DeploymentOptions options = testOptions(61);
-    options.entryVms = 4;
+    DeploymentOptions options = testOptions(61, 4);
     Deployment deployment(options);
     ASSERT_EQ(startAll(deployment), "");
     ConfigurationObserver observer(deployment, deployment.entryVms());
--- a/tests/CrashContainmentTest.cpp
+++ b/tests/CrashContainmentTest.cpp
@@ -39,10 +39,7 @@
 
 TEST(CrashContainment, oneRequestCrashesAtMostTwoTargets)
 {
-    DeploymentOptions options = testOptions(91);
-    options.entryVms = 3;
-    options.services = { { "matters", 6, 6 } };
-    Deployment deployment(options);
+    Deployment deployment(testOptions(91, 3, { { "matters", 6, 6 } }));
     ASSERT_EQ(startAll(deployment), "");
     LoadOptions loadOptions = loadOn(deployment, 100, Milliseconds(10000), 0);
     LoadGenerator load(loadOptions);
--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -36,9 +36,7 @@
 
 TEST(GracefulStop, cutsNoCall)
 {
-    DeploymentOptions options = testOptions(81);
-    options.entryVms = 3;
-    options.services = { { "matters", 3, 6 } };
+    DeploymentOptions options = testOptions(81, 3, { { "matters", 3, 6 } });
     options.targetFaults = { { "latencyMedianMs", 20 } };
     Deployment deployment(options);
     ASSERT_EQ(startAll(deployment), "");
--- a/tests/LeavingTargetTest.cpp
+++ b/tests/LeavingTargetTest.cpp
@@ -16,10 +16,7 @@
 
 TEST(LeavingTarget, getsNoNewWorkAfterTwoSeconds)
 {
-    DeploymentOptions options = testOptions(71);
-    options.entryVms = 3;
-    options.services = { { "matters", 4, 6 } };
-    Deployment deployment(options);
+    Deployment deployment(testOptions(71, 3, { { "matters", 4, 6 } }));
     ASSERT_EQ(startAll(deployment), "");
     LoadGenerator load(loadOn(deployment, 200, Milliseconds(7000), 0.3));
     load.start();
--- a/tests/ProbeBudgetTest.cpp
+++ b/tests/ProbeBudgetTest.cpp
@@ -18,10 +18,8 @@
 
 TEST(ProbeBudget, holdsOverRestartsAndPartitions)
 {
-    DeploymentOptions options = testOptions(101);
-    options.entryVms = 3;
+    DeploymentOptions options = testOptions(101, 3, { { "matters", 3, 6 } });
     options.proxyLinks = true;
-    options.services = { { "matters", 3, 6 } };
     Deployment deployment(options);
     nlohmann::json manifest = makeManifest(1, options.services);
     manifest["services"][0]["measuringBudget"] = { { "probesPerSecondPerTarget", probesPerSecond }, { "bytesPerSecondPerVm", 100000 } };
--- a/tests/RestartTest.cpp
+++ b/tests/RestartTest.cpp
@@ -17,8 +17,7 @@
 
 TEST(Restart, afterAThousandChangesNothingIsLost)
 {
-    DeploymentOptions options = testOptions(121);
-    options.entryVms = 1;
+    DeploymentOptions options = testOptions(121, 1);
     options.settings = { { "snapshotEntries", 300 } };
     Deployment deployment(options);
     ASSERT_EQ(startAll(deployment), "");
--- a/tests/TestDeployment.h
+++ b/tests/TestDeployment.h
@@ -7,12 +7,14 @@
 namespace kingcup::testing {
 
 /** Returns options with the programs under test. @param fallbackSeed Seed unless KINGCUP_SEED is set. */
-inline DeploymentOptions testOptions(uint64_t fallbackSeed)
+inline DeploymentOptions testOptions(uint64_t fallbackSeed, uint32_t entryVms = 2, std::vector<ServiceLayout> services = { { "matters", 2, 6 } })
 {
     DeploymentOptions options;
     options.daemon = KINGCUPSWITCHD;
     options.controlTool = KINGCUPCTL;
     options.seed = testSeed(fallbackSeed);
+    options.entryVms = entryVms;
+    options.services = std::move(services);
     return options;
 }
 
