--- a/programs/kingcupswitchd/EntryNode.cpp
+++ b/programs/kingcupswitchd/EntryNode.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr int unansweredBeforeNextVm = 2; ///< Session requests without an answer after which another control VM is asked.
+constexpr Milliseconds sessionRetryInterval { 200 }; ///< A session request without an answer for this long is sent to another control VM.
 constexpr Milliseconds redirectPause { 30 }; ///< Before a session request to the leader that an answer named.
+constexpr Milliseconds electionPause { 100 }; ///< Before the next session request when an answer named no leader.
 
 /** Returns the options of the callers' listener. */
 HttpListenerOptions listenerOptions(const Settings& settings)
@@ -61,22 +62,33 @@
     if (!envelope.has_session_answer())
         return false;
     const wire::SessionAnswer& answer = envelope.session_answer();
+    this->awaitingAnswer = false;
     if (answer.result_code() != 0) {
-        this->leader.setLeader(answer.leader_vm() == envelope.sender_vm() ? 0 : answer.leader_vm());
-        if (this->leader.leader())
-            this->nextSession = std::min(this->nextSession, now + redirectPause);
+        this->followHint(envelope.sender_vm(), answer.leader_vm(), now);
         return true;
     }
-    this->unanswered = 0;
+    this->nextSession = now + this->settings.sessionInterval;
     this->leader.setLeader(envelope.sender_vm());
     if (this->configuration.receive(envelope.request_id(), answer, now)) {
         this->publish();
-        this->nextSession = now;
+        this->sendSessionRequest(now);
     }
     this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
     return true;
 }
 
+/** Turns to the leader that a control VM named, or to the next control VM when it knows none. */
+void EntryNode::followHint(uint32_t sender, uint32_t leaderVm, TimePoint now)
+{
+    if (leaderVm && leaderVm != sender) {
+        this->leader.setLeader(leaderVm);
+        this->nextSession = now + redirectPause;
+        return;
+    }
+    this->leader.tryNextVm();
+    this->nextSession = now + electionPause;
+}
+
 /** Puts the merged configuration in force. */
 void EntryNode::publish()
 {
@@ -90,16 +102,15 @@
     this->metrics.gauge("kingcup_lease_valid", this->gateway.leaseValid() ? 1 : 0);
     if (now < this->nextSession)
         return;
-    if (++this->unanswered > unansweredBeforeNextVm) {
-        this->unanswered = 1;
+    if (this->awaitingAnswer)
         this->leader.tryNextVm();
-    }
     this->sendSessionRequest(now);
 }
 
 void EntryNode::sendSessionRequest(TimePoint now)
 {
-    this->nextSession = now + this->settings.sessionInterval;
+    this->awaitingAnswer = true;
+    this->nextSession = now + sessionRetryInterval;
     wire::Envelope envelope;
     uint64_t id = this->leader.nextRequestId();
     envelope.set_request_id(id);
--- a/programs/kingcupswitchd/EntryNode.h
+++ b/programs/kingcupswitchd/EntryNode.h
@@ -54,6 +54,7 @@
 
 private:
     void sendSessionRequest(TimePoint now);
+    void followHint(uint32_t sender, uint32_t leaderVm, TimePoint now);
     void publish();
 
     Settings settings; ///< Of this process.
@@ -66,7 +67,7 @@
     EntryConfiguration configuration; ///< Thread of the hub only.
     HttpListener listener; ///< For callers.
     TimePoint nextSession {}; ///< Next session request.
-    int unanswered = 0; ///< Session requests since the last answer.
+    bool awaitingAnswer = false; ///< The last session request is not answered yet.
     std::atomic<bool> hasManifest { false }; ///< Whether a manifest was ever in force.
     std::atomic<bool> leaving { false }; ///< A planned stop has begun.
 };
