Fix: Faults that the review of the control part found

- An empty answer to a query about a manifest ended the process.
- A target that left stayed in the leader's heartbeats and was reported as silent again and again.
- After a new incarnation of its claims, an entry VM's session kept the old one, so that its running claims were not marked as unknown when it was lost.

--- a/programs/kingcupswitchd/ClaimClient.h
+++ b/programs/kingcupswitchd/ClaimClient.h
@@ -37,6 +37,7 @@
     /** Takes a new incarnation for further tickets, after control has declared the current one gone. */
     void renewIncarnation();
 
+    uint64_t currentIncarnation() const { return this->incarnation.load(); } ///< Of new tickets; sessions carry it too, so that control knows which claims are whose.
     uint64_t unreported() const { return this->openReports.load(); } ///< Outcomes that control does not have yet.
 
 private:
--- a/programs/kingcupswitchd/ControlNode.cpp
+++ b/programs/kingcupswitchd/ControlNode.cpp
@@ -18,11 +18,19 @@
 constexpr Milliseconds expiryInterval { 10000 };
 constexpr Milliseconds diskCheckInterval { 1000 };
 constexpr uint64_t diskReserveBytes = 32u << 20; ///< New commands are refused below this, so that what is accepted can still be written.
-constexpr int diskFailureExitCode = 70;
+constexpr int stateFailureExitCode = 70;
 constexpr size_t loadDigestBytes = 2048; ///< In one answer a second, within the 4 KB/s of control traffic.
 constexpr Milliseconds confirmationLimit { 400 }; ///< An entry VM that failed must not hold up an answer for its whole lease.
 constexpr int maxManifestAttempts = 5; ///< Tries of a change whose base was replaced meanwhile.
 
+/** Ends the process at once, because its durable or replicated state is no longer known to be right. */
+[[noreturn]] void endAfterFailure(std::error_code error)
+{
+    logLine(LogLevel::Error, "state_failed", { { "code", error.value() }, { "error", error.message() } });
+    closeLog();
+    std::_Exit(stateFailureExitCode);
+}
+
 /** Returns whether an announcement changes the record of a target. */
 bool differs(const wire::TargetRecord& announced, const wire::TargetRecord* known)
 {
@@ -67,14 +75,13 @@
     hooks.load = [this](const std::string& data) {
         ResultCode code = this->machine.load(data);
         logLine(LogLevel::Info, "snapshot_loaded", { { "result", resultCodeRow(code).name } });
+        // Going on over the old tables would make this replica differ from the others.
+        if (code != ResultCode::Ok)
+            endAfterFailure(code);
     };
     hooks.roleChanged = [this] { this->roleChanged(); };
-    hooks.failed = [](std::error_code error) {
-        // After a failed sync it is unknown what the disk holds, so nothing more may be acknowledged.
-        logLine(LogLevel::Error, "disk_failed", { { "error", error.message() } });
-        closeLog();
-        std::_Exit(diskFailureExitCode);
-    };
+    // After a failed sync it is unknown what the disk holds, so nothing more may be acknowledged.
+    hooks.failed = [](std::error_code error) { endAfterFailure(error); };
     this->driver = std::make_unique<LogDriver>(options, std::move(this->durable), std::move(this->snapshotData), *this->storage, seed, this->settings.snapshotEntries, hub, std::move(hooks));
     MembershipManagerOptions membershipOptions;
     membershipOptions.self = options.self;
@@ -108,12 +115,22 @@
     if (command.has_change_target()) {
         const wire::TargetRecord& target = command.change_target().target();
         this->pendingTargets.erase({ target.service(), target.address() });
+        if (target.state() == wire::TARGET_GONE)
+            this->forgetHeartbeat(target);
     }
     if (this->machine.configurationIndex() == index)
         this->schedulePush();
     return result;
 }
 
+/** Drops a target from the leader's heartbeats, so that it is not reported as silent again. */
+void ControlNode::forgetHeartbeat(const wire::TargetRecord& target)
+{
+    wire::TargetLoad load;
+    *load.mutable_target() = target;
+    this->sessions->heartbeat(load, MillisecondClock::now());
+}
+
 /** Sets up or forgets the soft state of a leader. */
 void ControlNode::roleChanged()
 {
--- a/programs/kingcupswitchd/ControlNode.h
+++ b/programs/kingcupswitchd/ControlNode.h
@@ -68,6 +68,7 @@
         std::function<void()> answer; ///< Sends the answer.
     };
     wire::CommandResult apply(LogIndex index, const wire::Command& command);
+    void forgetHeartbeat(const wire::TargetRecord& target);
     void roleChanged();
     void receiveSession(const LinkOrigin& origin, const wire::Envelope& envelope);
     void receiveCommand(const LinkOrigin& origin, const wire::Envelope& envelope);
--- a/programs/kingcupswitchd/EntryNode.cpp
+++ b/programs/kingcupswitchd/EntryNode.cpp
@@ -115,6 +115,7 @@
     uint64_t id = this->leader.nextRequestId();
     envelope.set_request_id(id);
     *envelope.mutable_session_request() = this->configuration.sessionRequest(id, now);
+    envelope.mutable_session_request()->set_incarnation(this->claims.currentIncarnation());
     envelope.mutable_session_request()->set_leaving(this->leaving.load());
     this->hub.send(this->leader.preferredVm(), std::move(envelope));
 }
--- a/programs/kingcupswitchd/LogDriver.cpp
+++ b/programs/kingcupswitchd/LogDriver.cpp
@@ -26,7 +26,8 @@
     , hub(hub)
     , hooks(std::move(hooks))
     , snapshotBytes(std::move(snapshotBytes))
-    , replicatedLog(options, durable, RandomSource(seed), [this] { return this->snapshotBytes; }, MillisecondClock::now())
+    , replicatedLog(
+          options, durable, RandomSource(seed), [this] { return this->snapshotBytes; }, MillisecondClock::now())
     , applied(durable.snapshot.lastIndex)
     , appliedTerm(durable.snapshot.lastTerm)
     , snapshotIndex(durable.snapshot.lastIndex)
--- a/programs/kingcupswitchd/OperatorApi.cpp
+++ b/programs/kingcupswitchd/OperatorApi.cpp
@@ -266,8 +266,9 @@
     wire::Envelope envelope;
     envelope.mutable_query_request()->set_subject("manifest:" + std::to_string(result.manifest_number()));
     this->leader.request(std::move(envelope), queryTimeout, [exchange, fields, status](ResultCode queryCode, const wire::Envelope& answer) mutable {
-        if (queryCode == ResultCode::Ok)
-            fields["inForce"] = nlohmann::json::parse(answer.query_answer().json())["inForce"];
+        nlohmann::json state = nlohmann::json::parse(answer.query_answer().json(), nullptr, false);
+        if (queryCode == ResultCode::Ok && state.is_object())
+            fields["inForce"] = state["inForce"];
         answerJson(exchange, status, fields);
     });
 }
--- a/programs/kingcupswitchd/Process.cpp
+++ b/programs/kingcupswitchd/Process.cpp
@@ -47,7 +47,8 @@
             return error;
     }
     auto receiver = [this](const LinkOrigin& origin, const wire::Envelope& envelope) { this->receive(origin, envelope); };
-    this->hub = std::make_unique<LinkHub>(this->hubOptions(keys), receiver, [this] { this->tick(); }, hubTickInterval);
+    this->hub = std::make_unique<LinkHub>(
+        this->hubOptions(keys), receiver, [this] { this->tick(); }, hubTickInterval);
     std::vector<uint32_t> controlVms;
     for (const ControlVmAddress& address : this->settings.controlVms)
         controlVms.push_back(address.id);
