--- /dev/null
+++ b/packages/state/src/FailPoint.cpp
@@ -0,0 +1,26 @@
+/** @file FailPoint.cpp Implementation of the fail points. */
+#include "kingcup/FailPoint.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+#include <unistd.h>
+
+namespace kingcup {
+
+void failPoint(std::string_view name)
+{
+    static const char* const file = std::getenv("KINGCUP_FAIL_POINT_FILE");
+    if (!file)
+        return;
+    std::string armed;
+    std::ifstream stream(file);
+    if (!std::getline(stream, armed) || armed != name)
+        return;
+    // Only the process that removes the file dies, however many pass the point at once.
+    if (unlink(file) == 0)
+        kill(getpid(), SIGKILL);
+}
+
+} // namespace kingcup
--- a/programs/kingcupswitchd/Call.cpp
+++ b/programs/kingcupswitchd/Call.cpp
@@ -1,6 +1,7 @@
 /** @file Call.cpp A call before its first attempt: checks, body, admission and claim. */
 #include "Call.h"
 
+#include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
 
 #include <algorithm>
@@ -185,6 +186,7 @@
     auto done = [self = this->shared_from_this()](const wire::CommandResult& result) {
         self->serial.post([self, result] { self->claimAnswered(result); });
     };
+    failPoint("claim.before_send");
     this->gateway.claims.claim(this->ticket, this->fingerprint, limits.claimRetention, timeout, done);
 }
 
@@ -199,6 +201,7 @@
     }
     switch (code) {
     case ResultCode::Ok:
+        failPoint("claim.granted");
         if (!this->startAttempt(false, 0))
             this->refuse(ResultCode::NoTarget, defaultRetryAfter);
         return;
--- a/programs/kingcupswitchd/Call.h
+++ b/programs/kingcupswitchd/Call.h
@@ -43,6 +43,7 @@
 
     // Attempts (CallAttempts.cpp).
     bool startAttempt(bool hedge, uint64_t resumeOffset);
+    std::optional<Pick> pickTarget(ContainmentVerdict verdict, TimePoint now);
     std::vector<std::string> excludedTargets(ContainmentVerdict verdict) const;
     UpstreamRequest upstreamRequest(const AttemptPointer& attempt);
     int nextBodyBytes(char* buffer, size_t size);
--- a/programs/kingcupswitchd/CallAnswer.cpp
+++ b/programs/kingcupswitchd/CallAnswer.cpp
@@ -1,6 +1,7 @@
 /** @file CallAnswer.cpp The answer of a call: whole or streamed, and the end of the call. */
 #include "Call.h"
 
+#include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
 
 #include <algorithm>
@@ -138,8 +139,11 @@
     Milliseconds total = MillisecondClock::now() - this->arrived;
     if (this->isAdmitted)
         this->match.runtime->finish(this->targetTime.count() > 0 ? this->targetTime : total, this->overloaded);
-    if (this->claimed)
+    if (this->claimed) {
+        failPoint("answer.given");
         this->finishClaim(code);
+        failPoint("finish.sent");
+    }
     this->cancelOthers(nullptr);
     std::string service = this->match.service ? this->match.service->name : "";
     this->gateway.metrics.call(service, this->match.kind ? this->match.kind->name : "", code);
--- a/programs/kingcupswitchd/CallAttempts.cpp
+++ b/programs/kingcupswitchd/CallAttempts.cpp
@@ -1,6 +1,7 @@
 /** @file CallAttempts.cpp The attempts of a call: placing, hedging, retrying and crash containment. */
 #include "Call.h"
 
+#include "kingcup/FailPoint.h"
 #include "kingcup/HttpRules.h"
 #include "kingcup/JsonLog.h"
 
@@ -25,8 +26,7 @@
     ContainmentVerdict verdict = this->gateway.containment.verdict(service, this->fingerprint, MillisecondClock::wallTimeMs());
     if (verdict == ContainmentVerdict::Refuse)
         return false;
-    std::vector<std::string> excluded = this->excludedTargets(verdict);
-    std::optional<Pick> pick = this->match.runtime->router.pick(excluded, now);
+    std::optional<Pick> pick = this->pickTarget(verdict, now);
     if (!pick)
         return false;
     auto attempt = std::make_shared<CallAttempt>();
@@ -35,13 +35,29 @@
     attempt->hedge = hedge;
     attempt->resumeOffset = resumeOffset;
     this->attempts.push_back(attempt);
-    this->gateway.containment.started(service, this->fingerprint, pick->address);
     attempt->handle = this->gateway.upstream.start(this->upstreamRequest(attempt));
+    if (this->claimed)
+        failPoint("attempt.started");
     if (this->attempts.size() == 1)
         this->scheduleHedge();
     return true;
 }
 
+/** Picks a target and registers the attempt with crash containment, which refuses a second suspect on one target. */
+std::optional<Pick> Call::pickTarget(ContainmentVerdict verdict, TimePoint now)
+{
+    const std::string& service = this->match.service->name;
+    std::vector<std::string> excluded = this->excludedTargets(verdict);
+    for (;;) {
+        std::optional<Pick> pick = this->match.runtime->router.pick(excluded, now);
+        if (!pick || this->gateway.containment.started(service, this->fingerprint, pick->address))
+            return pick;
+        this->gateway.containment.ended(service, this->fingerprint, pick->address);
+        this->match.runtime->router.finish(*pick, AttemptOutcome::Cancelled, Milliseconds(0), now);
+        excluded.push_back(pick->address);
+    }
+}
+
 /** Returns the targets that this call used, and for a suspect those on which other suspects run. */
 std::vector<std::string> Call::excludedTargets(ContainmentVerdict verdict) const
 {
@@ -263,6 +279,8 @@
     if (this->winner)
         return;
     if (result.outcome == UpstreamOutcome::Complete) {
+        if (this->claimed)
+            failPoint("answer.arrived");
         this->targetTime = result.total;
         this->answerWhole(attempt);
         return;
--- a/programs/kingcupswitchd/ControlNode.cpp
+++ b/programs/kingcupswitchd/ControlNode.cpp
@@ -2,6 +2,7 @@
 #include "ControlNode.h"
 
 #include "kingcup/ApplyManifest.h"
+#include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
 #include "kingcup/ManifestParser.h"
 #include "kingcup/TargetStates.h"
@@ -31,6 +32,36 @@
     std::_Exit(stateFailureExitCode);
 }
 
+/** One rule that a test can switch off. */
+struct RuleSwitch {
+    std::string_view name; ///< Name in the variable.
+    bool ControlRules::*rule; ///< The rule.
+};
+
+constexpr RuleSwitch ruleSwitches[] = {
+    { "claimsAreExclusive", &ControlRules::claimsAreExclusive },
+    { "unknownIsFinal", &ControlRules::unknownIsFinal },
+    { "releaseLeavesTombstone", &ControlRules::releaseLeavesTombstone },
+    { "manifestNumbersGrow", &ControlRules::manifestNumbersGrow },
+    { "equalNumbersConflict", &ControlRules::equalNumbersConflict },
+    { "checkIncarnations", &ControlRules::checkIncarnations },
+};
+
+/** Returns the rules in force: all, but for those that a test switched off with the variable KINGCUP_TEST_DISABLED_RULES. */
+ControlRules rulesInForce()
+{
+    ControlRules rules;
+    const char* disabled = std::getenv("KINGCUP_TEST_DISABLED_RULES");
+    if (!disabled)
+        return rules;
+    logLine(LogLevel::Error, "rules_disabled", { { "rules", disabled } });
+    for (const RuleSwitch& row : ruleSwitches) {
+        if (std::string_view(disabled).find(row.name) != std::string_view::npos)
+            rules.*row.rule = false;
+    }
+    return rules;
+}
+
 /** Returns whether an announcement changes the record of a target. */
 bool differs(const wire::TargetRecord& announced, const wire::TargetRecord* known)
 {
@@ -42,6 +73,11 @@
 
 } // namespace
 
+ControlNode::ControlNode()
+    : machine(rulesInForce())
+{
+}
+
 std::error_code ControlNode::open(const Settings& settings, uint64_t newIncarnation)
 {
     this->settings = settings;
@@ -112,6 +148,10 @@
 wire::CommandResult ControlNode::apply(LogIndex index, const wire::Command& command)
 {
     wire::CommandResult result = this->machine.apply(index, command);
+    if (this->leads() && command.has_claim())
+        failPoint("leader.claim_applied");
+    if (this->leads() && command.has_finish_claim())
+        failPoint("leader.finish_applied");
     if (command.has_change_target()) {
         const wire::TargetRecord& target = command.change_target().target();
         this->pendingTargets.erase({ target.service(), target.address() });
@@ -340,6 +380,8 @@
         done(checked);
         return;
     }
+    if (request.command().has_claim())
+        failPoint("leader.claim_received");
     this->driver->propose(request.command(), request.command().has_suspicion() ? this->answeredOnceInForce(done) : done);
 }
 
--- a/programs/kingcupswitchd/ControlNode.h
+++ b/programs/kingcupswitchd/ControlNode.h
@@ -21,6 +21,8 @@
 /** Runs the role control. All functions run on the thread of the hub, but for open() and stop(). */
 class ControlNode {
 public:
+    ControlNode();
+
     /** Opens the data folder. Errors of DataFolder and LogStorage. */
     std::error_code open(const Settings& settings, uint64_t newIncarnation);
 
--- a/programs/kingcupswitchd/LogDriver.cpp
+++ b/programs/kingcupswitchd/LogDriver.cpp
@@ -1,6 +1,7 @@
 /** @file LogDriver.cpp Implementation of the driver of a replicated log. */
 #include "LogDriver.h"
 
+#include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
 
 #include <cstdlib>
@@ -74,6 +75,7 @@
             done[position](resultOf(proposal.code));
     }
     this->process(std::move(output));
+    failPoint("leader.batch_proposed");
 }
 
 ResultCode LogDriver::proposeMembership(const wire::Membership& next)
@@ -145,8 +147,10 @@
             this->hub.post([this, lastIndex, lastTerm, hardTerm, messages] {
                 this->replicatedLog.hardStateSynced(hardTerm);
                 this->send(messages);
-                if (lastIndex)
+                if (lastIndex) {
+                    failPoint("log.batch_synced");
                     this->process(this->replicatedLog.synced(lastIndex, lastTerm, MillisecondClock::now()));
+                }
                 this->flushProposals();
             });
         };
--- a/programs/kingcupswitchd/Prober.cpp
+++ b/programs/kingcupswitchd/Prober.cpp
@@ -27,12 +27,14 @@
     });
 }
 
-/** Offers the least observed targets of each service to the budget. Without a lease the share of this VM is unknown, so it does not probe. */
+/** Refreshes the limits and offers the least observed targets of each service to the budget. Without a lease the share of this VM is unknown, so it does not probe. */
 void Prober::round()
 {
+    TimePoint now = MillisecondClock::now();
+    for (const RequestTableRow& row : this->gateway.services())
+        row.runtime->refreshLimits(*row.service, now);
     if (!this->gateway.leaseValid() || this->gateway.stopping.load())
         return;
-    TimePoint now = MillisecondClock::now();
     for (const RequestTableRow& row : this->gateway.services()) {
         for (const std::string& address : row.runtime->router.leastObserved(candidatesPerRound, now)) {
             if (row.runtime->takeProbe(address, probeBytes, now))
--- a/programs/kingcupswitchd/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/ServiceRuntime.cpp
@@ -22,9 +22,18 @@
 {
     this->router.update(service, targets, now);
     this->retries.setLimits(service.limits);
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->probeBudget.setBudget(service.measuringBudget);
+    }
+    this->refreshLimits(service, now);
+}
+
+void ServiceRuntime::refreshLimits(const Service& service, TimePoint now)
+{
+    uint32_t usableSlots = this->router.usableSlots(now);
     std::unique_lock<std::mutex> lock(this->mutex);
-    this->probeBudget.setBudget(service.measuringBudget);
-    this->admission.setLimits(service.limits, this->router.usableSlots(now));
+    this->admission.setLimits(service.limits, usableSlots);
     this->dispatch(this->admission.tick(now), std::move(lock));
 }
 
--- a/programs/kingcupswitchd/ServiceRuntime.h
+++ b/programs/kingcupswitchd/ServiceRuntime.h
@@ -30,6 +30,9 @@
     /** Takes over a new configuration. */
     void update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now);
 
+    /** Adapts the concurrency limit to the slots that are usable now, which ejections and load reports change. */
+    void refreshLimits(const Service& service, TimePoint now);
+
     /** Asks for admission; the hook is called once, now or later, unless cancelAdmission() returns true. */
     void admit(AdmissionRequest request, AdmissionHook hook);
 
--- /dev/null
+++ b/tests/ClaimKillPointsTest.cpp
@@ -0,0 +1,126 @@
+/** @file ClaimKillPointsTest.cpp Guards against a posting that runs twice when a process dies at a given step of the claim protocol. */
+#include "TestDeployment.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using namespace kingcup::testing;
+
+namespace {
+
+constexpr Milliseconds fireLimit { 10000 };
+constexpr Milliseconds recoveryLimit { 15000 };
+constexpr Milliseconds resendPause { 150 };
+constexpr double callsPerSecond = 60;
+
+/** Every step of the protocol at which a process is killed once. */
+constexpr std::string_view killPoints[] = {
+    "claim.before_send",
+    "claim.granted",
+    "attempt.started",
+    "answer.arrived",
+    "answer.given",
+    "finish.sent",
+    "leader.claim_received",
+    "leader.batch_proposed",
+    "log.batch_synced",
+    "leader.claim_applied",
+    "leader.finish_applied",
+};
+
+/** Starts every daemon that has died. */
+void restartDead(Deployment& deployment)
+{
+    for (std::vector<Vm>* vms : { &deployment.controlVms(), &deployment.entryVms() }) {
+        for (Vm& vm : *vms) {
+            if (!vm.process->running())
+                deployment.restart(vm);
+        }
+    }
+}
+
+/** Sets an environment variable for the processes that a test starts. */
+class ScopedEnvironment {
+public:
+    ScopedEnvironment(std::string name, const std::string& value)
+        : name(std::move(name))
+    {
+        setenv(this->name.c_str(), value.c_str(), 1);
+    }
+    ~ScopedEnvironment() { unsetenv(this->name.c_str()); }
+
+private:
+    std::string name; ///< Variable.
+};
+
+/** Returns a load of keyed posts that are sent again until they have a final answer. */
+LoadOptions postLoad(const Deployment& deployment, Milliseconds duration)
+{
+    LoadOptions options = loadOn(deployment, callsPerSecond, duration, 50);
+    // Long enough for the lease of a lost entry VM to end, after which its claims have an unknown outcome.
+    options.resends = 40;
+    options.resendDelay = resendPause;
+    return options;
+}
+
+/** Kills one process at each point while posts are sent. Returns the violations. */
+std::string killAtEachPoint(Deployment& deployment, const std::string& armFile)
+{
+    LoadGenerator load(postLoad(deployment, Milliseconds(120000)));
+    load.start();
+    for (std::string_view point : killPoints) {
+        section(std::string(point), [&] {
+            writeFile(armFile, std::string(point));
+            bool fired = waitUntil(fireLimit, [&] { return !std::filesystem::exists(armFile); });
+            EXPECT_TRUE(fired) << "no process passed the point";
+            waitUntil(resendPause, [] { return false; });
+            restartDead(deployment);
+            EXPECT_TRUE(deployment.waitReady(recoveryLimit)) << deployment.logs();
+        });
+    }
+    load.finish();
+    std::string violations = violationsAfter(deployment, load);
+    LoadSummary summary = summarise(load.records());
+    EXPECT_GT(summary.answered, summary.calls / 2) << describeResults(load);
+    return violations;
+}
+
+} // namespace
+
+TEST(ClaimKillPoints, nothingRunsTwiceWhateverStepAProcessDiesAt)
+{
+    TemporaryFolder folder;
+    std::string armFile = folder.path() + "/armed";
+    ScopedEnvironment environment("KINGCUP_FAIL_POINT_FILE", armFile);
+    Deployment deployment(testOptions(31, 2, { { "ledger", 3, 6 } }));
+    ASSERT_EQ(startAll(deployment), "");
+    EXPECT_EQ(killAtEachPoint(deployment, armFile), "");
+}
+
+TEST(ClaimKillPoints, checkerFindsDoubledRunsWithoutTheRules)
+{
+    TemporaryFolder folder;
+    std::string armFile = folder.path() + "/armed";
+    ScopedEnvironment environment("KINGCUP_FAIL_POINT_FILE", armFile);
+    for (std::string rule : { "claimsAreExclusive", "unknownIsFinal" }) {
+        section("without " + rule, [&] {
+            ScopedEnvironment rules("KINGCUP_TEST_DISABLED_RULES", rule);
+            Deployment deployment(testOptions(32, 2, { { "ledger", 3, 6 } }));
+            ASSERT_EQ(startAll(deployment), "");
+            LoadGenerator load(postLoad(deployment, Milliseconds(60000)));
+            load.start();
+            for (int round = 0; round < 4; ++round) {
+                writeFile(armFile, "answer.arrived");
+                EXPECT_TRUE(waitUntil(fireLimit, [&] { return !std::filesystem::exists(armFile); }));
+                // The lost VM's lease has to end before control counts its claims as unknown.
+                waitUntil(Milliseconds(3500), [] { return false; });
+                restartDead(deployment);
+                deployment.waitReady(recoveryLimit);
+            }
+            load.finish();
+            EXPECT_NE(violationsAfter(deployment, load), "") << "the rule is not needed, or the checker does not see that it is missing";
+        });
+    }
+}
