Fix: Treat a number of live VMs that was not renewed for a lease term as unknown

The daemon reports the number with each session answer and says nothing when its lease lapses. After a partition the VM would have used its full share at once, although other VMs may no longer count it.

--- a/packages/coordination/include/kingcup/ProbeBudget.h
+++ b/packages/coordination/include/kingcup/ProbeBudget.h
@@ -42,6 +42,7 @@
     uint32_t assumedVms; ///< Divisor when unknown.
     uint32_t liveVms = 0; ///< Divisor in use; 0: unknown.
     Milliseconds leaseTerm { 0 }; ///< Last one heard; 0: none yet.
+    TimePoint heardAt {}; ///< When the number was last set.
     TimePoint settledAt {}; ///< From when on all other VMs count this one.
     bool settled = false; ///< Whether the share of a counted VM is in use.
     uint32_t pendingVms = 0; ///< Lower number that waits for a lease term.
--- a/packages/coordination/src/ProbeBudget.cpp
+++ b/packages/coordination/src/ProbeBudget.cpp
@@ -34,7 +34,9 @@
 void ProbeBudget::setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now)
 {
     this->leaseTerm = leaseTerm;
-    bool wasKnown = this->liveVms > 0;
+    // A number that was not confirmed for a lease term was unknown in between, even when nobody said so.
+    bool wasKnown = this->liveVms > 0 && now - this->heardAt <= leaseTerm;
+    this->heardAt = now;
     if ((liveVms > 0) != wasKnown) {
         // What was saved up under one share must not be spent on top of another.
         this->buckets.clear();
--- a/packages/coordination/tests/ProbeBudgetTest.cpp
+++ b/packages/coordination/tests/ProbeBudgetTest.cpp
@@ -164,6 +164,15 @@
         EXPECT_LE(bytes, 4096u * 10);
         EXPECT_GE(bytes, 4096u * 9);
     });
+    section("a number that was not confirmed for a lease term counts as unknown in between", [] {
+        ProbeBudget budget(MeasuringBudget { 100, 1e9 }, 10);
+        for (double ms = 0; ms < 10000; ms += 1000)
+            budget.setLiveVms(10, Milliseconds(leaseMs), timeAt(ms));
+        budget.setLiveVms(10, Milliseconds(leaseMs), timeAt(20000));
+        for (double ms = 20000; ms < 20000 + leaseMs; ms += stepMs)
+            budget.take("target", 100, timeAt(ms));
+        EXPECT_LE(budget.granted(), 1u);
+    });
     section("a lower number of VMs takes effect only after a lease term", [] {
         ProbeBudget budget(MeasuringBudget { 10, 1e9 }, 20);
         for (double ms = 0; ms < 20000; ms += stepMs) {
