--- a/bench/HttpPathBench.cpp
+++ b/bench/HttpPathBench.cpp
@@ -65,6 +65,7 @@
 {
     std::vector<std::vector<double>> results(static_cast<size_t>(load.callers));
     std::vector<std::thread> threads;
+    threads.reserve(results.size());
     for (std::vector<double>& result : results)
         threads.emplace_back([&load, &result, callsEach] { result = runCaller(load, callsEach); });
     for (std::thread& thread : threads)
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -70,7 +70,7 @@
     ExchangeHolder* openExchange(const char* target, MHD_Connection* connection);
 
     /** Handles the first call for a request: its header is complete. */
-    MHD_Result beginRequest(const ExchangeHolder& exchange, RawHead raw);
+    MHD_Result beginRequest(const ExchangeHolder& exchange, const RawHead& raw);
 
     /** Ends all exchanges, so that no connection stays suspended. */
     void dropExchanges();
@@ -98,7 +98,7 @@
         raw.targetStart = (*exchange)->targetStart;
         raw.size = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)->header_size;
         MHD_get_connection_values_n(connection, MHD_HEADER_KIND, addRawField, &raw);
-        return static_cast<State*>(state)->beginRequest(*exchange, std::move(raw));
+        return static_cast<State*>(state)->beginRequest(*exchange, raw);
     }
 
     static void completed(void* state, MHD_Connection*, void** request, MHD_RequestTerminationCode reason)
@@ -175,7 +175,7 @@
     return new ExchangeHolder(std::move(exchange));
 }
 
-MHD_Result HttpListener::State::beginRequest(const ExchangeHolder& exchange, RawHead raw)
+MHD_Result HttpListener::State::beginRequest(const ExchangeHolder& exchange, const RawHead& raw)
 {
     exchange->headSeen = true;
     bool accepted = exchange->onHead(raw);
--- a/packages/transport/src/ServedExchange.cpp
+++ b/packages/transport/src/ServedExchange.cpp
@@ -129,7 +129,8 @@
     // ends a body that is delimited by the end of the connection.
     sockaddr none {};
     none.sa_family = AF_UNSPEC;
-    connect(this->caller->socket, &none, sizeof(none));
+    // It fails only if the connection is reset already.
+    (void)connect(this->caller->socket, &none, sizeof(none));
 }
 
 bool ServedExchange::onHead(const RawHead& raw)
--- a/packages/transport/tests/HttpFramingTest.cpp
+++ b/packages/transport/tests/HttpFramingTest.cpp
@@ -81,7 +81,7 @@
     return caller.takeAll();
 }
 
-/** Returns the number of complete requests that the target has seen. */
+/** A target that counts the complete requests that it has seen. */
 struct CountingTarget {
     std::atomic<int> requests = 0; ///< Complete ones.
     RawServer server { [this](RawSocket& socket, int) {
@@ -100,7 +100,6 @@
 TEST(HttpFramingTest, refusesAmbiguousRequests)
 {
     CountingTarget target;
-    std::atomic<int> refusals = 0;
     PassThrough path({ .address = "127.0.0.1:0" }, target.server.address());
     for (const Shape& shape : headerShapes) {
         section(shape.name, [&] {
--- a/packages/transport/tests/HttpPathTest.cpp
+++ b/packages/transport/tests/HttpPathTest.cpp
@@ -224,6 +224,7 @@
     std::atomic<int> answered = 0;
     std::atomic<int> lost = 0;
     std::vector<std::thread> callers;
+    callers.reserve(16);
     for (int number = 0; number < 16; ++number) {
         callers.emplace_back([&, number] {
             RawSocket caller = RawSocket::connectTo(path.listener.port());
--- a/packages/transport/tests/PassThrough.h
+++ b/packages/transport/tests/PassThrough.h
@@ -16,7 +16,7 @@
     PassThrough(HttpListenerOptions options, std::string targetAddress, uint32_t clientThreads = 2)
         : target(std::move(targetAddress))
         , client(clientThreads, 256)
-        , listener(std::move(options), [this](std::shared_ptr<HttpExchange> exchange) { this->forward(exchange); })
+        , listener(std::move(options), [this](const std::shared_ptr<HttpExchange>& exchange) { this->forward(exchange); })
     {
         this->started = !this->listener.start();
     }
--- a/packages/transport/tests/RawSocket.h
+++ b/packages/transport/tests/RawSocket.h
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <condition_variable>
+#include <cstdlib>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -82,7 +83,8 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        if (connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+            ::close(std::exchange(descriptor, -1)); // send() and receive() fail then.
         return RawSocket(descriptor);
     }
 
@@ -110,7 +112,7 @@
     {
         pollfd waited { this->descriptor, POLLIN, 0 };
         char buffer[65536];
-        if (poll(&waited, 1, limitMs) <= 0)
+        if (this->descriptor < 0 || poll(&waited, 1, limitMs) <= 0)
             return false;
         ssize_t count = recv(this->descriptor, buffer, sizeof(buffer), 0);
         this->wasReset = count < 0;
@@ -190,7 +192,8 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
-        bind(this->listener, reinterpret_cast<sockaddr*>(&address), size);
+        if (bind(this->listener, reinterpret_cast<sockaddr*>(&address), size) != 0)
+            std::abort();
         listen(this->listener, 1024);
         getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
         this->boundPort = ntohs(address.sin_port);
