--- a/packages/coordination/include/kingcup/ProbeBudget.h
+++ b/packages/coordination/include/kingcup/ProbeBudget.h
@@ -17,7 +17,11 @@
     /** Changes the budget. */
     void setBudget(const MeasuringBudget& budget);
 
-    /** Sets the number of live entry VMs; 0: unknown. A fall in number takes effect only after a lease term. */
+    /**
+     * Sets the number of live entry VMs; 0: unknown. To be called with every session answer and when the lease lapses.
+     * A fall in number takes effect only after a lease term, and so does a number that follows an unknown one:
+     * until then other VMs may not count this one.
+     */
     void setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now);
 
     /** Takes one probe of a target from the budget. A process that just started has no saved-up budget. @param bytes Expected cost, both ways. */
@@ -31,11 +35,15 @@
         double tokens = 0; ///< Probes.
         TimePoint filled {}; ///< Last refill.
     };
-    double share(TimePoint now) const;
+    double share() const;
+    void settle(TimePoint now);
 
     MeasuringBudget budget; ///< From the manifest.
     uint32_t assumedVms; ///< Divisor when unknown.
     uint32_t liveVms = 0; ///< Divisor in use; 0: unknown.
+    Milliseconds leaseTerm { 0 }; ///< Last one heard; 0: none yet.
+    TimePoint settledAt {}; ///< From when on all other VMs count this one.
+    bool settled = false; ///< Whether the share of a counted VM is in use.
     uint32_t pendingVms = 0; ///< Lower number that waits for a lease term.
     TimePoint pendingSince {}; ///< When it was first heard.
     Milliseconds pendingTerm { 0 }; ///< How long it waits.
--- /dev/null
+++ b/packages/coordination/src/EntryConfiguration.cpp
@@ -0,0 +1,168 @@
+/** @file EntryConfiguration.cpp Merges configuration changes and keeps the lease of an entry VM. */
+#include "kingcup/EntryConfiguration.h"
+
+#include "kingcup/ManifestParser.h"
+#include "kingcup/ResultCode.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace kingcup {
+
+namespace {
+
+/** Applies changed and removed services. Returns false when a document is not readable. */
+bool mergeServices(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
+{
+    for (const std::string& name : changes.removed_services())
+        snapshot.services.erase(name);
+    for (const wire::ServiceDocument& document : changes.services()) {
+        std::variant<Service, DocumentError> parsed = parseService(document.json());
+        if (!std::holds_alternative<Service>(parsed))
+            return false;
+        snapshot.services[document.name()] = std::make_shared<const Service>(std::get<Service>(std::move(parsed)));
+    }
+    return true;
+}
+
+/** Changed records of one service by address. */
+using RecordChanges = std::map<std::string_view, const wire::TargetRecord*>;
+
+/** Returns a list with changes applied. Both are ordered by address. */
+TargetList mergeList(const TargetList& held, const RecordChanges& changes)
+{
+    std::vector<wire::TargetRecord> merged;
+    merged.reserve(held.size() + changes.size());
+    auto change = changes.begin();
+    auto takeChange = [&] {
+        if (change->second->state() != wire::TARGET_GONE)
+            merged.push_back(*change->second);
+        ++change;
+    };
+    for (const wire::TargetRecord& record : held) {
+        while (change != changes.end() && change->first < record.address())
+            takeChange();
+        if (change != changes.end() && change->first == record.address())
+            takeChange();
+        else
+            merged.push_back(record);
+    }
+    while (change != changes.end())
+        takeChange();
+    return TargetList(std::move(merged));
+}
+
+/** Applies changed targets. Only the lists of services with changes are copied. */
+void mergeTargets(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
+{
+    std::map<std::string, RecordChanges> changesByService;
+    for (const wire::TargetRecord& target : changes.targets())
+        changesByService[target.service()][target.address()] = &target;
+    for (const auto& [service, records] : changesByService) {
+        TargetList& targets = snapshot.targets[service];
+        targets = mergeList(targets, records);
+        if (targets.size() == 0)
+            snapshot.targets.erase(service);
+    }
+}
+
+/** Applies changed suspicions and quarantines. */
+void mergeQuarantines(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
+{
+    for (const wire::Quarantine& quarantine : changes.quarantines()) {
+        std::pair<std::string, std::string> key { quarantine.service(), quarantine.fingerprint() };
+        if (quarantine.cleared())
+            snapshot.quarantines.erase(key);
+        else
+            snapshot.quarantines[key] = quarantine;
+    }
+}
+
+} // namespace
+
+EntryConfiguration::EntryConfiguration(std::string entryVm, uint64_t incarnation, std::string availabilityZone, Milliseconds leaseTerm)
+    : entryVm(std::move(entryVm))
+    , incarnation(incarnation)
+    , availabilityZone(std::move(availabilityZone))
+    , leaseTerm(leaseTerm)
+    , current(std::make_shared<const ConfigurationSnapshot>())
+{
+}
+
+wire::SessionRequest EntryConfiguration::sessionRequest(uint64_t requestId, TimePoint now)
+{
+    std::erase_if(this->sentRequests, [&](const auto& sent) { return sent.second + this->leaseTerm <= now; });
+    this->sentRequests[requestId] = now;
+    wire::SessionRequest request;
+    request.set_entry_vm(this->entryVm);
+    request.set_incarnation(this->incarnation);
+    request.set_held_index(this->current->index);
+    request.set_held_manifest_number(this->current->manifestNumber);
+    request.set_availability_zone(this->availabilityZone);
+    return request;
+}
+
+bool EntryConfiguration::receive(uint64_t requestId, const wire::SessionAnswer& answer, TimePoint now)
+{
+    if (answer.result_code() != static_cast<int>(ResultCode::Ok))
+        return false;
+    MergeResult merged = this->merge(answer.changes());
+    auto sent = this->sentRequests.find(requestId);
+    if (merged == MergeResult::Refused || sent == this->sentRequests.end())
+        return merged == MergeResult::Changed;
+    Milliseconds granted = std::min(Milliseconds(static_cast<double>(answer.lease_ms())), this->leaseTerm);
+    TimePoint end = sent->second + granted;
+    this->sentRequests.erase(sent);
+    if (end > this->leaseEndTime && end > now) {
+        this->leaseEndTime = end;
+        this->liveVms = answer.live_entry_vms();
+    }
+    return merged == MergeResult::Changed;
+}
+
+bool EntryConfiguration::receive(const wire::ConfigurationPush& push)
+{
+    return this->merge(push.changes()) == MergeResult::Changed;
+}
+
+bool EntryConfiguration::leaseValid(TimePoint now) const
+{
+    return now < this->leaseEndTime;
+}
+
+uint32_t EntryConfiguration::liveEntryVms(TimePoint now) const
+{
+    return this->leaseValid(now) ? this->liveVms : 0;
+}
+
+std::shared_ptr<const ConfigurationSnapshot> EntryConfiguration::snapshot() const
+{
+    return this->current;
+}
+
+TimePoint EntryConfiguration::leaseEnd() const
+{
+    return this->leaseEndTime;
+}
+
+EntryConfiguration::MergeResult EntryConfiguration::merge(const wire::ConfigurationChanges& changes)
+{
+    LogIndex held = this->current->index;
+    bool isAdjacent = changes.full() || changes.from_index() <= held;
+    if (changes.to_index() < held || !isAdjacent)
+        return MergeResult::Refused;
+    if (changes.to_index() == held)
+        return MergeResult::Unchanged;
+    auto next = std::make_shared<ConfigurationSnapshot>(changes.full() ? ConfigurationSnapshot() : *this->current);
+    next->index = changes.to_index();
+    next->manifestNumber = changes.manifest_number();
+    next->manifestDigest = changes.manifest_digest();
+    if (!mergeServices(changes, *next))
+        return MergeResult::Refused;
+    mergeTargets(changes, *next);
+    mergeQuarantines(changes, *next);
+    this->current = std::move(next);
+    return MergeResult::Changed;
+}
+
+} // namespace kingcup
--- a/packages/coordination/src/Headers.cpp
+++ b/packages/coordination/src/Headers.cpp
@@ -1,8 +1,10 @@
 /** @file Headers.cpp Compiles every public header of the package on its own. */
 #include "kingcup/Admission.h"
+#include "kingcup/ApplyManifest.h"
 #include "kingcup/ControlStateMachine.h"
 #include "kingcup/CrashContainment.h"
 #include "kingcup/EntryConfiguration.h"
+#include "kingcup/LogStorage.h"
 #include "kingcup/ProbeBudget.h"
 #include "kingcup/ReplicatedLog.h"
 #include "kingcup/ReplicatedLogTypes.h"
--- /dev/null
+++ b/packages/coordination/src/Router.cpp
@@ -0,0 +1,249 @@
+/** @file Router.cpp Routing of the attempts of one service on one entry VM. */
+#include "kingcup/Router.h"
+
+#include "RoutingTable.h"
+#include "TargetChooser.h"
+
+#include "kingcup/Rcu.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace kingcup {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+constexpr size_t counterStripes = 8;
+constexpr double observationLifetimeMs = 5000;
+
+/** Returns a time point as a number of milliseconds. */
+double inMs(TimePoint time)
+{
+    return time.time_since_epoch().count();
+}
+
+/** Counter for many threads that is seldom read. */
+class StripedCounter {
+public:
+    /** Adds to the stripe of this thread. */
+    void add(int64_t amount) { this->stripes[stripe()].value.fetch_add(amount, relaxed); }
+
+    /** Returns the sum. */
+    int64_t sum() const
+    {
+        int64_t total = 0;
+        for (const Stripe& stripe : this->stripes)
+            total += stripe.value.load(relaxed);
+        return total;
+    }
+
+private:
+    /** One cache line. */
+    struct alignas(64) Stripe {
+        std::atomic<int64_t> value { 0 }; ///< Part of the sum.
+    };
+
+    static size_t stripe()
+    {
+        static std::atomic<size_t> threads { 0 };
+        thread_local size_t index = threads.fetch_add(1, relaxed) % counterStripes;
+        return index;
+    }
+
+    std::array<Stripe, counterStripes> stripes {};
+};
+
+} // namespace
+
+/** Everything behind the interface. */
+struct Router::State {
+    State(RoutingPolicy policy, SubsetOwner owner, RandomSource random)
+        : policy(policy)
+        , owner(std::move(owner))
+        , seed(random.next())
+        , table(std::make_unique<RoutingTable>())
+    {
+    }
+
+    /** Ejects a target, unless the share of ejected targets would become too large. */
+    void tryEject(const RoutingTable& routingTable, TargetEstimate& target, double nowMs);
+
+    RoutingPolicy policy; ///< Way to choose.
+    SubsetOwner owner; ///< This VM.
+    const uint64_t seed; ///< Of the choices.
+    RcuPointer<RoutingTable> table; ///< Targets in use.
+    FleetAverages fleet; ///< Averages over all targets.
+    alignas(64) std::atomic<uint64_t> choices { 0 }; ///< Picks so far.
+    StripedCounter outstanding; ///< Calls in flight.
+    std::mutex updateMutex; ///< Serialises update().
+    std::mutex ejectionMutex; ///< Keeps two threads from ejecting more than the allowed share together.
+    uint32_t serial = 0; ///< Last serial number of an estimate; guarded by updateMutex.
+};
+
+void Router::State::tryEject(const RoutingTable& routingTable, TargetEstimate& target, double nowMs)
+{
+    std::lock_guard<std::mutex> lock(this->ejectionMutex);
+    if (target.ejected(nowMs))
+        return;
+    size_t ejected = 0;
+    for (size_t i = 0; i < routingTable.servingCount; ++i)
+        ejected += routingTable.entries[i].target->ejected(nowMs);
+    double allowed = routingTable.limits.maxEjectedShare * static_cast<double>(routingTable.servingCount);
+    if (static_cast<double>(ejected + 1) <= allowed)
+        target.eject(nowMs);
+}
+
+Router::Router(RoutingPolicy policy, std::string entryVm, std::string ownZone, RandomSource random)
+    : state(std::make_unique<State>(policy, SubsetOwner { std::move(entryVm), std::move(ownZone) }, random))
+{
+}
+
+Router::~Router() = default;
+
+void Router::update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->state->updateMutex);
+    std::unique_ptr<RoutingTable> next;
+    {
+        RcuReadGuard guard;
+        const RoutingTable& previous = this->state->table.read(guard);
+        next = buildRoutingTable(this->state->owner, service, targets, previous, this->state->serial, inMs(now));
+    }
+    this->state->table.replace(std::move(next));
+}
+
+std::optional<Pick> Router::pick(std::span<const std::string> excluded, TimePoint now)
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    uint64_t number = this->state->choices.fetch_add(1, relaxed);
+    ChoiceRandom random(this->state->seed, number);
+    this->state->fleet.refresh(table, inMs(now));
+    Choice choice { table, excluded, this->state->fleet, random, number, inMs(now) };
+    const RoutingEntry* entry = chooseTarget(this->state->policy, choice);
+    if (!entry) {
+        choice.allowEjected = true;
+        entry = chooseTarget(this->state->policy, choice);
+    }
+    if (!entry)
+        return std::nullopt;
+    entry->target->started(inMs(now));
+    this->state->outstanding.add(1);
+    uint64_t ticket = static_cast<uint64_t>(entry->target->serial) << 32 | (number & 0xffffffff);
+    return Pick { entry->target->address, entry->target->incarnation, ticket };
+}
+
+void Router::finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now)
+{
+    this->state->outstanding.add(-1);
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    const RoutingEntry* entry = table.find(pick.address);
+    if (!entry || entry->target->serial != pick.ticket >> 32)
+        return;
+    double fleetMs = this->state->fleet.latencyMs.load(relaxed);
+    entry->target->finished(outcome, latency.count(), fleetMs, inMs(now));
+    bool failed = outcome != AttemptOutcome::Answered && outcome != AttemptOutcome::Cancelled;
+    if (failed && entry->target->shouldEject())
+        this->state->tryEject(table, *entry->target, inMs(now));
+}
+
+void Router::report(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now)
+{
+    RcuReadGuard guard;
+    const RoutingEntry* entry = this->state->table.read(guard).find(address);
+    if (!entry)
+        return;
+    entry->target->reported(load, inMs(now) - std::max(age.count(), 0.0));
+}
+
+uint32_t Router::outstanding() const
+{
+    return static_cast<uint32_t>(std::max<int64_t>(0, this->state->outstanding.sum()));
+}
+
+uint32_t Router::usableSlots(TimePoint now) const
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    uint32_t slots = 0;
+    for (size_t i = 0; i < table.servingCount; ++i)
+        slots += table.entries[i].target->ejected(inMs(now)) ? 0 : table.entries[i].slots;
+    return slots;
+}
+
+std::vector<std::string> Router::leastObserved(size_t count, TimePoint) const
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    std::vector<std::pair<double, const std::string*>> order;
+    for (size_t i = 0; i < table.servingCount; ++i) {
+        const TargetEstimate& target = *table.entries[i].target;
+        order.emplace_back(target.reportedMs.load(relaxed), &target.address);
+    }
+    std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<std::string> addresses;
+    for (size_t i = 0; i < std::min(count, order.size()); ++i)
+        addresses.push_back(*order[i].second);
+    return addresses;
+}
+
+std::vector<wire::TargetLoad> Router::observations(TimePoint now) const
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    double fleetLog = std::log(std::max(this->state->fleet.latencyMs.load(relaxed), 0.001));
+    std::vector<std::pair<double, wire::TargetLoad>> ranked;
+    for (const RoutingEntry& entry : table.entries) {
+        const TargetEstimate& target = *entry.target;
+        double age = inMs(now) - target.observedMs.load(relaxed);
+        if (age > observationLifetimeMs || !target.answers.load(relaxed))
+            continue;
+        wire::TargetLoad load;
+        load.mutable_target()->set_service(table.service);
+        load.mutable_target()->set_address(target.address);
+        load.mutable_target()->set_incarnation(target.incarnation);
+        load.mutable_target()->set_slots(entry.slots);
+        load.mutable_target()->set_state(entry.state);
+        load.set_in_flight(static_cast<uint32_t>(std::max(0, target.reportedInFlight.load(relaxed))));
+        load.set_latency_ms(std::exp(target.logLatency.load(relaxed)));
+        load.set_age_ms(static_cast<uint32_t>(std::max(0.0, age)));
+        double surprise = std::abs(target.logLatency.load(relaxed) - fleetLog) + target.recentFailures(inMs(now));
+        ranked.emplace_back(surprise * std::exp(-age / observationLifetimeMs), std::move(load));
+    }
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<wire::TargetLoad> result;
+    result.reserve(ranked.size());
+    for (auto& row : ranked)
+        result.push_back(std::move(row.second));
+    return result;
+}
+
+std::string Router::dump(TimePoint now) const
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    nlohmann::json targets = nlohmann::json::array();
+    for (const RoutingEntry& entry : table.entries) {
+        const TargetEstimate& target = *entry.target;
+        targets.push_back({ { "address", target.address },
+            { "incarnation", target.incarnation },
+            { "state", wire::TargetState_Name(entry.state) },
+            { "local", entry.local },
+            { "slots", entry.slots },
+            { "outstanding", target.outstanding.load(relaxed) },
+            { "latencyMs", target.latency(this->state->fleet.latencyMs.load(relaxed), inMs(now)) },
+            { "recentFailures", target.recentFailures(inMs(now)) },
+            { "ejected", target.ejected(inMs(now)) },
+            { "ramp", target.ramp(inMs(now)) },
+            { "reportedInFlight", target.reportedInFlight.load(relaxed) },
+            { "reportAgeMs", std::min(inMs(now) - target.reportedMs.load(relaxed), 1e9) } });
+    }
+    return nlohmann::json({ { "service", table.service }, { "outstanding", this->outstanding() }, { "targets", targets } }).dump();
+}
+
+} // namespace kingcup
--- /dev/null
+++ b/programs/kingcupswitchd/EntryNode.cpp
@@ -0,0 +1,147 @@
+/** @file EntryNode.cpp Implementation of the role entry. */
+#include "EntryNode.h"
+
+#include "kingcup/JsonLog.h"
+
+namespace kingcup {
+
+namespace {
+
+constexpr Milliseconds sessionRetryInterval { 200 }; ///< A session request without an answer for this long is sent to another control VM.
+constexpr Milliseconds redirectPause { 30 }; ///< Before a session request to the leader that an answer named.
+constexpr Milliseconds electionPause { 100 }; ///< Before the next session request when an answer named no leader.
+
+/** Returns the options of the callers' listener. */
+HttpListenerOptions listenerOptions(const Settings& settings)
+{
+    HttpListenerOptions options;
+    options.address = settings.callerListener;
+    options.threads = settings.callerThreads;
+    options.maxConnections = settings.maxCallerConnections;
+    options.maxHeaderBytes = settings.maxHeaderBytes;
+    options.slowSenderTimeout = settings.slowSenderTimeout;
+    return options;
+}
+
+} // namespace
+
+EntryNode::EntryNode(const Settings& settings, LinkHub& hub, LeaderClient& leader, Metrics& metrics, uint64_t incarnation, uint64_t seed)
+    : settings(settings)
+    , hub(hub)
+    , leader(leader)
+    , metrics(metrics)
+    , claims(leader, settings.vm, incarnation)
+    , gateway(settings, leader, this->claims, metrics, seed)
+    , prober(this->gateway)
+    , configuration(settings.vm, incarnation, settings.availabilityZone, settings.leaseTerm)
+    , listener(
+          listenerOptions(settings), [this](std::shared_ptr<HttpExchange> exchange) { this->gateway.handle(std::move(exchange)); },
+          [this](ResultCode code) { this->metrics.call("", "", code); })
+{
+}
+
+std::error_code EntryNode::start()
+{
+    std::error_code error = this->listener.start();
+    if (!error)
+        this->prober.start();
+    return error;
+}
+
+bool EntryNode::receive(const wire::Envelope& envelope)
+{
+    TimePoint now = MillisecondClock::now();
+    if (envelope.has_configuration_push()) {
+        if (this->configuration.receive(envelope.configuration_push())) {
+            this->publish();
+            // The leader counts a configuration as in force once a session request confirms it.
+            this->sendSessionRequest(now);
+        }
+        return true;
+    }
+    if (!envelope.has_session_answer())
+        return false;
+    const wire::SessionAnswer& answer = envelope.session_answer();
+    this->awaitingAnswer = false;
+    if (answer.result_code() != 0) {
+        this->followHint(envelope.sender_vm(), answer.leader_vm(), now);
+        return true;
+    }
+    this->nextSession = now + this->settings.sessionInterval;
+    this->leader.setLeader(envelope.sender_vm());
+    if (this->configuration.receive(envelope.request_id(), answer, now)) {
+        this->publish();
+        this->sendSessionRequest(now);
+    }
+    this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
+    return true;
+}
+
+/** Turns to the leader that a control VM named, or to the next control VM when it knows none. */
+void EntryNode::followHint(uint32_t sender, uint32_t leaderVm, TimePoint now)
+{
+    if (leaderVm && leaderVm != sender) {
+        this->leader.setLeader(leaderVm);
+        this->nextSession = now + redirectPause;
+        return;
+    }
+    this->leader.tryNextVm();
+    this->nextSession = now + electionPause;
+}
+
+/** Puts the merged configuration in force. */
+void EntryNode::publish()
+{
+    std::shared_ptr<const ConfigurationSnapshot> snapshot = this->configuration.snapshot();
+    this->hasManifest.store(snapshot->manifestNumber > 0);
+    this->gateway.configure(std::move(snapshot));
+}
+
+void EntryNode::tick(TimePoint now)
+{
+    this->metrics.gauge("kingcup_lease_valid", this->gateway.leaseValid() ? 1 : 0);
+    if (now < this->nextSession)
+        return;
+    if (this->awaitingAnswer)
+        this->leader.tryNextVm();
+    this->sendSessionRequest(now);
+}
+
+void EntryNode::sendSessionRequest(TimePoint now)
+{
+    this->awaitingAnswer = true;
+    this->nextSession = now + sessionRetryInterval;
+    wire::Envelope envelope;
+    uint64_t id = this->leader.nextRequestId();
+    envelope.set_request_id(id);
+    *envelope.mutable_session_request() = this->configuration.sessionRequest(id, now);
+    envelope.mutable_session_request()->set_leaving(this->leaving.load());
+    this->hub.send(this->leader.preferredVm(), std::move(envelope));
+}
+
+void EntryNode::announceStop()
+{
+    this->leaving.store(true);
+    this->listener.announceClose();
+}
+
+bool EntryNode::drain(Milliseconds limit)
+{
+    this->listener.stopAccepting();
+    TimePoint end = MillisecondClock::now() + limit;
+    bool idle = this->listener.waitIdle(limit);
+    // Claimed requests whose caller has gone still have to report their outcome.
+    constexpr Milliseconds pollInterval { 5 };
+    while (idle && (this->claims.unreported() > 0 || this->activeCalls() > 0) && MillisecondClock::now() < end)
+        std::this_thread::sleep_for(pollInterval);
+    return idle && this->activeCalls() == 0;
+}
+
+void EntryNode::stop()
+{
+    this->gateway.stopServing();
+    this->listener.stop();
+    this->gateway.stop();
+}
+
+} // namespace kingcup
