--- a/packages/coordination/include/kingcup/ReplicatedLog.h
+++ b/packages/coordination/include/kingcup/ReplicatedLog.h
@@ -47,7 +47,10 @@
     /** Proposes a change of one member: add as learner, promote to voter (replacing its old incarnation), or remove. */
     LogOutput proposeMembership(const wire::Membership& next, TimePoint now, Proposal& proposal);
 
-    /** Tells that all entries up to this index (of this term) and the last hard state are synced. */
+    /**
+     * Tells that all entries up to an index and the last hard state are synced.
+     * @param term Term of the entry at that index; a leader also takes its current term.
+     */
     LogOutput synced(LogIndex index, Term term, TimePoint now);
 
     /**
--- a/packages/coordination/include/kingcup/ReplicatedLogTypes.h
+++ b/packages/coordination/include/kingcup/ReplicatedLogTypes.h
@@ -88,7 +88,7 @@
     LogWrite write; ///< To the journal.
     std::optional<ReceivedSnapshot> snapshot; ///< To the snapshot store, before `write`.
     std::vector<OutgoingLogMessage> messagesBeforeSync; ///< May be sent at once (appends of a leader).
-    std::vector<OutgoingLogMessage> messagesAfterSync; ///< Sent only after `write` is synced.
+    std::vector<OutgoingLogMessage> messagesAfterSync; ///< Sent only after `write` and those of all earlier outputs are synced.
     std::vector<wire::LogEntry> committed; ///< To be applied in order.
     bool roleChanged = false; ///< The role or the known leader changed.
 };
