--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -148,6 +148,17 @@
     }
 }
 
+LogPeer* ReplicatedLog::State::answeringPeer(const MemberId& from, Term answerTerm, uint64_t answeredRound, TimePoint now, LogOutput& output)
+{
+    if (answerTerm > this->hardState.term && this->findMember(from))
+        this->becomeFollower(answerTerm, 0, now, output);
+    LogPeer* peer = this->findPeer(from);
+    if (!peer || this->role != LogRole::Leader || answerTerm != this->hardState.term)
+        return nullptr;
+    this->noteRound(*peer, answeredRound);
+    return peer;
+}
+
 bool ReplicatedLog::State::probeAfterRefusal(LogPeer& peer, LogIndex conflict) const
 {
     if (!conflict)
@@ -162,12 +173,9 @@
 
 void ReplicatedLog::State::receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, LogOutput& output)
 {
-    LogPeer* peer = this->findPeer(from);
-    if (answer.term() > this->hardState.term && this->findMember(from))
-        this->becomeFollower(answer.term(), 0, now, output);
-    if (!peer || this->role != LogRole::Leader || answer.term() != this->hardState.term)
+    LogPeer* peer = this->answeringPeer(from, answer.term(), answer.round(), now, output);
+    if (!peer)
         return;
-    this->noteRound(*peer, answer.round());
     if (answer.accepted()) {
         peer->match = std::max<LogIndex>(peer->match, answer.match_index());
         peer->next = std::max(peer->next, peer->match + 1);
@@ -185,12 +193,9 @@
 
 void ReplicatedLog::State::receiveSnapshotAnswer(const MemberId& from, const wire::SnapshotAnswer& answer, TimePoint now, LogOutput& output)
 {
-    LogPeer* peer = this->findPeer(from);
-    if (answer.term() > this->hardState.term && this->findMember(from))
-        this->becomeFollower(answer.term(), 0, now, output);
-    if (!peer || this->role != LogRole::Leader || answer.term() != this->hardState.term)
+    LogPeer* peer = this->answeringPeer(from, answer.term(), answer.round(), now, output);
+    if (!peer)
         return;
-    this->noteRound(*peer, answer.round());
     if (answer.installed()) {
         peer->match = std::max<LogIndex>(peer->match, answer.last_index());
         probeFrom(*peer, peer->match + 1);
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -101,6 +101,8 @@
     void sendAll(bool heartbeat, LogOutput& output);
     void sendTo(const MemberId& id, LogPeer& peer, bool heartbeat, LogOutput& output);
     bool takesEntries(const LogPeer& peer) const;
+    /** Handles what all answers share. Returns the peer, or null when the answer has no further effect. */
+    LogPeer* answeringPeer(const MemberId& from, Term answerTerm, uint64_t answeredRound, TimePoint now, LogOutput& output);
     bool probeAfterRefusal(LogPeer& peer, LogIndex conflict) const;
     void sendEntries(const MemberId& id, LogPeer& peer, std::vector<wire::LogEntry> entries, LogOutput& output);
     void sendSnapshotChunk(const MemberId& id, LogPeer& peer, LogOutput& output);
