--- a/tests/AtMostOnceTest.cpp
+++ b/tests/AtMostOnceTest.cpp
@@ -10,14 +10,15 @@
 
 constexpr Milliseconds loadDuration { 12000 };
 constexpr Milliseconds restartPause { 400 };
+constexpr Milliseconds freezeTime { 3000 }; ///< Longer than the lease of an entry VM.
 constexpr Milliseconds leaderLimit { 5000 };
 
-/** Kills a random entry VM, the leader or a random target, or cuts the answers of a target, and repairs it. */
+/** Kills or freezes a random entry VM, kills the leader or a random target, or cuts or holds the answers of a target, and repairs it. */
 void strike(Deployment& deployment, RandomSource& random)
 {
     size_t target = random.below(deployment.targets().size());
     Vm& entry = deployment.entryVms()[random.below(deployment.entryVms().size())];
-    uint64_t fault = random.below(5);
+    uint64_t fault = random.below(6);
     auto pause = [&] { waitUntil(restartPause, [] { return false; }); };
     if (fault == 0) {
         entry.process->kill();
@@ -35,6 +36,10 @@
         pause();
         deployment.targetProcess(target).start();
     } else if (fault == 3) {
+        entry.process->freeze();
+        waitUntil(freezeTime, [] { return false; });
+        entry.process->thaw();
+    } else if (fault == 4) {
         deployment.targets()[target].proxy->cutAfter(static_cast<int64_t>(random.below(1000)));
         pause();
     } else {
