--- a/packages/transport/src/AnswerParser.cpp
+++ b/packages/transport/src/AnswerParser.cpp
@@ -31,12 +31,6 @@
     return line.empty() ? this->endHeader() : this->takeField(line);
 }
 
-void AnswerParser::restart()
-{
-    this->headerBytes = 0;
-    this->answerHead = {};
-}
-
 AnswerParser::Progress AnswerParser::takeStatus(std::string_view line)
 {
     bool versionKnown = line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ");
--- a/packages/transport/src/AnswerParser.h
+++ b/packages/transport/src/AnswerParser.h
@@ -23,9 +23,6 @@
     /** Takes one line with its line end. */
     Progress takeLine(std::string_view line);
 
-    /** Starts over: libcurl repeats the request on another connection. */
-    void restart();
-
     bool sawBytes() const { return this->headerBytes > 0; } ///< Whether any line arrived.
     bool complete() const { return this->isComplete; } ///< Whether Complete was returned.
     HttpAnswerHead& head() { return this->answerHead; } ///< Valid once complete.
