--- a/packages/coordination/src/ClaimTable.h
+++ b/packages/coordination/src/ClaimTable.h
@@ -5,9 +5,9 @@
 #include "OrderedIndex.h"
 #include "kingcup/ControlStateMachine.h"
 
-#include <compare>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace kingcup {
 
@@ -23,7 +23,8 @@
     std::string entryVm; ///< VM that runs it.
     uint64_t incarnation = 0; ///< Start of its process.
     uint64_t sequence = 0; ///< Grows within the incarnation.
-    auto operator<=>(const AttemptKey&) const = default;
+    bool operator==(const AttemptKey&) const = default;
+    bool operator<(const AttemptKey& other) const { return std::tie(this->entryVm, this->incarnation, this->sequence) < std::tie(other.entryVm, other.incarnation, other.sequence); } ///< Orders maps.
 };
 
 /** One claim. */
