--- a/bench/AddedLatencyBench.cpp
+++ b/bench/AddedLatencyBench.cpp
@@ -2,6 +2,7 @@
 #include "BenchDeployment.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 using namespace kingcup;
 using namespace kingcup::testing;
@@ -10,7 +11,7 @@
 
 constexpr double targetAddedP99Ms = 1.2; ///< The stated target for added latency at the 99th percentile.
 constexpr Milliseconds runLength { 4000 };
-constexpr uint32_t callerThreads = 48;
+constexpr uint32_t callerThreads = 128;
 constexpr double serviceTimeMs = 2;
 
 /** Runs reads at a rate against some addresses. */
@@ -47,17 +48,20 @@
 
 } // namespace
 
-int main()
+int main(int argumentCount, char** arguments)
 {
+    // Optional argument: threads of the caller listener and of the upstream client.
+    int threads = argumentCount > 1 ? std::atoi(arguments[1]) : 2;
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     std::vector<ServiceLayout> services = { { "matters", 8, 64 } };
     DeploymentOptions options = benchOptions(1, services);
     options.targetsPerProcess = 2;
     options.targetFaults = { { "latencyMedianMs", serviceTimeMs }, { "latencySigma", 0.1 } };
+    options.settings = { { "callerThreads", threads }, { "upstreamThreads", threads } };
     Deployment deployment(options);
     if (!startOrExplain(deployment, makeManifest(1, services)))
         return 1;
-    std::printf("One entry VM, 8 targets of 64 slots, service time %.0f ms, %u callers with kept connections, %.0f s a row.\n", serviceTimeMs, callerThreads, runLength.count() / 1000);
+    std::printf("One entry VM with %d caller and %d upstream threads, 8 targets of 64 slots, service time %.0f ms, %u callers with kept connections, %.0f s a row.\n", threads, threads, serviceTimeMs, callerThreads, runLength.count() / 1000);
     std::printf("Added: difference of the percentiles to direct calls in the row before; target at p99: %.1f ms.\n\n", targetAddedP99Ms);
     std::printf("%-7s %8s | %9s %9s | %9s %9s | %9s %9s | %9s %10s\n", "kind", "calls/s", "direct50", "direct99", "entry50", "entry99", "added50", "added99", "answered", "calls/core");
     run(deployment.callerAddresses(), 200, "warm", false);
