--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 demo: build
-	testing/demo.sh $(BUILD)
+	demo/demo.sh $(BUILD)
 
 bench: build
 	for bench in $(BUILD)/bench/*Bench; do $$bench || exit 1; done
--- a/testing/demo/DemoRun.cpp
+++ b/demo/DemoRun.cpp
@@ -1,5 +1,5 @@
 /** @file DemoRun.cpp Runs one example deployment under load with one fault. */
-#include "testing/demo/DemoRun.h"
+#include "demo/DemoRun.h"
 
 #include "testing/MachineTime.h"
 #include "testing/Scenario.h"
--- a/testing/demo/DemoTable.cpp
+++ b/demo/DemoTable.cpp
@@ -1,5 +1,5 @@
 /** @file DemoTable.cpp Prints what a run showed. */
-#include "testing/demo/DemoRun.h"
+#include "demo/DemoRun.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/testing/demo.sh
+++ b/demo/demo.sh
@@ -8,4 +8,4 @@
 [ -w "$parent" ] || parent=/tmp
 folder=$(mktemp -d -p "$parent")
 trap 'rm -rf "$folder"' EXIT
-TMPDIR=$folder "$build/testing/kingcup_demo"
+TMPDIR=$folder "$build/demo/kingcup_demo"
