--- a/demo/main.cpp
+++ b/demo/main.cpp
@@ -1,6 +1,6 @@
 /** @file main.cpp Runs the two example deployments in turn. Ends with 0 only if nothing ran twice and no answer was wrong. */
-#include "testing/Story.h"
 #include "demo/DemoRun.h"
+#include "testing/Story.h"
 
 #include <cstdio>
 
--- a/tests/ClaimKillPointsTest.cpp
+++ b/tests/ClaimKillPointsTest.cpp
@@ -120,7 +120,8 @@
                 deployment.waitReady(recoveryLimit);
             }
             load.finish();
-            EXPECT_NE(violationsAfter(deployment, load), "") << "the rule is not needed, or the checker does not see that it is missing\n" << describeResults(load) << deployment.logs();
+            EXPECT_NE(violationsAfter(deployment, load), "") << "the rule is not needed, or the checker does not see that it is missing\n"
+                                                             << describeResults(load) << deployment.logs();
         });
     }
 }
