--- a/programs/kingcupswitchd/ControlNode.h
+++ b/programs/kingcupswitchd/ControlNode.h
@@ -21,6 +21,8 @@
 /** Runs the role control. All functions run on the thread of the hub, but for open() and stop(). */
 class ControlNode {
 public:
+    ControlNode();
+
     /** Opens the data folder. Errors of DataFolder and LogStorage. */
     std::error_code open(const Settings& settings, uint64_t newIncarnation);
 
@@ -68,6 +70,7 @@
         std::function<void()> answer; ///< Sends the answer.
     };
     wire::CommandResult apply(LogIndex index, const wire::Command& command);
+    void forgetHeartbeat(const wire::TargetRecord& target);
     void roleChanged();
     void receiveSession(const LinkOrigin& origin, const wire::Envelope& envelope);
     void receiveCommand(const LinkOrigin& origin, const wire::Envelope& envelope);
--- a/programs/kingcupswitchd/LogDriver.cpp
+++ b/programs/kingcupswitchd/LogDriver.cpp
@@ -1,6 +1,7 @@
 /** @file LogDriver.cpp Implementation of the driver of a replicated log. */
 #include "LogDriver.h"
 
+#include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
 
 #include <cstdlib>
@@ -26,7 +27,8 @@
     , hub(hub)
     , hooks(std::move(hooks))
     , snapshotBytes(std::move(snapshotBytes))
-    , replicatedLog(options, durable, RandomSource(seed), [this] { return this->snapshotBytes; }, MillisecondClock::now())
+    , replicatedLog(
+          options, durable, RandomSource(seed), [this] { return this->snapshotBytes; }, MillisecondClock::now())
     , applied(durable.snapshot.lastIndex)
     , appliedTerm(durable.snapshot.lastTerm)
     , snapshotIndex(durable.snapshot.lastIndex)
@@ -73,6 +75,7 @@
             done[position](resultOf(proposal.code));
     }
     this->process(std::move(output));
+    failPoint("leader.batch_proposed");
 }
 
 ResultCode LogDriver::proposeMembership(const wire::Membership& next)
@@ -144,8 +147,10 @@
             this->hub.post([this, lastIndex, lastTerm, hardTerm, messages] {
                 this->replicatedLog.hardStateSynced(hardTerm);
                 this->send(messages);
-                if (lastIndex)
+                if (lastIndex) {
+                    failPoint("log.batch_synced");
                     this->process(this->replicatedLog.synced(lastIndex, lastTerm, MillisecondClock::now()));
+                }
                 this->flushProposals();
             });
         };
