--- a/tests/DocumentsTest.cpp
+++ b/tests/DocumentsTest.cpp
@@ -1,4 +1,4 @@
-/** @file DocumentsTest.cpp Guards against pages of docs/ that differ from the code: result codes, keys, ranges, defaults, metrics and log events. */
+/** @file DocumentsTest.cpp Guards against pages of docs/ that differ from the code: result codes, keys, ranges, defaults, metrics and log events; and against links that lead nowhere. */
 #include "DocumentPage.h"
 #include "testing/Story.h"
 
@@ -227,3 +227,14 @@
     EXPECT_FALSE(events.empty());
     EXPECT_EQ(firstCells(page, "event"), events);
 }
+
+TEST(Documents, linksLeadToFiles)
+{
+    const std::filesystem::path root = KINGCUP_SOURCE;
+    for (const char* page : { "README.md", "CONTRIBUTING.md", "CHANGELOG.md", "docs/MANIFEST.md", "docs/OPERATIONS.md", "docs/PROTOCOL.md", "docs/RESULT_CODES.md", "docs/SETTINGS.md" }) {
+        std::string text = sourceText(page);
+        EXPECT_FALSE(text.empty()) << page;
+        for (const std::string& link : matches(text, "\\]\\(([^)#]+)\\)"))
+            EXPECT_TRUE(std::filesystem::exists((root / page).parent_path() / link)) << page << ": " << link;
+    }
+}
