--- /dev/null
+++ b/programs/kingcupswitchd/ControlLeader.cpp
@@ -0,0 +1,145 @@
+/** @file ControlLeader.cpp What a control VM does on its own while it leads: leases, silent targets, expiry and pushes. */
+#include "ControlNode.h"
+
+#include "kingcup/JsonLog.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+namespace {
+
+constexpr Milliseconds expiryInterval { 10000 };
+constexpr Milliseconds confirmationLimit { 400 }; ///< An entry VM that failed must not hold up an answer for its whole lease.
+
+} // namespace
+
+/** What a leader does on its own: leases, silent targets, expiry and pushes. */
+void ControlNode::leaderTick(TimePoint now)
+{
+    if (!this->soundLeader) {
+        this->soundLeader = true;
+        this->sessions->becomeLeader(now, this->machine.targets());
+    }
+    for (const EntrySession& session : this->sessions->takeExpired(now))
+        this->proposeEntryVmGone(session.entryVm, session.incarnation + 1);
+    for (const wire::TargetRecord& target : this->sessions->takeSilentTargets(now)) {
+        const wire::TargetRecord* known = this->machine.findTarget(target.service(), target.address());
+        if (!known || known->state() == wire::TARGET_GONE)
+            continue;
+        wire::TargetRecord gone = *known;
+        gone.set_state(wire::TARGET_GONE);
+        logLine(LogLevel::Info, "target_silent", { { "service", gone.service() }, { "target", gone.address() } });
+        this->proposeTarget(gone);
+    }
+    if (now >= this->nextExpiry) {
+        this->nextExpiry = now + expiryInterval;
+        wire::Command command;
+        command.mutable_expire();
+        if (this->machine.check(command).result_code() == 0)
+            this->proposeInternal(std::move(command));
+    }
+    this->pushConfiguration();
+    this->answerConfirmed(now);
+}
+
+/** Sends pushes right after the entries that are being applied, without waiting for the next tick. */
+void ControlNode::schedulePush()
+{
+    if (this->pushPosted)
+        return;
+    this->pushPosted = true;
+    this->hub->post([this] {
+        this->pushPosted = false;
+        if (this->leaderCode() == ResultCode::Ok)
+            this->pushConfiguration();
+    });
+}
+
+/** Returns a hook that answers a quarantine once every live entry VM holds it, because the caller may send the request again to any of them. */
+LogDriver::Done ControlNode::answeredOnceInForce(LogDriver::Done done)
+{
+    return [this, done = std::move(done)](const wire::CommandResult& result) {
+        bool quarantined = result.result_code() == 0 && result.quarantined_until_ms() > 0;
+        if (!quarantined) {
+            done(result);
+            return;
+        }
+        TimePoint deadline = MillisecondClock::now() + confirmationLimit;
+        this->awaitedConfigurations.push_back({ this->machine.configurationIndex(), deadline, [done, result] { done(result); } });
+    };
+}
+
+/** Sends the answers whose configuration is confirmed by all live entry VMs, or whose time is over. */
+void ControlNode::answerConfirmed(TimePoint now)
+{
+    auto held = [this](LogIndex index) {
+        const auto& sessions = this->sessions->sessions();
+        return std::all_of(sessions.begin(), sessions.end(), [index](const auto& entry) { return entry.second.heldIndex >= index; });
+    };
+    std::vector<AwaitedConfiguration> waiting;
+    waiting.swap(this->awaitedConfigurations);
+    for (AwaitedConfiguration& awaited : waiting) {
+        if (now >= awaited.deadline || held(awaited.index))
+            awaited.answer();
+        else
+            this->awaitedConfigurations.push_back(std::move(awaited));
+    }
+}
+
+/** Sends new changes to every entry VM that lacks them. */
+void ControlNode::pushConfiguration()
+{
+    LogIndex newest = this->machine.configurationIndex();
+    for (auto& [name, subscriber] : this->subscribers) {
+        if (subscriber.sentIndex >= newest)
+            continue;
+        wire::Envelope envelope;
+        *envelope.mutable_configuration_push()->mutable_changes() = this->machine.changesSince(subscriber.sentIndex);
+        subscriber.sentIndex = newest;
+        this->hub->reply(subscriber.origin, std::move(envelope));
+    }
+}
+
+void ControlNode::proposeEntryVmGone(const std::string& entryVm, uint64_t incarnation)
+{
+    logLine(LogLevel::Info, "entry_vm_gone", { { "entryVm", entryVm }, { "before", incarnation } });
+    wire::Command command;
+    command.mutable_entry_vm_gone()->set_entry_vm(entryVm);
+    command.mutable_entry_vm_gone()->set_incarnation(incarnation);
+    this->subscribers.erase(entryVm);
+    this->proposeInternal(std::move(command));
+}
+
+/** Proposes a command that nobody waits for. */
+void ControlNode::proposeInternal(wire::Command command)
+{
+    this->driver->propose(std::move(command), [](const wire::CommandResult&) {});
+}
+
+/** Sets up or forgets the soft state of a leader. */
+void ControlNode::roleChanged()
+{
+    const ReplicatedLog& log = this->driver->log();
+    logLine(LogLevel::Info, "role_changed", { { "leads", this->leads() }, { "leader", log.leader() }, { "term", log.term() } });
+    if (this->leads() == this->wasLeader)
+        return;
+    this->wasLeader = this->leads();
+    this->soundLeader = false;
+    this->subscribers.clear();
+    this->pendingTargets.clear();
+    std::vector<AwaitedConfiguration> waiting;
+    waiting.swap(this->awaitedConfigurations);
+    for (const AwaitedConfiguration& awaited : waiting)
+        awaited.answer();
+}
+
+/** Drops a target from the leader's heartbeats, so that it is not reported as silent again. */
+void ControlNode::forgetHeartbeat(const wire::TargetRecord& target)
+{
+    wire::TargetLoad load;
+    *load.mutable_target() = target;
+    this->sessions->heartbeat(load, MillisecondClock::now());
+}
+
+} // namespace kingcup
--- a/programs/kingcupswitchd/ControlNode.cpp
+++ b/programs/kingcupswitchd/ControlNode.cpp
@@ -1,13 +1,10 @@
 /** @file ControlNode.cpp Implementation of the role control. */
 #include "ControlNode.h"
 
-#include "kingcup/ApplyManifest.h"
 #include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
-#include "kingcup/ManifestParser.h"
 #include "kingcup/TargetStates.h"
 
-#include <algorithm>
 #include <cstdlib>
 #include <sys/statvfs.h>
 
@@ -16,13 +13,9 @@
 namespace {
 
 constexpr GroupId controlGroup = 0; ///< The one group that runs today.
-constexpr Milliseconds expiryInterval { 10000 };
 constexpr Milliseconds diskCheckInterval { 1000 };
 constexpr uint64_t diskReserveBytes = 32u << 20; ///< New commands are refused below this, so that what is accepted can still be written.
 constexpr int stateFailureExitCode = 70;
-constexpr size_t loadDigestBytes = 2048; ///< In one answer a second, within the 4 KB/s of control traffic.
-constexpr Milliseconds confirmationLimit { 400 }; ///< An entry VM that failed must not hold up an answer for its whole lease.
-constexpr int maxManifestAttempts = 5; ///< Tries of a change whose base was replaced meanwhile.
 
 /** Ends the process at once, because its durable or replicated state is no longer known to be right. */
 [[noreturn]] void endAfterFailure(std::error_code error)
@@ -62,15 +55,6 @@
     return rules;
 }
 
-/** Returns whether an announcement changes the record of a target. */
-bool differs(const wire::TargetRecord& announced, const wire::TargetRecord* known)
-{
-    if (!known)
-        return announced.state() != wire::TARGET_GONE;
-    return announced.incarnation() != known->incarnation() || announced.state() != known->state() || announced.slots() != known->slots()
-        || announced.availability_zone() != known->availability_zone();
-}
-
 } // namespace
 
 ControlNode::ControlNode()
@@ -164,31 +148,6 @@
     return result;
 }
 
-/** Drops a target from the leader's heartbeats, so that it is not reported as silent again. */
-void ControlNode::forgetHeartbeat(const wire::TargetRecord& target)
-{
-    wire::TargetLoad load;
-    *load.mutable_target() = target;
-    this->sessions->heartbeat(load, MillisecondClock::now());
-}
-
-/** Sets up or forgets the soft state of a leader. */
-void ControlNode::roleChanged()
-{
-    const ReplicatedLog& log = this->driver->log();
-    logLine(LogLevel::Info, "role_changed", { { "leads", this->leads() }, { "leader", log.leader() }, { "term", log.term() } });
-    if (this->leads() == this->wasLeader)
-        return;
-    this->wasLeader = this->leads();
-    this->soundLeader = false;
-    this->subscribers.clear();
-    this->pendingTargets.clear();
-    std::vector<AwaitedConfiguration> waiting;
-    waiting.swap(this->awaitedConfigurations);
-    for (const AwaitedConfiguration& awaited : waiting)
-        awaited.answer();
-}
-
 void ControlNode::receive(const LinkOrigin& origin, const wire::Envelope& envelope)
 {
     switch (envelope.body_case()) {
@@ -236,298 +195,6 @@
     return this->driver->log().hasQuorum(MillisecondClock::now()) ? ResultCode::Ok : ResultCode::NoQuorum;
 }
 
-/** What a leader does on its own: leases, silent targets, expiry and pushes. */
-void ControlNode::leaderTick(TimePoint now)
-{
-    if (!this->soundLeader) {
-        this->soundLeader = true;
-        this->sessions->becomeLeader(now, this->machine.targets());
-    }
-    for (const EntrySession& session : this->sessions->takeExpired(now))
-        this->proposeEntryVmGone(session.entryVm, session.incarnation + 1);
-    for (const wire::TargetRecord& target : this->sessions->takeSilentTargets(now)) {
-        const wire::TargetRecord* known = this->machine.findTarget(target.service(), target.address());
-        if (!known || known->state() == wire::TARGET_GONE)
-            continue;
-        wire::TargetRecord gone = *known;
-        gone.set_state(wire::TARGET_GONE);
-        logLine(LogLevel::Info, "target_silent", { { "service", gone.service() }, { "target", gone.address() } });
-        this->proposeTarget(gone);
-    }
-    if (now >= this->nextExpiry) {
-        this->nextExpiry = now + expiryInterval;
-        wire::Command command;
-        command.mutable_expire();
-        if (this->machine.check(command).result_code() == 0)
-            this->proposeInternal(std::move(command));
-    }
-    this->pushConfiguration();
-    this->answerConfirmed(now);
-}
-
-/** Sends pushes right after the entries that are being applied, without waiting for the next tick. */
-void ControlNode::schedulePush()
-{
-    if (this->pushPosted)
-        return;
-    this->pushPosted = true;
-    this->hub->post([this] {
-        this->pushPosted = false;
-        if (this->leaderCode() == ResultCode::Ok)
-            this->pushConfiguration();
-    });
-}
-
-/** Returns a hook that answers a quarantine once every live entry VM holds it, because the caller may send the request again to any of them. */
-LogDriver::Done ControlNode::answeredOnceInForce(LogDriver::Done done)
-{
-    return [this, done = std::move(done)](const wire::CommandResult& result) {
-        bool quarantined = result.result_code() == 0 && result.quarantined_until_ms() > 0;
-        if (!quarantined) {
-            done(result);
-            return;
-        }
-        TimePoint deadline = MillisecondClock::now() + confirmationLimit;
-        this->awaitedConfigurations.push_back({ this->machine.configurationIndex(), deadline, [done, result] { done(result); } });
-    };
-}
-
-/** Sends the answers whose configuration is confirmed by all live entry VMs, or whose time is over. */
-void ControlNode::answerConfirmed(TimePoint now)
-{
-    auto held = [this](LogIndex index) {
-        const auto& sessions = this->sessions->sessions();
-        return std::all_of(sessions.begin(), sessions.end(), [index](const auto& entry) { return entry.second.heldIndex >= index; });
-    };
-    std::vector<AwaitedConfiguration> waiting;
-    waiting.swap(this->awaitedConfigurations);
-    for (AwaitedConfiguration& awaited : waiting) {
-        if (now >= awaited.deadline || held(awaited.index))
-            awaited.answer();
-        else
-            this->awaitedConfigurations.push_back(std::move(awaited));
-    }
-}
-
-/** Sends new changes to every entry VM that lacks them. */
-void ControlNode::pushConfiguration()
-{
-    LogIndex newest = this->machine.configurationIndex();
-    for (auto& [name, subscriber] : this->subscribers) {
-        if (subscriber.sentIndex >= newest)
-            continue;
-        wire::Envelope envelope;
-        *envelope.mutable_configuration_push()->mutable_changes() = this->machine.changesSince(subscriber.sentIndex);
-        subscriber.sentIndex = newest;
-        this->hub->reply(subscriber.origin, std::move(envelope));
-    }
-}
-
-void ControlNode::receiveSession(const LinkOrigin& origin, const wire::Envelope& envelope)
-{
-    const wire::SessionRequest& request = envelope.session_request();
-    wire::Envelope answer;
-    answer.set_request_id(envelope.request_id());
-    wire::SessionAnswer* body = answer.mutable_session_answer();
-    ResultCode code = this->leaderCode();
-    if (code == ResultCode::Ok && !this->soundLeader)
-        code = ResultCode::NoQuorum;
-    body->set_result_code(static_cast<int>(code));
-    body->set_leader_vm(this->driver->log().leader());
-    if (code == ResultCode::Ok) {
-        TimePoint now = MillisecondClock::now();
-        auto known = this->sessions->sessions().find(request.entry_vm());
-        if (known != this->sessions->sessions().end() && known->second.incarnation < request.incarnation())
-            this->proposeEntryVmGone(request.entry_vm(), request.incarnation());
-        this->sessions->renew(request, now);
-        this->answerConfirmed(now);
-        body->set_lease_ms(static_cast<uint64_t>(this->settings.leaseTerm.count()));
-        body->set_live_entry_vms(this->sessions->liveEntryVms(now));
-        *body->mutable_changes() = this->machine.changesSince(request.held_index());
-        this->subscribers[request.entry_vm()] = { origin, this->machine.configurationIndex() };
-        if (request.leaving())
-            this->subscribers.erase(request.entry_vm());
-    }
-    this->hub->reply(origin, std::move(answer));
-}
-
-void ControlNode::answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result)
-{
-    wire::Envelope answer;
-    answer.set_request_id(requestId);
-    *answer.mutable_command_answer()->mutable_result() = result;
-    answer.mutable_command_answer()->set_leader_vm(this->driver->log().leader());
-    this->hub->reply(origin, std::move(answer));
-}
-
-void ControlNode::receiveCommand(const LinkOrigin& origin, const wire::Envelope& envelope)
-{
-    uint64_t requestId = envelope.request_id();
-    auto done = [this, origin, requestId](const wire::CommandResult& result) { this->answerCommand(origin, requestId, result); };
-    ResultCode code = this->leaderCode();
-    if (code != ResultCode::Ok) {
-        wire::CommandResult refused;
-        refused.set_result_code(static_cast<int>(code));
-        done(refused);
-        return;
-    }
-    const wire::CommandRequest& request = envelope.command_request();
-    if (!request.manifest_json().empty()) {
-        this->proposeManifest(request.manifest_json(), 1, done);
-        return;
-    }
-    wire::CommandResult checked = this->machine.check(request.command());
-    if (checked.result_code() != 0) {
-        done(checked);
-        return;
-    }
-    if (request.command().has_claim())
-        failPoint("leader.claim_received");
-    this->driver->propose(request.command(), request.command().has_suspicion() ? this->answeredOnceInForce(done) : done);
-}
-
-/** Checks a manifest again, turns it into a change against the one in force and proposes that. */
-void ControlNode::proposeManifest(const std::string& text, int attempt, LogDriver::Done done)
-{
-    auto parsed = parseManifest(text);
-    if (const DocumentError* error = std::get_if<DocumentError>(&parsed)) {
-        wire::CommandResult refused;
-        refused.set_result_code(static_cast<int>(error->code));
-        refused.set_detail(error->pointer + ": " + error->text);
-        done(refused);
-        return;
-    }
-    wire::Command command;
-    *command.mutable_apply_manifest() = makeApplyManifest(this->machine, std::get<CheckedManifest>(parsed));
-    wire::CommandResult checked = this->machine.check(command);
-    if (checked.result_code() != 0) {
-        done(checked);
-        return;
-    }
-    this->driver->propose(std::move(command), [this, text, attempt, done = std::move(done)](const wire::CommandResult& result) {
-        bool baseChanged = result.result_code() == static_cast<int>(ResultCode::ManifestBaseChanged);
-        if (baseChanged && attempt < maxManifestAttempts)
-            this->proposeManifest(text, attempt + 1, done);
-        else
-            done(result);
-    });
-}
-
-void ControlNode::receiveHeartbeats(const LinkOrigin& origin, const wire::Envelope& envelope)
-{
-    wire::Envelope answer;
-    answer.set_request_id(envelope.request_id());
-    wire::HeartbeatAnswer* body = answer.mutable_heartbeat_answer();
-    ResultCode code = this->leaderCode();
-    body->set_result_code(static_cast<int>(code));
-    if (code == ResultCode::Ok && this->soundLeader) {
-        TimePoint now = MillisecondClock::now();
-        for (const wire::TargetLoad& load : envelope.heartbeat_batch().targets()) {
-            const wire::TargetRecord* known = this->machine.findTarget(load.target().service(), load.target().address());
-            if (known && known->incarnation() > load.target().incarnation())
-                continue;
-            this->sessions->heartbeat(load, now);
-            this->considerTarget(load.target());
-        }
-        for (const wire::TargetLoad& load : this->sessions->loadDigest(loadDigestBytes, now))
-            *body->add_digest() = load;
-    }
-    this->hub->reply(origin, std::move(answer));
-}
-
-/** Proposes a change of a target when its announcement says something new. */
-void ControlNode::considerTarget(const wire::TargetRecord& target)
-{
-    if (!differs(target, this->machine.findTarget(target.service(), target.address())))
-        return;
-    if (!this->pendingTargets.contains({ target.service(), target.address() }))
-        this->proposeTarget(target);
-}
-
-void ControlNode::proposeTarget(const wire::TargetRecord& target)
-{
-    wire::Command command;
-    *command.mutable_change_target()->mutable_target() = target;
-    if (this->machine.check(command).result_code() != 0)
-        return;
-    std::pair<std::string, std::string> key(target.service(), target.address());
-    this->pendingTargets.insert(key);
-    this->driver->propose(std::move(command), [this, key](const wire::CommandResult&) { this->pendingTargets.erase(key); });
-}
-
-void ControlNode::proposeEntryVmGone(const std::string& entryVm, uint64_t incarnation)
-{
-    logLine(LogLevel::Info, "entry_vm_gone", { { "entryVm", entryVm }, { "before", incarnation } });
-    wire::Command command;
-    command.mutable_entry_vm_gone()->set_entry_vm(entryVm);
-    command.mutable_entry_vm_gone()->set_incarnation(incarnation);
-    this->subscribers.erase(entryVm);
-    this->proposeInternal(std::move(command));
-}
-
-/** Proposes a command that nobody waits for. */
-void ControlNode::proposeInternal(wire::Command command)
-{
-    this->driver->propose(std::move(command), [](const wire::CommandResult&) {});
-}
-
-void ControlNode::receiveReplacement(const LinkOrigin& origin, const wire::Envelope& envelope)
-{
-    ResultCode code = this->leaderCode();
-    if (code == ResultCode::Ok)
-        code = this->membership->replace(envelope.replace_control_request().member().vm_id());
-    wire::Envelope answer;
-    answer.set_request_id(envelope.request_id());
-    answer.mutable_admin_answer()->set_result_code(static_cast<int>(code));
-    answer.mutable_admin_answer()->set_leader_vm(this->driver->log().leader());
-    this->hub->reply(origin, std::move(answer));
-}
-
-void ControlNode::receiveQuery(const LinkOrigin& origin, const wire::Envelope& envelope)
-{
-    wire::Envelope answer;
-    answer.set_request_id(envelope.request_id());
-    wire::QueryAnswer* body = answer.mutable_query_answer();
-    ResultCode code = this->leaderCode();
-    body->set_result_code(static_cast<int>(code));
-    body->set_leader_vm(this->driver->log().leader());
-    if (code == ResultCode::Ok)
-        body->set_json(this->answerQuery(envelope.query_request().subject()).dump());
-    this->hub->reply(origin, std::move(answer));
-}
-
-/** Answers a question to the leader. @param subject "status", "targets", "manifest", or "manifest:NUMBER" for how far it is in force. */
-nlohmann::json ControlNode::answerQuery(const std::string& subject) const
-{
-    constexpr std::string_view numberPrefix = "manifest:";
-    if (subject == "targets") {
-        nlohmann::json targets = nlohmann::json::array();
-        for (const wire::TargetRecord& target : this->machine.targets()) {
-            targets.push_back({ { "service", target.service() }, { "address", target.address() }, { "availabilityZone", target.availability_zone() },
-                { "slots", target.slots() }, { "incarnation", target.incarnation() }, { "state", nameOf(targetStateNames, target.state()) } });
-        }
-        return { { "targets", targets } };
-    }
-    if (subject == "manifest") {
-        nlohmann::json services = nlohmann::json::array();
-        for (const wire::ServiceDocument& document : this->machine.serviceDocuments())
-            services.push_back(nlohmann::json::parse(document.json()));
-        return { { "number", this->machine.manifestNumber() }, { "digest", this->machine.manifestDigest() }, { "services", services } };
-    }
-    if (subject.starts_with(numberPrefix))
-        return this->manifestStatus(std::strtoull(subject.c_str() + numberPrefix.size(), nullptr, 10));
-    return this->status();
-}
-
-/** Returns how far a manifest number is in force. */
-nlohmann::json ControlNode::manifestStatus(uint64_t number) const
-{
-    InForce inForce = this->sessions->inForce(number, MillisecondClock::now());
-    bool accepted = this->machine.manifestNumber() >= number;
-    return { { "number", this->machine.manifestNumber() }, { "digest", this->machine.manifestDigest() },
-        { "inForce", { { "confirmed", inForce.confirmed }, { "total", inForce.total }, { "complete", accepted && inForce.complete } } } };
-}
-
 /** Refuses new commands while the disk is nearly full. */
 void ControlNode::checkDisk(TimePoint now)
 {
@@ -558,6 +225,20 @@
         { "members", members }, { "entryVms", entryVms }, { "manifest", { { "number", this->machine.manifestNumber() }, { "digest", this->machine.manifestDigest() } } } };
 }
 
+void ControlNode::report(Metrics& metrics) const
+{
+    const ReplicatedLog& log = this->driver->log();
+    metrics.gauge("kingcup_log_leads", this->leads() ? 1 : 0);
+    metrics.gauge("kingcup_log_has_quorum", log.hasQuorum(MillisecondClock::now()) ? 1 : 0);
+    metrics.gauge("kingcup_log_term", static_cast<double>(log.term()));
+    metrics.gauge("kingcup_log_last_index", static_cast<double>(log.lastIndex()));
+    metrics.gauge("kingcup_log_commit_index", static_cast<double>(log.commitIndex()));
+    metrics.gauge("kingcup_log_applied_index", static_cast<double>(this->driver->appliedIndex()));
+    metrics.gauge("kingcup_log_syncs", static_cast<double>(this->driver->syncs()));
+    metrics.gauge("kingcup_targets", static_cast<double>(this->machine.targets().size()));
+    metrics.gauge("kingcup_live_entry_vms", this->leads() ? static_cast<double>(this->sessions->sessions().size()) : 0);
+}
+
 nlohmann::json ControlNode::dump() const
 {
     nlohmann::json result = this->status();
--- a/programs/kingcupswitchd/ControlNode.h
+++ b/programs/kingcupswitchd/ControlNode.h
@@ -6,6 +6,7 @@
 
 #include "kingcup/ControlStateMachine.h"
 #include "kingcup/DataFolder.h"
+#include "kingcup/Metrics.h"
 #include "kingcup/SessionTable.h"
 #include "kingcup/Settings.h"
 
@@ -56,6 +57,9 @@
     /** Returns this VM's view of the group. */
     nlohmann::json status() const;
 
+    /** Sets the gauges of this role. */
+    void report(Metrics& metrics) const;
+
     /** Returns the whole state of this role. */
     nlohmann::json dump() const;
 
--- /dev/null
+++ b/programs/kingcupswitchd/ControlRequests.cpp
@@ -0,0 +1,218 @@
+/** @file ControlRequests.cpp What a control VM does with the requests of other VMs. */
+#include "ControlNode.h"
+
+#include "kingcup/ApplyManifest.h"
+#include "kingcup/FailPoint.h"
+#include "kingcup/ManifestParser.h"
+#include "kingcup/TargetStates.h"
+
+#include <cstdlib>
+
+namespace kingcup {
+
+namespace {
+
+constexpr size_t loadDigestBytes = 2048; ///< In one answer a second, within the 4 KB/s of control traffic.
+constexpr int maxManifestAttempts = 5; ///< Tries of a change whose base was replaced meanwhile.
+
+/** Returns whether an announcement changes the record of a target. */
+bool differs(const wire::TargetRecord& announced, const wire::TargetRecord* known)
+{
+    if (!known)
+        return announced.state() != wire::TARGET_GONE;
+    return announced.incarnation() != known->incarnation() || announced.state() != known->state() || announced.slots() != known->slots()
+        || announced.availability_zone() != known->availability_zone();
+}
+
+} // namespace
+
+void ControlNode::receiveSession(const LinkOrigin& origin, const wire::Envelope& envelope)
+{
+    const wire::SessionRequest& request = envelope.session_request();
+    wire::Envelope answer;
+    answer.set_request_id(envelope.request_id());
+    wire::SessionAnswer* body = answer.mutable_session_answer();
+    ResultCode code = this->leaderCode();
+    if (code == ResultCode::Ok && !this->soundLeader)
+        code = ResultCode::NoQuorum;
+    body->set_result_code(static_cast<int>(code));
+    body->set_leader_vm(this->driver->log().leader());
+    if (code == ResultCode::Ok) {
+        TimePoint now = MillisecondClock::now();
+        auto known = this->sessions->sessions().find(request.entry_vm());
+        if (known != this->sessions->sessions().end() && known->second.incarnation < request.incarnation())
+            this->proposeEntryVmGone(request.entry_vm(), request.incarnation());
+        this->sessions->renew(request, now);
+        this->answerConfirmed(now);
+        body->set_lease_ms(static_cast<uint64_t>(this->settings.leaseTerm.count()));
+        body->set_live_entry_vms(this->sessions->liveEntryVms(now));
+        *body->mutable_changes() = this->machine.changesSince(request.held_index());
+        this->subscribers[request.entry_vm()] = { origin, this->machine.configurationIndex() };
+        if (request.leaving())
+            this->subscribers.erase(request.entry_vm());
+    }
+    this->hub->reply(origin, std::move(answer));
+}
+
+void ControlNode::answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result)
+{
+    wire::Envelope answer;
+    answer.set_request_id(requestId);
+    *answer.mutable_command_answer()->mutable_result() = result;
+    answer.mutable_command_answer()->set_leader_vm(this->driver->log().leader());
+    this->hub->reply(origin, std::move(answer));
+}
+
+void ControlNode::receiveCommand(const LinkOrigin& origin, const wire::Envelope& envelope)
+{
+    uint64_t requestId = envelope.request_id();
+    auto done = [this, origin, requestId](const wire::CommandResult& result) { this->answerCommand(origin, requestId, result); };
+    ResultCode code = this->leaderCode();
+    if (code != ResultCode::Ok) {
+        wire::CommandResult refused;
+        refused.set_result_code(static_cast<int>(code));
+        done(refused);
+        return;
+    }
+    const wire::CommandRequest& request = envelope.command_request();
+    if (!request.manifest_json().empty()) {
+        this->proposeManifest(request.manifest_json(), 1, done);
+        return;
+    }
+    wire::CommandResult checked = this->machine.check(request.command());
+    if (checked.result_code() != 0) {
+        done(checked);
+        return;
+    }
+    if (request.command().has_claim())
+        failPoint("leader.claim_received");
+    this->driver->propose(request.command(), request.command().has_suspicion() ? this->answeredOnceInForce(done) : done);
+}
+
+/** Checks a manifest again, turns it into a change against the one in force and proposes that. */
+void ControlNode::proposeManifest(const std::string& text, int attempt, LogDriver::Done done)
+{
+    auto parsed = parseManifest(text);
+    if (const DocumentError* error = std::get_if<DocumentError>(&parsed)) {
+        wire::CommandResult refused;
+        refused.set_result_code(static_cast<int>(error->code));
+        refused.set_detail(error->pointer + ": " + error->text);
+        done(refused);
+        return;
+    }
+    wire::Command command;
+    *command.mutable_apply_manifest() = makeApplyManifest(this->machine, std::get<CheckedManifest>(parsed));
+    wire::CommandResult checked = this->machine.check(command);
+    if (checked.result_code() != 0) {
+        done(checked);
+        return;
+    }
+    this->driver->propose(std::move(command), [this, text, attempt, done = std::move(done)](const wire::CommandResult& result) {
+        bool baseChanged = result.result_code() == static_cast<int>(ResultCode::ManifestBaseChanged);
+        if (baseChanged && attempt < maxManifestAttempts)
+            this->proposeManifest(text, attempt + 1, done);
+        else
+            done(result);
+    });
+}
+
+void ControlNode::receiveHeartbeats(const LinkOrigin& origin, const wire::Envelope& envelope)
+{
+    wire::Envelope answer;
+    answer.set_request_id(envelope.request_id());
+    wire::HeartbeatAnswer* body = answer.mutable_heartbeat_answer();
+    ResultCode code = this->leaderCode();
+    body->set_result_code(static_cast<int>(code));
+    if (code == ResultCode::Ok && this->soundLeader) {
+        TimePoint now = MillisecondClock::now();
+        for (const wire::TargetLoad& load : envelope.heartbeat_batch().targets()) {
+            const wire::TargetRecord* known = this->machine.findTarget(load.target().service(), load.target().address());
+            if (known && known->incarnation() > load.target().incarnation())
+                continue;
+            this->sessions->heartbeat(load, now);
+            this->considerTarget(load.target());
+        }
+        for (const wire::TargetLoad& load : this->sessions->loadDigest(loadDigestBytes, now))
+            *body->add_digest() = load;
+    }
+    this->hub->reply(origin, std::move(answer));
+}
+
+/** Proposes a change of a target when its announcement says something new. */
+void ControlNode::considerTarget(const wire::TargetRecord& target)
+{
+    if (!differs(target, this->machine.findTarget(target.service(), target.address())))
+        return;
+    if (!this->pendingTargets.contains({ target.service(), target.address() }))
+        this->proposeTarget(target);
+}
+
+void ControlNode::proposeTarget(const wire::TargetRecord& target)
+{
+    wire::Command command;
+    *command.mutable_change_target()->mutable_target() = target;
+    if (this->machine.check(command).result_code() != 0)
+        return;
+    std::pair<std::string, std::string> key(target.service(), target.address());
+    this->pendingTargets.insert(key);
+    this->driver->propose(std::move(command), [this, key](const wire::CommandResult&) { this->pendingTargets.erase(key); });
+}
+
+void ControlNode::receiveReplacement(const LinkOrigin& origin, const wire::Envelope& envelope)
+{
+    ResultCode code = this->leaderCode();
+    if (code == ResultCode::Ok)
+        code = this->membership->replace(envelope.replace_control_request().member().vm_id());
+    wire::Envelope answer;
+    answer.set_request_id(envelope.request_id());
+    answer.mutable_admin_answer()->set_result_code(static_cast<int>(code));
+    answer.mutable_admin_answer()->set_leader_vm(this->driver->log().leader());
+    this->hub->reply(origin, std::move(answer));
+}
+
+void ControlNode::receiveQuery(const LinkOrigin& origin, const wire::Envelope& envelope)
+{
+    wire::Envelope answer;
+    answer.set_request_id(envelope.request_id());
+    wire::QueryAnswer* body = answer.mutable_query_answer();
+    ResultCode code = this->leaderCode();
+    body->set_result_code(static_cast<int>(code));
+    body->set_leader_vm(this->driver->log().leader());
+    if (code == ResultCode::Ok)
+        body->set_json(this->answerQuery(envelope.query_request().subject()).dump());
+    this->hub->reply(origin, std::move(answer));
+}
+
+/** Answers a question to the leader. @param subject "status", "targets", "manifest", or "manifest:NUMBER" for how far it is in force. */
+nlohmann::json ControlNode::answerQuery(const std::string& subject) const
+{
+    constexpr std::string_view numberPrefix = "manifest:";
+    if (subject == "targets") {
+        nlohmann::json targets = nlohmann::json::array();
+        for (const wire::TargetRecord& target : this->machine.targets()) {
+            targets.push_back({ { "service", target.service() }, { "address", target.address() }, { "availabilityZone", target.availability_zone() },
+                { "slots", target.slots() }, { "incarnation", target.incarnation() }, { "state", nameOf(targetStateNames, target.state()) } });
+        }
+        return { { "targets", targets } };
+    }
+    if (subject == "manifest") {
+        nlohmann::json services = nlohmann::json::array();
+        for (const wire::ServiceDocument& document : this->machine.serviceDocuments())
+            services.push_back(nlohmann::json::parse(document.json()));
+        return { { "number", this->machine.manifestNumber() }, { "digest", this->machine.manifestDigest() }, { "services", services } };
+    }
+    if (subject.starts_with(numberPrefix))
+        return this->manifestStatus(std::strtoull(subject.c_str() + numberPrefix.size(), nullptr, 10));
+    return this->status();
+}
+
+/** Returns how far a manifest number is in force. */
+nlohmann::json ControlNode::manifestStatus(uint64_t number) const
+{
+    InForce inForce = this->sessions->inForce(number, MillisecondClock::now());
+    bool accepted = this->machine.manifestNumber() >= number;
+    return { { "number", this->machine.manifestNumber() }, { "digest", this->machine.manifestDigest() },
+        { "inForce", { { "confirmed", inForce.confirmed }, { "total", inForce.total }, { "complete", accepted && inForce.complete } } } };
+}
+
+} // namespace kingcup
--- a/programs/kingcupswitchd/EntryNode.h
+++ b/programs/kingcupswitchd/EntryNode.h
@@ -46,6 +46,9 @@
     /** Returns the number of calls that are not over. */
     uint64_t activeCalls() const { return this->gateway.activeCalls.load(); }
 
+    /** Sets the gauges of this role. */
+    void report() const { this->gateway.report(); }
+
     /** Returns the state as JSON. */
     nlohmann::json dump() const { return this->gateway.dump(); }
 
--- a/programs/kingcupswitchd/Gateway.cpp
+++ b/programs/kingcupswitchd/Gateway.cpp
@@ -109,6 +109,15 @@
     }
 }
 
+void Gateway::report() const
+{
+    TimePoint now = MillisecondClock::now();
+    for (const RequestTableRow& row : this->services())
+        row.runtime->report(row.service->name, this->metrics, now);
+    this->metrics.gauge("kingcup_active_calls", static_cast<double>(this->activeCalls.load()));
+    this->metrics.gauge("kingcup_claim_reports_open", static_cast<double>(this->claims.unreported()));
+}
+
 void Gateway::stop()
 {
     this->upstream.stop();
--- a/programs/kingcupswitchd/Gateway.h
+++ b/programs/kingcupswitchd/Gateway.h
@@ -47,6 +47,9 @@
     /** Takes load reports of targets that other VMs observed. */
     void reportLoads(const std::vector<wire::TargetLoad>& loads);
 
+    /** Sets the gauges of all services. */
+    void report() const;
+
     /** Cancels everything. */
     void stop();
 
--- a/programs/kingcupswitchd/Process.cpp
+++ b/programs/kingcupswitchd/Process.cpp
@@ -16,6 +16,7 @@
 constexpr Milliseconds hubTickInterval { 10 };
 constexpr Milliseconds stopPollInterval { 10 };
 constexpr Milliseconds handOverLimit { 2000 };
+constexpr Milliseconds reportInterval { 1000 };
 
 /** Returns a random number that is not 0. */
 uint64_t randomNumber()
@@ -140,10 +141,22 @@
     if (this->control)
         this->control->tick();
     this->announcements->tick(now);
+    if (now >= this->nextReport)
+        this->report(now);
+}
+
+/** Sets the gauges of all roles. */
+void Process::report(TimePoint now)
+{
+    this->nextReport = now + reportInterval;
     LinkCounters counters = this->hub->counters();
     this->metrics.gauge("kingcup_link_sent_bytes", static_cast<double>(counters.sentBytes));
     this->metrics.gauge("kingcup_link_received_bytes", static_cast<double>(counters.receivedBytes));
     this->metrics.gauge("kingcup_link_dropped_messages", static_cast<double>(counters.dropped));
+    if (this->entry)
+        this->entry->report();
+    if (this->control)
+        this->control->report(this->metrics);
 }
 
 bool Process::stop(const std::atomic<bool>& aborted)
--- a/programs/kingcupswitchd/Process.h
+++ b/programs/kingcupswitchd/Process.h
@@ -27,6 +27,7 @@
     OperatorApiHooks operatorHooks();
     void receive(const LinkOrigin& origin, const wire::Envelope& envelope);
     void tick();
+    void report(TimePoint now);
     bool runUntilDrained(const std::atomic<bool>& aborted);
     void handOverLeadership();
     nlohmann::json localStatus() const;
@@ -35,6 +36,7 @@
     Settings settings; ///< Checked.
     uint64_t incarnation; ///< Start of this process: wall time in ms, so that it grows over restarts without a disk.
     uint64_t seed; ///< Of random numbers.
+    TimePoint nextReport {}; ///< When the gauges are set again.
     Metrics metrics; ///< Of this process.
     std::unique_ptr<ControlNode> control; ///< Role control, if any.
     std::unique_ptr<LinkHub> hub; ///< Links.
--- a/programs/kingcupswitchd/ServiceRuntime.h
+++ b/programs/kingcupswitchd/ServiceRuntime.h
@@ -4,6 +4,7 @@
 #include "TimerQueue.h"
 
 #include "kingcup/Admission.h"
+#include "kingcup/Metrics.h"
 #include "kingcup/ProbeBudget.h"
 #include "kingcup/RetryPolicy.h"
 #include "kingcup/Router.h"
@@ -48,6 +49,9 @@
     /** Sets the number of live entry VMs that share the probe budget. */
     void setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now);
 
+    /** Sets the gauges of the service. */
+    void report(const std::string& service, Metrics& metrics, TimePoint now);
+
     /** Returns the state as JSON. */
     nlohmann::json dump(TimePoint now);
 
