Fix: Drop the bytes of a target that does not continue a download

Cancelling an attempt takes effect later, so bytes of a 200 with another ETag that waited behind its head were appended to the download. A download that broke before its first body byte went on without Range and without any check of the second answer. Answer.isWholeOrVisiblyBroken showed both: the caller got a complete answer with the bytes of the other representation, from byte 300000 and from byte 0.

--- a/programs/kingcupswitchd/Call.cpp
+++ b/programs/kingcupswitchd/Call.cpp
@@ -172,7 +172,7 @@
     this->match.runtime->retries.call(MillisecondClock::now());
     if (!this->match.kind->repeatable && !this->parameters.idempotencyKey.empty())
         this->claimKey();
-    else if (!this->startAttempt(false, 0))
+    else if (!this->startAttempt(false))
         this->refuse(ResultCode::NoTarget, defaultRetryAfter);
 }
 
@@ -202,7 +202,7 @@
     switch (code) {
     case ResultCode::Ok:
         failPoint("claim.granted");
-        if (!this->startAttempt(false, 0))
+        if (!this->startAttempt(false))
             this->refuse(ResultCode::NoTarget, defaultRetryAfter);
         return;
     case ResultCode::KeyFinished:
--- a/programs/kingcupswitchd/Call.h
+++ b/programs/kingcupswitchd/Call.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,7 +43,7 @@
     void callerGone();
 
     // Attempts (CallAttempts.cpp).
-    bool startAttempt(bool hedge, uint64_t resumeOffset);
+    bool startAttempt(bool hedge, std::optional<uint64_t> resumeOffset = std::nullopt);
     std::optional<Pick> pickTarget(ContainmentVerdict verdict, TimePoint now);
     std::vector<std::string> excludedTargets(ContainmentVerdict verdict) const;
     UpstreamRequest upstreamRequest(const AttemptPointer& attempt);
--- a/programs/kingcupswitchd/CallAttempt.h
+++ b/programs/kingcupswitchd/CallAttempt.h
@@ -6,6 +6,7 @@
 #include "kingcup/Router.h"
 #include "kingcup/UpstreamClient.h"
 
+#include <optional>
 #include <string>
 
 namespace kingcup {
@@ -22,7 +23,8 @@
     bool discarded = false; ///< Its answer is of no more interest.
     bool hedge = false; ///< Started beside another attempt.
     bool stalled = false; ///< Cancelled because no bytes came.
-    uint64_t resumeOffset = 0; ///< Bytes that the caller had when it started; 0 for a first download.
+    std::optional<uint64_t> resumeOffset; ///< Bytes that the caller already has, when this attempt goes on with a download.
+    bool rejected = false; ///< Its answer does not continue the download, so its bytes must not reach the caller.
     std::string held; ///< Bytes of an answer that is not yet being sent.
 };
 
--- a/programs/kingcupswitchd/CallAttempts.cpp
+++ b/programs/kingcupswitchd/CallAttempts.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 /** Places an attempt on a target. Returns false when there is none, or the request must not run again. */
-bool Call::startAttempt(bool hedge, uint64_t resumeOffset)
+bool Call::startAttempt(bool hedge, std::optional<uint64_t> resumeOffset)
 {
     TimePoint now = MillisecondClock::now();
     const std::string& service = this->match.service->name;
@@ -79,7 +79,7 @@
     request.target = head.target;
     request.headers = targetHeaders(head, remaining, this->parameters.depth);
     if (attempt->resumeOffset)
-        addRangeHeaders(request.headers, *this->resume, attempt->resumeOffset);
+        addRangeHeaders(request.headers, *this->resume, *attempt->resumeOffset);
     request.repeatable = this->match.kind->repeatable;
     request.connectTimeout = std::min(maxConnectTimeout, remaining);
     request.deadline = this->deadline;
@@ -149,7 +149,7 @@
         return;
     if (!this->match.runtime->retries.mayHedge(*this->match.kind, MillisecondClock::now()))
         return;
-    if (this->startAttempt(true, 0))
+    if (this->startAttempt(true))
         this->gateway.metrics.count("kingcup_hedges_total", this->match.service->name);
 }
 
@@ -165,7 +165,9 @@
     if (this->over || attempt->discarded)
         return;
     if (attempt->resumeOffset) {
-        if (!continuesAt(head, *this->resume, attempt->resumeOffset))
+        // Bytes that already wait behind this event are dropped, since cancelling takes effect later.
+        attempt->rejected = !continuesAt(head, *this->resume, *attempt->resumeOffset);
+        if (attempt->rejected)
             this->gateway.upstream.cancel(attempt->handle);
         return;
     }
@@ -185,7 +187,7 @@
     this->overloaded = true;
     attempt->discarded = true;
     if (this->anyActive() || this->retryAllowed(!notRun, AttemptOutcome::ServerError)) {
-        if (this->anyActive() || this->startAttempt(false, 0)) {
+        if (this->anyActive() || this->startAttempt(false)) {
             this->fallback = attempt;
             this->anySent = this->anySent || !notRun;
             return true;
@@ -198,7 +200,7 @@
 void Call::dataArrived(const AttemptPointer& attempt, const std::string& data)
 {
     bool unwanted = attempt->discarded && attempt != this->fallback;
-    if (this->over || unwanted || attempt->ended)
+    if (this->over || unwanted || attempt->ended || attempt->rejected)
         return;
     if (this->winner == attempt) {
         this->deliver(data);
@@ -305,7 +307,7 @@
 {
     if (this->anyActive() || this->pendingSuspicions > 0)
         return;
-    if (this->retryAllowed(this->lastSent, this->lastOutcome) && this->startAttempt(false, 0))
+    if (this->retryAllowed(this->lastSent, this->lastOutcome) && this->startAttempt(false))
         return;
     // A target's promise that it did not run the request says nothing about an attempt that was sent elsewhere.
     bool staleNotRun = this->fallback && this->anySent && this->promisedNotRun(this->fallback->head.status);
--- a/programs/kingcupswitchd/RangeResume.cpp
+++ b/programs/kingcupswitchd/RangeResume.cpp
@@ -30,9 +30,10 @@
 bool continuesAt(const HttpAnswerHead& answer, const ResumePoint& point, uint64_t offset)
 {
     std::string expected = "bytes " + std::to_string(offset) + "-" + std::to_string(point.length - 1) + "/" + std::to_string(point.length);
+    bool whole = offset == 0 && answer.status == statusOk && answer.contentLength == point.length;
     bool sameRange = answer.headers.find("Content-Range").value_or("") == expected;
     bool sameTag = answer.headers.find("ETag").value_or("") == point.etag;
-    return answer.status == statusPartialContent && sameRange && sameTag;
+    return sameTag && (whole || (answer.status == statusPartialContent && sameRange));
 }
 
 } // namespace kingcup
