Add: Test which calls ran and what their callers and targets see

Guards against a retry or resend that runs a posting twice, a lost outcome of a posting whose caller left, and targets that keep working for nobody.

--- a/tests/AnswerTest.cpp
+++ b/tests/AnswerTest.cpp
@@ -43,21 +43,28 @@
         }
     }
 
+    /** Returns the address of a target; of a closed port when the service refuses connections. */
+    std::string firstAddress() const { return this->refuses ? "127.0.0.1:1" : this->first.address(); }
+    std::string secondAddress() const { return this->refuses ? "127.0.0.1:2" : this->second.address(); }
+
     size_t executions() { return this->requests.get().size(); } ///< Requests that reached a target.
 
     std::string name; ///< Name, also its path.
     Answer answer; ///< Behaviour.
+    bool refuses = false; ///< Announces closed ports.
+    std::atomic<bool> slowSeen = false; ///< A slow request was received.
+    Signal<int> closed; ///< Connections that the entry VM closed while a request ran.
     Signal<std::vector<std::string>> requests; ///< In order of arrival.
     RawServer first { [this](RawSocket& socket, int) { this->serve(socket); } }; ///< One target.
     RawServer second { [this](RawSocket& socket, int) { this->serve(socket); } }; ///< Other target.
 };
 
 /** Returns the manifest of the services, with small limits on held answers and without probes. */
-nlohmann::json manifestOf(const std::vector<std::string>& services)
+nlohmann::json manifestOf(const std::vector<RawService*>& services)
 {
     std::vector<ServiceLayout> layouts;
-    for (const std::string& service : services)
-        layouts.push_back({ service, 2, 6 });
+    for (const RawService* service : services)
+        layouts.push_back({ service->name, 2, 6 });
     nlohmann::json manifest = makeManifest(1, layouts);
     for (nlohmann::json& service : manifest["services"]) {
         service["limits"] = { { "maxHeldAnswerBytes", 4096 }, { "retryShare", 1 } };
@@ -84,9 +91,15 @@
             this->announcer.join();
     }
 
-    /** Starts the processes and announces the targets. Returns what failed. */
-    std::string start(const nlohmann::json& manifest, std::vector<std::pair<std::string, std::string>> targets)
+    /** Starts the processes and announces the targets of the services. Returns what failed. */
+    std::string start(const std::vector<RawService*>& services)
     {
+        nlohmann::json manifest = manifestOf(services);
+        std::vector<std::pair<std::string, std::string>> targets;
+        for (RawService* service : services) {
+            targets.emplace_back(service->name, service->firstAddress());
+            targets.emplace_back(service->name, service->secondAddress());
+        }
         std::string failure = this->deployment.start(manifest);
         if (!failure.empty())
             return failure;
@@ -146,6 +159,14 @@
     return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n";
 }
 
+/** Returns the options of one entry VM and one control VM without fake targets. */
+DeploymentOptions pathOptions(uint64_t seed)
+{
+    DeploymentOptions options = testOptions(seed, 1, {});
+    options.controlVms = 1;
+    return options;
+}
+
 /** Returns the start of the range that a request asks for; 0: none. */
 size_t rangeStart(const std::string& request)
 {
@@ -174,6 +195,14 @@
     return makeRequest("GET", "/" + service + "/x");
 }
 
+/** Answers nothing and notes when the entry VM closes the connection. */
+bool awaitClose(RawSocket& socket, RawService& service)
+{
+    if (socket.waitClosed())
+        service.closed.update([](int& count) { ++count; });
+    return false;
+}
+
 HttpMessage post(const std::string& service, const std::string& key)
 {
     HttpMessage request = makeRequest("POST", "/" + service + "/x", "an invoice");
@@ -215,18 +244,8 @@
         return number == 1 ? socket.send(downloadHead(10, "") + "half") && false : socket.send(answerText("whole"));
     });
     RawService cutPost("cutpost", [&](RawSocket& socket, const std::string&, int) { return socket.send(downloadHead(10, "") + "half") && false; });
-    std::vector<RawService*> services = { &plain, &cut, &stalled, &other, &unsent, &truncated, &cutPost };
-    std::vector<std::string> names;
-    std::vector<std::pair<std::string, std::string>> targets;
-    for (RawService* service : services) {
-        names.push_back(service->name);
-        targets.emplace_back(service->name, service->first.address());
-        targets.emplace_back(service->name, service->second.address());
-    }
-    DeploymentOptions options = testOptions(31, 1, {});
-    options.controlVms = 1;
-    AnswerPath path(options);
-    ASSERT_EQ(path.start(manifestOf(names), targets), "");
+    AnswerPath path(pathOptions(31));
+    ASSERT_EQ(path.start({ &plain, &cut, &stalled, &other, &unsent, &truncated, &cutPost }), "");
 
     section("a cut stream without ETag never looks complete", [&] {
         HttpMessage answer;
@@ -265,3 +284,107 @@
         EXPECT_EQ(cutPost.executions(), 1u);
     });
 }
+
+TEST(Answer, tellsWhatRan)
+{
+    RawService busyOnce("busyonce", [](RawSocket& socket, const std::string&, int number) { return socket.send(number == 1 ? overloaded : answerText("whole")); });
+    RawService busy("busy", [](RawSocket& socket, const std::string&, int) { return socket.send(overloaded); });
+    RawService busyPost("busypost", [](RawSocket& socket, const std::string&, int number) { return socket.send(number <= 2 ? overloaded : answerText("posted")); });
+    RawService refused("refused", [](RawSocket&, const std::string&, int) { return false; });
+    refused.refuses = true;
+    RawService nested("nested", [](RawSocket& socket, const std::string&, int) { return socket.send(answerText("ok")); });
+    RawService left("left", [&](RawSocket& socket, const std::string&, int) { return awaitClose(socket, left); });
+    Signal<bool> callerLeft;
+    auto slow = [&callerLeft](const std::string& posted) {
+        return [&callerLeft, posted](RawSocket& socket, const std::string&, int) { return callerLeft.wait([](bool gone) { return gone; }) && socket.send(answerText(posted)); };
+    };
+    RawService leftPost("leftpost", slow("recorded"));
+    RawService largePost("largepost", [](RawSocket& socket, const std::string&, int) { return socket.send(answerText(std::string(16u << 20, 'x'))); });
+    RawService hedged("hedged", [&](RawSocket& socket, const std::string& request, int) {
+        bool firstSlow = request.find("X-Slow") != std::string::npos && !hedged.slowSeen.exchange(true);
+        return firstSlow ? awaitClose(socket, hedged) : socket.send(answerText("quick"));
+    });
+    AnswerPath path(pathOptions(32));
+    ASSERT_EQ(path.start({ &busyOnce, &busy, &busyPost, &refused, &nested, &left, &leftPost, &largePost, &hedged }), "");
+
+    section("a 503 of a repeatable kind is retried, and passed on when both targets give it", [&] {
+        std::optional<HttpMessage> answer = path.call(read("busyonce"));
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->body, "whole");
+        answer = path.call(read("busy"));
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status(), 503);
+        EXPECT_EQ(answer->body, "busy");
+        EXPECT_EQ(busy.executions(), 2u);
+    });
+    section("a status that promises not-run leaves the key free", [&] {
+        std::optional<HttpMessage> answer = path.call(post("busypost", "busy"));
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->find("Kingcup-Run"), "not-run");
+        auto posted = [&] { return (answer = path.call(post("busypost", "busy"))) && answer->status() == 200; };
+        EXPECT_TRUE(waitUntil(callLimit, posted)) << answer->body;
+        EXPECT_EQ(busyPost.executions(), 3u);
+    });
+    section("refused connections give not-run with Retry-After at once", [&] {
+        TimePoint before = MillisecondClock::now();
+        std::optional<HttpMessage> answer = path.call(post("refused", "refused"));
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->find("Kingcup-Run"), "not-run");
+        EXPECT_NE(answer->find("Retry-After"), "");
+        EXPECT_LT((MillisecondClock::now() - before).count(), 2000);
+    });
+    section("deadline and depth reach the target, and a call that is too deep is refused", [&] {
+        HttpMessage request = read("nested");
+        request.add("Kingcup-Deadline-Ms", "2500");
+        request.add("Kingcup-Depth", "3");
+        ASSERT_TRUE(path.call(request));
+        std::string seen = nested.requests.get().at(0);
+        EXPECT_NE(seen.find("Kingcup-Depth: 4\r\n"), std::string::npos) << seen;
+        size_t place = seen.find("Kingcup-Deadline-Ms: ");
+        ASSERT_NE(place, std::string::npos) << seen;
+        int remaining = std::stoi(seen.substr(place + 21));
+        EXPECT_TRUE(remaining > 0 && remaining <= 2500) << remaining;
+        request.fields.back().value = "9";
+        std::optional<HttpMessage> answer = path.call(request);
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->find("Kingcup-Run"), "not-run");
+        EXPECT_EQ(nested.executions(), 1u);
+    });
+    section("a caller that leaves a repeatable call closes the target's connection", [&] {
+        HttpStream caller = path.open(read("left"));
+        ASSERT_TRUE(left.requests.wait([](const auto& all) { return all.size() == 1; }));
+        caller.connection().close();
+        EXPECT_TRUE(left.closed.wait([](int count) { return count == 1; }, 4000));
+    });
+    section("a posting whose caller left is recorded for a resend", [&] {
+        HttpStream caller = path.open(post("leftpost", "left"));
+        ASSERT_TRUE(leftPost.requests.wait([](const auto& all) { return all.size() == 1; }));
+        caller.connection().close();
+        callerLeft.update([](bool& gone) { gone = true; });
+        std::optional<HttpMessage> answer;
+        EXPECT_TRUE(waitUntil(callLimit, [&] { return (answer = path.call(post("leftpost", "left"))) && answer->status() == 200; }));
+        EXPECT_EQ(answer->body, "recorded");
+        EXPECT_EQ(leftPost.executions(), 1u);
+    });
+    section("a large answer whose caller left does not wait for its deadline", [&] {
+        HttpStream caller = path.open(post("largepost", "large"));
+        ASSERT_TRUE(largePost.requests.wait([](const auto& all) { return all.size() == 1; }));
+        char byte = 0;
+        ASSERT_EQ(caller.connection().receive(&byte, 1), 1);
+        caller.connection().close();
+        std::optional<HttpMessage> answer;
+        auto finished = [&] { return (answer = path.call(post("largepost", "large"))) && answer->body.find("key_running") == std::string::npos; };
+        EXPECT_TRUE(waitUntil(Milliseconds(3000), finished)) << answer->body;
+        EXPECT_NE(answer->body.find("key_finished"), std::string::npos) << answer->body;
+    });
+    section("a hedge answers for a slow target, whose connection is closed", [&] {
+        for (int call = 0; call < 120; ++call)
+            ASSERT_TRUE(path.call(read("hedged")));
+        HttpMessage request = read("hedged");
+        request.add("X-Slow", "1");
+        std::optional<HttpMessage> answer = path.call(request);
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->body, "quick");
+        EXPECT_TRUE(hedged.closed.wait([](int count) { return count == 1; }, 4000));
+    });
+}
