--- a/bench/ControlCostBench.cpp
+++ b/bench/ControlCostBench.cpp
@@ -144,11 +144,13 @@
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     // Optional argument: number of entry VMs. Other numbers than the default measure only the cost at rest.
     uint32_t entryVms = argumentCount > 1 ? static_cast<uint32_t>(std::atoi(arguments[1])) : defaultEntryVms;
-    std::vector<ServiceLayout> services = { { "matters", 13, 6 }, { "ledger", 8, 6 }, { "archive", 12, 6 } };
+    // Optional second argument: multiplies the number of targets.
+    uint32_t factor = argumentCount > 2 ? static_cast<uint32_t>(std::atoi(arguments[2])) : 1;
+    std::vector<ServiceLayout> services = { { "matters", 13 * factor, 6 }, { "ledger", 8 * factor, 6 }, { "archive", 12 * factor, 6 } };
     Deployment deployment(benchOptions(entryVms, services));
     if (!startOrExplain(deployment, makeManifest(1, services)))
         return 1;
-    std::printf("3 control VMs, %u entry VMs, 33 targets that announce themselves every 500 ms. Targets: %.1f%% of a core, %.0f MB, %.0f B/s on a node.\n\n", entryVms, cpuTargetPercent, memoryTargetMb, bytesTargetPerSecond);
+    std::printf("3 control VMs, %u entry VMs, %u targets that announce themselves every 500 ms. Targets: %.1f%% of a core, %.0f MB, %.0f B/s on a node.\n\n", entryVms, 33 * factor, cpuTargetPercent, memoryTargetMb, bytesTargetPerSecond);
     std::printf("%-32s %9s %9s %13s %13s %11s\n", "", "cpu p50", "cpu most", "links p50", "links most", "memory most");
     std::this_thread::sleep_for(restLength);
     std::vector<ControlCost> entryBefore = costs(deployment, deployment.entryVms());
@@ -158,7 +160,7 @@
     std::vector<ControlCost> controlRest = costs(deployment, deployment.controlVms());
     printCosts("entry VMs at rest", entryBefore, entryRest, restLength.count() / 1000);
     printCosts("control VMs at rest", controlBefore, controlRest, restLength.count() / 1000);
-    if (entryVms != defaultEntryVms)
+    if (entryVms != defaultEntryVms || factor != 1)
         return 0;
     TimePoint start = MillisecondClock::now();
     ChangeTimes quiet;
--- a/packages/transport/src/Headers.cpp
+++ b/packages/transport/src/Headers.cpp
@@ -4,4 +4,5 @@
 #include "kingcup/JsonLog.h"
 #include "kingcup/Link.h"
 #include "kingcup/Metrics.h"
+#include "kingcup/Refusal.h"
 #include "kingcup/UpstreamClient.h"
--- a/packages/transport/src/RefusalAnswer.cpp
+++ b/packages/transport/src/RefusalAnswer.cpp
@@ -2,32 +2,12 @@
 #include "RefusalAnswer.h"
 
 #include "HttpText.h"
-#include "kingcup/HttpRules.h"
 
 #include <microhttpd.h>
 #include <sys/socket.h>
 
 namespace kingcup {
 
-HttpAnswerHead refusalHead(ResultCode code)
-{
-    const ResultCodeRow& row = resultCodeRow(code);
-    HttpAnswerHead head { row.httpStatus, {}, std::nullopt };
-    head.headers.add("Content-Type", jsonContentType);
-    head.headers.add(headerResult, std::to_string(static_cast<int>(code)) + " " + std::string(row.name));
-    head.headers.add(headerRun, runStateName(row.runState));
-    return head;
-}
-
-std::string refusalBody(ResultCode code)
-{
-    const ResultCodeRow& row = resultCodeRow(code);
-    std::string body = "{\"code\":" + std::to_string(static_cast<int>(code));
-    body.append(",\"result\":\"").append(row.name);
-    body.append("\",\"text\":\"").append(row.text).append("\"}\n");
-    return body;
-}
-
 std::string closingAnswerText(const HttpAnswerHead& head, std::string_view body)
 {
     const char* reason = MHD_get_reason_phrase_for(static_cast<unsigned>(head.status));
--- a/packages/transport/src/RefusalAnswer.h
+++ b/packages/transport/src/RefusalAnswer.h
@@ -1,19 +1,12 @@
 /** @file RefusalAnswer.h Answers by which the listener itself refuses requests. */
 #pragma once
 
-#include "kingcup/HttpTypes.h"
-#include "kingcup/ResultCode.h"
+#include "kingcup/Refusal.h"
 
 #include <string>
 
 namespace kingcup {
 
-/** Returns the header of a refusal. */
-HttpAnswerHead refusalHead(ResultCode code);
-
-/** Returns the JSON body of a refusal. */
-std::string refusalBody(ResultCode code);
-
 /** Returns a whole answer as it is sent, with Content-Length and `Connection: close`. */
 std::string closingAnswerText(const HttpAnswerHead& head, std::string_view body);
 
--- a/programs/kingcupswitchd/CallHeaders.cpp
+++ b/programs/kingcupswitchd/CallHeaders.cpp
@@ -2,12 +2,12 @@
 #include "CallHeaders.h"
 
 #include "kingcup/HttpRules.h"
+#include "kingcup/Refusal.h"
 
 #include <algorithm>
 #include <cmath>
 
 #include <absl/strings/numbers.h>
-#include <nlohmann/json.hpp>
 
 namespace kingcup {
 
@@ -34,11 +34,6 @@
     }
 }
 
-std::string resultValue(const ResultCodeRow& row)
-{
-    return std::to_string(static_cast<int>(row.code)) + " " + std::string(row.name);
-}
-
 } // namespace
 
 CallParameters parseCallParameters(const HttpHeaders& headers)
@@ -81,7 +76,7 @@
     head.status = targetHead.status;
     head.contentLength = targetHead.contentLength;
     copyEndToEnd(targetHead.headers, ownAnswerFields, head.headers);
-    head.headers.add(headerResult, resultValue(resultCodeRow(result)));
+    head.headers.add(headerResult, resultHeaderValue(result));
     head.headers.add(headerRun, runStateName(run));
     return head;
 }
@@ -90,17 +85,12 @@
 {
     constexpr double msPerSecond = 1000;
     const ResultCodeRow& row = resultCodeRow(code);
-    HttpAnswerHead head;
-    head.status = row.httpStatus;
-    head.headers.add("Content-Type", jsonContentType);
-    head.headers.add(headerResult, resultValue(row));
-    head.headers.add(headerRun, runStateName(row.runState));
+    HttpAnswerHead head = refusalHead(code);
     if (row.retryAfter) {
         double seconds = std::max(1.0, std::ceil(retryAfter.count() / msPerSecond));
         head.headers.add(headerRetryAfter, std::to_string(static_cast<int64_t>(seconds)));
     }
-    nlohmann::ordered_json body { { "code", static_cast<int>(code) }, { "name", row.name }, { "run", runStateName(row.runState) }, { "detail", row.text } };
-    return { head, body.dump() + "\n" };
+    return { head, refusalBody(code) };
 }
 
 } // namespace kingcup
--- a/programs/kingcupswitchd/LogDriver.cpp
+++ b/programs/kingcupswitchd/LogDriver.cpp
@@ -111,6 +111,8 @@
 
 void LogDriver::setDiskFull(bool full)
 {
+    if (full != this->spaceShort)
+        logLine(LogLevel::Warning, full ? "disk_space_short" : "disk_space_regained");
     this->spaceShort = full;
     this->replicatedLog.setDiskFull(this->spaceShort || this->writerBlocked);
 }
--- a/programs/kingcupswitchd/MembershipManager.cpp
+++ b/programs/kingcupswitchd/MembershipManager.cpp
@@ -146,7 +146,7 @@
         return ResultCode::UnknownVm;
     if (this->replacement)
         return ResultCode::MembershipChangePending;
-    this->replacement = Replacement { vm, announcement->second };
+    this->startReplacement(vm, announcement->second);
     return ResultCode::Ok;
 }
 
@@ -259,6 +259,11 @@
     auto heard = old ? this->lastHeard.find({ vm, old->incarnation() }) : this->lastHeard.end();
     if (heard != this->lastHeard.end() && now - heard->second < oldIncarnationSilence)
         return;
+    this->startReplacement(vm, incarnation);
+}
+
+void MembershipManager::startReplacement(VmId vm, uint64_t incarnation)
+{
     this->replacement = Replacement { vm, incarnation };
     logLine(LogLevel::Info, "replacement_started", { { "controlVm", vm }, { "incarnation", incarnation } });
 }
--- a/programs/kingcupswitchd/MembershipManager.h
+++ b/programs/kingcupswitchd/MembershipManager.h
@@ -70,6 +70,7 @@
     void sendBootstrapRequests();
     void finishBootstrap(ResultCode code, const std::string& detail);
     void considerReplacement(VmId vm, uint64_t incarnation);
+    void startReplacement(VmId vm, uint64_t incarnation);
     void advanceReplacement();
 
     MembershipManagerOptions options; ///< Own place.
