Fix: A graceful stop ended the process in libmicrohttpd

Cause: MHD_quiesce_daemon of 0.9.75 removes the listening socket from the epoll sets of its event loops while they do the same, and the library aborts when one of them comes second. Ruled out: closing the socket too early; with the socket kept open the abort stayed. An own thread accepts now and hands connections to the daemon, which has no listening socket.

--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -7,7 +7,10 @@
 
 #include <cmath>
 #include <netinet/in.h>
+#include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 #include <unordered_set>
 #include <utility>
@@ -53,6 +56,8 @@
     HttpListener::Handler handler; ///< Of the user.
     MHD_Daemon* daemon = nullptr; ///< Null before start() and after stop().
     int socket = -1; ///< Listening socket, -1 once closed.
+    int acceptorWake = -1; ///< eventfd that ends the acceptor.
+    std::thread acceptor; ///< Accepts connections and hands them to the daemon.
     uint16_t port = 0; ///< Port of the socket.
     std::unordered_set<ServedExchange*> exchanges; ///< Open ones, guarded by `mutex`.
     std::weak_ptr<State> self; ///< For the exchanges.
@@ -66,6 +71,12 @@
     /** Closes the listening socket. */
     void stopAccepting();
 
+    /** Accepts connections until stopAccepting() is called. */
+    void acceptLoop();
+
+    /** Accepts one connection. Returns false when none is waiting or accept() failed. */
+    bool acceptOne();
+
     /** Makes the exchange of a request whose request line was received. */
     ExchangeHolder* openExchange(const char* target, MHD_Connection* connection);
 
@@ -146,12 +157,13 @@
 
 bool HttpListener::State::startDaemon()
 {
-    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+    // MHD_quiesce_daemon of 0.9.75 races with the event loops for the listening socket and then ends the process, so the
+    // daemon gets no listening socket.
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_NO_LISTEN_SOCKET;
     auto timeoutSeconds = static_cast<unsigned>(std::ceil(this->options.slowSenderTimeout.count() / 1000)) + 1;
     size_t poolBytes = 2 * this->options.maxHeaderBytes + poolExtraBytes;
     unsigned poolThreads = this->options.threads > 1 ? this->options.threads : 0;
     this->daemon = MHD_start_daemon(flags, 0, nullptr, nullptr, &DaemonCallbacks<State>::access, this,
-        MHD_OPTION_LISTEN_SOCKET, this->socket,
         MHD_OPTION_THREAD_POOL_SIZE, poolThreads,
         MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(this->options.maxConnections),
         MHD_OPTION_CONNECTION_TIMEOUT, timeoutSeconds,
@@ -162,7 +174,11 @@
         MHD_OPTION_NOTIFY_COMPLETED, &DaemonCallbacks<State>::completed, this,
         MHD_OPTION_NOTIFY_CONNECTION, &DaemonCallbacks<State>::connectionChanged, this,
         MHD_OPTION_END);
-    return this->daemon != nullptr;
+    if (!this->daemon)
+        return false;
+    this->acceptorWake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    this->acceptor = std::thread([this] { this->acceptLoop(); });
+    return true;
 }
 
 ExchangeHolder* HttpListener::State::openExchange(const char* target, MHD_Connection* connection)
@@ -200,12 +216,41 @@
 
 void HttpListener::State::stopAccepting()
 {
-    if (!this->daemon || this->socket < 0)
+    if (!this->acceptor.joinable())
         return;
-    MHD_quiesce_daemon(this->daemon);
+    uint64_t one = 1;
+    [[maybe_unused]] ssize_t bytes = write(this->acceptorWake, &one, sizeof(one));
+    this->acceptor.join();
+    close(std::exchange(this->acceptorWake, -1));
     close(std::exchange(this->socket, -1));
 }
 
+void HttpListener::State::acceptLoop()
+{
+    constexpr int retryMs = 10; // After a failed accept, for example without free descriptors.
+    pollfd watched[] = { { this->acceptorWake, POLLIN, 0 }, { this->socket, POLLIN, 0 } };
+    for (;;) {
+        poll(watched, std::size(watched), -1);
+        if (watched[0].revents)
+            return;
+        while (this->acceptOne()) { }
+        if (errno != EAGAIN && errno != EWOULDBLOCK && poll(watched, 1, retryMs) > 0)
+            return;
+    }
+}
+
+bool HttpListener::State::acceptOne()
+{
+    sockaddr_storage address {};
+    socklen_t length = sizeof(address);
+    int connection = accept4(this->socket, reinterpret_cast<sockaddr*>(&address), &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (connection < 0)
+        return false;
+    // The daemon closes the connection when it does not take it.
+    MHD_add_connection(this->daemon, connection, reinterpret_cast<sockaddr*>(&address), length);
+    return true;
+}
+
 HttpListener::HttpListener(HttpListenerOptions options, Handler handler, RefusedHook refusedHook)
     : state(std::make_shared<State>())
 {
