Fix: Connections of requests that must not repeat piled up at the targets

Each such request opens a connection, and libcurl kept up to 2,000 of them idle on each event loop. They are closed after the answer now.

--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -107,8 +107,12 @@
     // libcurl repeats a request by itself if a reused connection closes before the answer. A streamed body cannot be
     // repeated at all.
     bool streamed = this->request.hasBody && !this->request.body;
-    if (!this->request.repeatable || streamed)
-        curl_easy_setopt(this->curl, CURLOPT_FRESH_CONNECT, 1L);
+    if (this->request.repeatable && !streamed)
+        return;
+    curl_easy_setopt(this->curl, CURLOPT_FRESH_CONNECT, 1L);
+    // A connection that was opened for one request would stay in libcurl's cache. Up to the size of the cache, such idle
+    // connections would pile up at the targets, and a full cache is searched for the oldest one at each request.
+    curl_easy_setopt(this->curl, CURLOPT_FORBID_REUSE, 1L);
 }
 
 bool UpstreamAttempt::setHeaders()
