Codechange: Merge the two classes for temporary folders of tests

TemporaryFolder and ScratchFolder did the same, with different rules for the parent folder and for keeping the content. One class follows both now.

--- a/testing/Deployment.h
+++ b/testing/Deployment.h
@@ -134,7 +134,7 @@
     bool startVm(Vm& vm);
 
     DeploymentOptions options; ///< Options.
-    TemporaryFolder files; ///< Holds all files.
+    ScratchFolder files; ///< Holds all files.
     AddressPool addresses; ///< Free addresses.
     std::string tokenOfOperators; ///< Token of operators.
     std::string tokenOfTargets; ///< Token of targets.
--- a/testing/ProcessHarness.cpp
+++ b/testing/ProcessHarness.cpp
@@ -22,16 +22,6 @@
 constexpr std::chrono::milliseconds pollInterval { 10 }; ///< Between two looks at a condition.
 constexpr Milliseconds killLimit { 10000 }; ///< A killed process ends sooner.
 
-/** Returns where temporary folders are made: TMPDIR when it is set, or memory, where a sync takes no time. On a shared disk, a sync took up to 7 s while other programs wrote. */
-std::string parentFolder()
-{
-    const char* wanted = std::getenv("TMPDIR");
-    if (wanted)
-        return wanted;
-    const char* inMemory = "/dev/shm";
-    return ::access(inMemory, W_OK) == 0 ? inMemory : std::filesystem::temp_directory_path().string();
-}
-
 } // namespace
 
 Process::Process(std::vector<std::string> givenArguments, std::string givenOutputFile)
@@ -131,21 +121,6 @@
     return true;
 }
 
-TemporaryFolder::TemporaryFolder()
-{
-    std::string pattern = parentFolder() + "/kingcup-XXXXXX";
-    if (::mkdtemp(pattern.data()))
-        this->folder = pattern;
-}
-
-TemporaryFolder::~TemporaryFolder()
-{
-    bool keep = std::getenv("KINGCUP_KEEP_FOLDERS") != nullptr;
-    std::error_code ignored;
-    if (!this->folder.empty() && !keep)
-        std::filesystem::remove_all(this->folder, ignored);
-}
-
 void writeFile(const std::string& path, const std::string& text)
 {
     std::ofstream stream(path, std::ios::binary | std::ios::trunc);
--- a/testing/ProcessHarness.h
+++ b/testing/ProcessHarness.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "kingcup/MillisecondClock.h"
+#include "testing/ScratchFolder.h"
 
 #include <functional>
 #include <optional>
@@ -56,20 +57,6 @@
 /** Waits for a condition. Returns false when the limit passed first. */
 bool waitUntil(Milliseconds limit, const std::function<bool()>& condition);
 
-/** A temporary folder that is removed with its contents, unless the environment variable KINGCUP_KEEP_FOLDERS is set. */
-class TemporaryFolder {
-public:
-    TemporaryFolder();
-    ~TemporaryFolder();
-    TemporaryFolder(const TemporaryFolder&) = delete;
-    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-
-    const std::string& path() const { return this->folder; } ///< Path.
-
-private:
-    std::string folder; ///< Path.
-};
-
 /** Writes a file that only its owner may read. */
 void writeFile(const std::string& path, const std::string& text);
 
--- a/testing/ScratchFolder.h
+++ b/testing/ScratchFolder.h
@@ -5,13 +5,14 @@
 #include <filesystem>
 #include <stdexcept>
 #include <string>
+#include <unistd.h>
 
 namespace kingcup::testing {
 
-/** Creates an empty folder and removes it with its content at the end of its scope. */
+/** Creates an empty folder and removes it with its content at the end of its scope, unless the environment variable KINGCUP_KEEP_FOLDERS is set. */
 class ScratchFolder {
 public:
-    /** @param parent Where to create it. By default in memory, because a sync on a busy disk takes seconds. */
+    /** @param parent Where to create it. By default TMPDIR, else in memory, because a sync on a busy disk takes seconds. */
     explicit ScratchFolder(const std::filesystem::path& parent = defaultParent())
     {
         this->name = parent / "kingcup-XXXXXX";
@@ -22,7 +23,8 @@
     ~ScratchFolder()
     {
         std::error_code ignored;
-        std::filesystem::remove_all(this->name, ignored);
+        if (!std::getenv("KINGCUP_KEEP_FOLDERS"))
+            std::filesystem::remove_all(this->name, ignored);
     }
 
     ScratchFolder(const ScratchFolder&) = delete;
@@ -33,8 +35,10 @@
 private:
     static std::filesystem::path defaultParent()
     {
+        if (const char* chosen = std::getenv("TMPDIR"))
+            return chosen;
         std::filesystem::path memory = "/dev/shm";
-        return std::filesystem::is_directory(memory) ? memory : std::filesystem::temp_directory_path();
+        return ::access(memory.c_str(), W_OK) == 0 ? memory : std::filesystem::temp_directory_path();
     }
 
     std::string name;
--- a/testing/tests/FakeTargetTest.cpp
+++ b/testing/tests/FakeTargetTest.cpp
@@ -63,7 +63,7 @@
 TEST(FakeTarget, answersEachCallOnceAndWhole)
 {
     uint64_t seed = testSeed(7);
-    TemporaryFolder folder;
+    ScratchFolder folder;
     AddressPool addresses;
     FakeTargetOptions options = targetOptions(addresses);
     options.executionLog = folder.path() + "/executions.jsonl";
@@ -162,7 +162,7 @@
 
 TEST(ProcessHarness, startsSignalsAndAwaits)
 {
-    TemporaryFolder folder;
+    ScratchFolder folder;
 
     section("exit status and output", [&] {
         CommandResult result = runCommand({ "/bin/sh", "-c", "echo text; exit 3" }, folder.path(), Milliseconds(10000));
--- a/tests/ClaimKillPointsTest.cpp
+++ b/tests/ClaimKillPointsTest.cpp
@@ -104,7 +104,7 @@
 
 TEST(ClaimKillPoints, nothingRunsTwiceWhateverStepAProcessDiesAt)
 {
-    TemporaryFolder folder;
+    ScratchFolder folder;
     std::string armFile = folder.path() + "/armed";
     ScopedEnvironment environment("KINGCUP_FAIL_POINT_FILE", armFile);
     Deployment deployment(testOptions(31, 2, { { "ledger", 3, 6 } }));
@@ -114,7 +114,7 @@
 
 TEST(ClaimKillPoints, checkerFindsDoubledRunsWithoutTheRules)
 {
-    TemporaryFolder folder;
+    ScratchFolder folder;
     std::string armFile = folder.path() + "/armed";
     ScopedEnvironment environment("KINGCUP_FAIL_POINT_FILE", armFile);
     for (std::string rule : { "claimsAreExclusive", "unknownIsFinal" }) {
--- a/tests/DocumentsTest.cpp
+++ b/tests/DocumentsTest.cpp
@@ -152,7 +152,7 @@
             std::string(runStateName(row.runState)), row.retryAfter ? "yes" : "no", std::string(row.text) });
     }
     std::vector<std::vector<std::string>> rows = tableRows(page, "code");
-    std::string help = runCommand({ KINGCUPCTL, "--help" }, TemporaryFolder().path(), commandLimit).output;
+    std::string help = runCommand({ KINGCUPCTL, "--help" }, ScratchFolder().path(), commandLimit).output;
     auto isExitCode = [](const std::vector<std::string>& row) { return row.size() == 2; };
     for (const std::vector<std::string>& row : rows) {
         bool isNamed = help.find(row[0] + "     " + row[1]) != std::string::npos;
