--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -107,12 +107,12 @@
     *push.mutable_changes() = fleet.machine.changesSince(0);
     size_t fullBytes = push.ByteSizeLong();
     size_t entryBefore = heapBytes();
-    entry.receive(push);
+    entry.receive(push, MillisecondClock::now());
     size_t entryHeap = heapBytes() - entryBefore;
     double mergeUs = microseconds(20, [&](int i) {
         fleet.machine.apply(++fleet.index, targetCommand(services, static_cast<size_t>(i), 5000));
         *push.mutable_changes() = fleet.machine.changesSince(fleet.index - 1);
-        entry.receive(push);
+        entry.receive(push, MillisecondClock::now());
     });
     std::string saved;
     double saveUs = microseconds(5, [&](int) { saved = fleet.machine.save(); });
@@ -131,7 +131,7 @@
     attempt.set_incarnation(1);
     attempt.set_sequence(number);
     std::string key = "7f3c1a90-5b7e-4c1f-9d00-" + std::to_string(number);
-    command.set_wall_time_ms(number / 10);
+    command.set_log_time_ms(number / 10);
     if (finish) {
         *command.mutable_finish_claim()->mutable_attempt() = attempt;
         command.mutable_finish_claim()->set_service("ledger");
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -4,8 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
-parent=${TMPDIR:-/dev/shm}
-[ -w "$parent" ] || parent=/tmp
-folder=$(mktemp -d -p "$parent")
+folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 TMPDIR=$folder "$build/demo/kingcup_demo"
--- a/packages/coordination/include/kingcup/ControlStateMachine.h
+++ b/packages/coordination/include/kingcup/ControlStateMachine.h
@@ -46,12 +46,16 @@
     /** Loads a saved state. Returns JournalDamaged or SnapshotVersion on failure and then changes nothing. */
     ResultCode load(const std::string& data);
 
+    /** Gives the next incarnation to a target that states an instance only. Returns false for an instance that was replaced. */
+    bool assignIncarnation(wire::TargetRecord& record) const;
+
     /** Returns the record of a target, or null. */
     const wire::TargetRecord* findTarget(const std::string& service, const std::string& address) const;
 
     /** Returns all targets that are not gone. */
     std::vector<wire::TargetRecord> targets() const;
 
+    uint64_t logTimeMs() const; ///< Newest time of an applied command.
     uint64_t manifestNumber() const; ///< Number in force; 0 for none.
     const std::string& manifestDigest() const; ///< Digest in force.
     std::vector<wire::ServiceDocument> serviceDocuments() const; ///< Ordered by name.
--- a/packages/coordination/include/kingcup/CrashContainment.h
+++ b/packages/coordination/include/kingcup/CrashContainment.h
@@ -32,8 +32,8 @@
     /** Takes over the quarantines decided by the leader. */
     void update(const ConfigurationSnapshot& snapshot);
 
-    /** Returns the verdict for a request. @param wallMs Wall time. */
-    ContainmentVerdict verdict(const std::string& service, const Fingerprint& fingerprint, int64_t wallMs) const;
+    /** Returns the verdict for a request. @param logMs Log time. */
+    ContainmentVerdict verdict(const std::string& service, const Fingerprint& fingerprint, int64_t logMs) const;
 
     /**
      * Notes that a request is in flight on a target. Returns false when it is a suspect and another suspect is in flight there,
--- a/packages/coordination/include/kingcup/EntryConfiguration.h
+++ b/packages/coordination/include/kingcup/EntryConfiguration.h
@@ -1,6 +1,7 @@
 /** @file EntryConfiguration.h The configuration in force on an entry VM and the lease under which it serves. */
 #pragma once
 
+#include "kingcup/LogClock.h"
 #include "kingcup/ManifestTypes.h"
 #include "kingcup/ReplicatedLogTypes.h"
 
@@ -44,6 +45,8 @@
     uint64_t manifestNumber = 0; ///< Manifest in force.
     std::string manifestDigest; ///< Its digest.
     std::map<std::string, std::shared_ptr<const Service>> services; ///< By name.
+    std::map<std::string, std::shared_ptr<const Route>> routes; ///< By document key.
+    std::shared_ptr<const CallerLimits> callerLimits; ///< Null: those of the settings.
     std::map<std::string, TargetList> targets; ///< By service name; no gone ones.
     std::map<std::pair<std::string, std::string>, wire::Quarantine> quarantines; ///< By service and fingerprint.
 };
@@ -60,7 +63,7 @@
     bool receive(uint64_t requestId, const wire::SessionAnswer& answer, TimePoint now);
 
     /** Merges a push. Returns whether the configuration changed. Older or non-adjacent pushes change nothing. */
-    bool receive(const wire::ConfigurationPush& push);
+    bool receive(const wire::ConfigurationPush& push, TimePoint now);
 
     /** Returns whether this VM knows that its configuration is current. */
     bool leaseValid(TimePoint now) const;
@@ -73,6 +76,8 @@
 
     TimePoint leaseEnd() const; ///< End of the lease.
 
+    const LogClock& logClock() const { return this->clock; } ///< Time of the log as of the newest changes.
+
 private:
     /** What merging changes did. */
     enum class MergeResult {
@@ -80,7 +85,7 @@
         Unchanged, ///< The configuration held is the one described.
         Changed, ///< A newer configuration is in force.
     };
-    MergeResult merge(const wire::ConfigurationChanges& changes);
+    MergeResult merge(const wire::ConfigurationChanges& changes, TimePoint now);
 
     std::string entryVm; ///< Own name.
     uint64_t incarnation; ///< Start of this process.
@@ -90,6 +95,7 @@
     TimePoint leaseEndTime {}; ///< End of the lease.
     uint32_t liveVms = 0; ///< From the last answer.
     std::shared_ptr<const ConfigurationSnapshot> current; ///< In force.
+    LogClock clock; ///< By which quarantines end.
 };
 
 } // namespace kingcup
--- a/packages/coordination/include/kingcup/ProbeBudget.h
+++ b/packages/coordination/include/kingcup/ProbeBudget.h
@@ -35,6 +35,7 @@
         double tokens = 0; ///< Probes.
         TimePoint filled {}; ///< Last refill.
     };
+    double firstTokens() const;
     double share() const;
     void settle(TimePoint now);
 
--- a/packages/coordination/include/kingcup/RetryPolicy.h
+++ b/packages/coordination/include/kingcup/RetryPolicy.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "kingcup/ManifestTypes.h"
+#include "kingcup/RetryBudget.h"
 #include "kingcup/Router.h"
 
 #include <cstdint>
@@ -15,6 +16,7 @@
     bool repeatable = false; ///< From the kind.
     bool sent = false; ///< Whether any byte of the attempt may have reached the target.
     uint32_t attempts = 1; ///< Attempts so far.
+    uint32_t maxAttempts = 3; ///< From the kind.
     uint32_t depth = 0; ///< Call depth; above 0 only attempts that were not sent are repeated.
     AttemptOutcome outcome = AttemptOutcome::ConnectFailed; ///< Of the last attempt.
     TimePoint deadline {}; ///< Of the call.
@@ -29,6 +31,12 @@
     /** Changes the limits. */
     void setLimits(const ServiceLimits& limits);
 
+    /** Bounds retries and hedges by a budget that all entry VMs share, in place of the service's own one. */
+    void setBudget(const RetryBudgetLimits& budget, TimePoint now);
+
+    /** Sets the number of entry VMs that share the budget; 0: not known. */
+    void setLiveVms(uint32_t count);
+
     /** Counts a new call, which earns budget. */
     void call(TimePoint now);
 
--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -41,16 +41,30 @@
     uint32_t inFlight = 0; ///< Requests in flight at the target.
     uint32_t slots = 0; ///< Its slots; 0: not stated.
     double latencyMs = 0; ///< Its own estimate, milliseconds; 0: not stated.
+    uint32_t waiting = 0; ///< Requests in its queue, not counted in `inFlight`.
+    double slowdown = 1; ///< How many times longer work takes on its machine at this moment than usual.
 };
 
-/** Parses the value of the header Kingcup-Load: "inflight=3, slots=6, latency-ms=4.5". */
+/** Parses the value of the header Kingcup-Load: "inflight=3, slots=6, latency-ms=4.5, waiting=2, slowdown=1.5". */
 std::optional<LoadReport> parseLoadReport(std::string_view value);
 
+/** What decided for a target, for logs. */
+struct PickReason {
+    double costMs = 0; ///< Expected time with penalties; 0 for policies without one.
+    double slowdown = 1; ///< By the newest report.
+    double reportAgeMs = 0; ///< Age of that report.
+    int32_t outstanding = 0; ///< Own calls in flight before this one.
+    uint32_t candidates = 0; ///< Targets that take work.
+    double coldFactor = 1; ///< How many times longer work takes because the target has just started.
+};
+
 /** A chosen target. */
 struct Pick {
     std::string address; ///< host:port.
     uint64_t incarnation = 0; ///< Incarnation of the target.
+    std::string instance; ///< Name of the incarnation; empty: none.
     uint64_t ticket = 0; ///< Names this attempt in finish().
+    PickReason reason; ///< For logs.
 };
 
 /** Chooses targets of one service on one entry VM. Thread-safe. */
@@ -60,8 +74,8 @@
     Router(RoutingPolicy policy, std::string entryVm, std::string ownZone, RandomSource random);
     ~Router();
 
-    /** Replaces limits and targets. Estimates of targets that stay are kept; a new incarnation starts cold. */
-    void update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now);
+    /** Replaces limits and targets. Estimates of targets that stay are kept; a new incarnation starts cold. @param logTimeMs Time of the log, by which targets say how long they are cold. */
+    void update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now, uint64_t logTimeMs = 0);
 
     /** Chooses a target that is not excluded and counts the attempt. Empty when none takes work. */
     std::optional<Pick> pick(std::span<const std::string> excluded, TimePoint now);
@@ -69,6 +83,9 @@
     /** Ends an attempt. @param latency Time from sending to the first byte of the answer. */
     void finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now);
 
+    /** Takes a target out of use because another instance has its address, until the table names that one. */
+    void instanceGone(const Pick& pick, TimePoint now);
+
     /** Records a load report. @param age Age of the report when it arrived. */
     void report(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now);
 
--- a/packages/coordination/src/ClaimTable.h
+++ b/packages/coordination/src/ClaimTable.h
@@ -35,7 +35,7 @@
     AttemptKey attempt; ///< Owner.
     uint32_t state = 0; ///< ClaimState.
     uint64_t retentionMs = 0; ///< How long it is kept after each change of state.
-    uint64_t expiresAtMs = 0; ///< Wall time.
+    uint64_t expiresAtMs = 0; ///< Log time.
     LogIndex index = 0; ///< Entry that granted it.
     uint32_t answerStatus = 0; ///< Recorded answer.
     std::string answerType; ///< Recorded content type.
@@ -46,14 +46,14 @@
 /** Tombstone of a released attempt: its claim is refused when it comes late or again. */
 struct ReleasedRow {
     AttemptKey attempt; ///< Released attempt.
-    uint64_t expiresAtMs = 0; ///< Wall time.
+    uint64_t expiresAtMs = 0; ///< Log time.
 };
 
 /** Newest incarnation seen of an entry VM. */
 struct EntryVmRow {
     std::string name; ///< VM.
     uint64_t incarnation = 0; ///< Newest.
-    uint64_t seenAtMs = 0; ///< Wall time of its last claim or departure.
+    uint64_t seenAtMs = 0; ///< Log time of its last claim or departure.
 };
 
 /** Decides who may run a request that must not run twice. */
--- a/packages/coordination/src/ControlDecision.h
+++ b/packages/coordination/src/ControlDecision.h
@@ -19,6 +19,7 @@
 constexpr uint64_t maxRetentionMs = 400 * 24 * hourInMs;
 
 constexpr size_t maxNameBytes = 64; ///< Names of services, VMs and availability zones.
+constexpr size_t maxDocumentKeyBytes = 80; ///< Type and name of a manifest document.
 constexpr size_t maxAddressBytes = 255; ///< Addresses of targets.
 constexpr size_t fingerprintBytes = 16; ///< Fingerprint of a request.
 
--- a/packages/coordination/src/ControlSnapshot.cpp
+++ b/packages/coordination/src/ControlSnapshot.cpp
@@ -32,8 +32,11 @@
     uint64_t incarnation = 0; ///< Incarnation.
     uint32_t state = 0; ///< wire::TargetState.
     LogIndex index = 0; ///< Last change.
-    uint64_t goneAtMs = 0; ///< Wall time.
+    uint64_t goneAtMs = 0; ///< Log time.
     bool drained = false; ///< Whether it was draining before it went.
+    std::string instance; ///< Name of the incarnation.
+    std::string formerInstances; ///< Names of earlier incarnations, one a line.
+    uint64_t coldUntilMs = 0; ///< Log time.
 };
 
 /** A released attempt as it is stored. */
@@ -41,14 +44,14 @@
     std::string entryVm; ///< VM.
     uint64_t incarnation = 0; ///< Its incarnation.
     uint64_t sequence = 0; ///< Attempt.
-    uint64_t expiresAtMs = 0; ///< Wall time.
+    uint64_t expiresAtMs = 0; ///< Log time.
 };
 
 constexpr Field<ControlPosition> positionFields[] = {
     { "applied", FieldType::Number, &ControlPosition::applied, 1, latestVersion },
     { "configuration", FieldType::Number, &ControlPosition::configuration, 1, latestVersion },
     { "forgotten", FieldType::Number, &ControlPosition::forgotten, 1, latestVersion },
-    { "wallTimeMs", FieldType::Number, &ControlPosition::wallTimeMs, 1, latestVersion },
+    { "logTimeMs", FieldType::Number, &ControlPosition::logTimeMs, 1, latestVersion },
 };
 
 constexpr Field<ManifestHead> headFields[] = {
@@ -80,6 +83,9 @@
     { "index", FieldType::Number, &StoredTarget::index, 1, latestVersion },
     { "goneAtMs", FieldType::Number, &StoredTarget::goneAtMs, 1, latestVersion },
     { "drained", FieldType::Flag, &StoredTarget::drained, 1, latestVersion },
+    { "instance", FieldType::Text, &StoredTarget::instance, 3, latestVersion },
+    { "formerInstances", FieldType::Text, &StoredTarget::formerInstances, 3, latestVersion },
+    { "coldUntilMs", FieldType::Number, &StoredTarget::coldUntilMs, 3, latestVersion },
 };
 
 constexpr Field<StoredClaim> claimFields[] = {
@@ -136,7 +142,7 @@
 {
     const wire::TargetRecord& record = row.record;
     return { record.service(), record.address(), record.availability_zone(), record.slots(), record.incarnation(),
-        static_cast<uint32_t>(record.state()), row.index, row.goneAtMs, row.drained };
+        static_cast<uint32_t>(record.state()), row.index, row.goneAtMs, row.drained, record.instance(), row.formerInstances, record.cold_until_log_ms() };
 }
 
 /** Converts a claim for storing. */
@@ -171,6 +177,9 @@
     row.index = stored.index;
     row.goneAtMs = stored.goneAtMs;
     row.drained = stored.drained;
+    row.record.set_instance(stored.instance);
+    row.formerInstances = stored.formerInstances;
+    row.record.set_cold_until_log_ms(stored.coldUntilMs);
     return row;
 }
 
@@ -213,7 +222,7 @@
     ManifestHead head;
     if (!readRow(in, positionFields, version, tables.position) || !readRow(in, headFields, version, head))
         return false;
-    if (tables.position.wallTimeMs > maxWallTimeMs)
+    if (tables.position.logTimeMs > maxLogTimeMs)
         return false;
     tables.manifest.restoreHead(std::move(head));
     return readRows(in, acceptedFields, version, [&](AcceptedRow row) { return tables.manifest.restore(std::move(row)); })
--- a/packages/coordination/src/ControlSnapshot.h
+++ b/packages/coordination/src/ControlSnapshot.h
@@ -8,7 +8,7 @@
 
 namespace kingcup {
 
-constexpr uint32_t snapshotVersion = 2; ///< Version that is written. Version 2 added the time at which a manifest was accepted.
+constexpr uint32_t snapshotVersion = 3; ///< Version that is written. Version 2 added the time at which a manifest was accepted, version 3 the instances of targets.
 
 /** Writes a state. @param version Older versions are for tests of loading. */
 std::string saveTables(const ControlTables& tables, uint32_t version = snapshotVersion);
--- a/packages/coordination/src/ControlStateMachine.cpp
+++ b/packages/coordination/src/ControlStateMachine.cpp
@@ -15,7 +15,7 @@
     ControlTables tables; ///< Replicated state.
 
     /** Returns the time at which a command is decided. */
-    uint64_t timeOf(const wire::Command& command) const { return std::max(this->tables.position.wallTimeMs, std::min(command.wall_time_ms(), maxWallTimeMs)); }
+    uint64_t timeOf(const wire::Command& command) const { return std::max(this->tables.position.logTimeMs, std::min(command.log_time_ms(), maxLogTimeMs)); }
     Decision decide(const wire::Command& command) const;
     void apply(LogIndex index, uint64_t nowMs, const wire::Command& command);
     void expire(LogIndex index, uint64_t nowMs);
@@ -128,7 +128,7 @@
         decision.result.set_index(index);
     }
     position.applied = index;
-    position.wallTimeMs = nowMs;
+    position.logTimeMs = nowMs;
     if (command.has_apply_manifest()) {
         decision.result.set_manifest_number(this->manifestNumber());
         if (decision.result.manifest_digest().empty())
@@ -175,6 +175,11 @@
     return code;
 }
 
+bool ControlStateMachine::assignIncarnation(wire::TargetRecord& record) const
+{
+    return this->state->tables.targets.assignIncarnation(record);
+}
+
 const wire::TargetRecord* ControlStateMachine::findTarget(const std::string& service, const std::string& address) const
 {
     const std::map<NamePair, TargetRow>& targets = this->state->tables.targets.targets();
@@ -192,6 +197,11 @@
     return records;
 }
 
+uint64_t ControlStateMachine::logTimeMs() const
+{
+    return this->state->tables.position.logTimeMs;
+}
+
 uint64_t ControlStateMachine::manifestNumber() const
 {
     return this->state->tables.manifest.head().number;
@@ -230,7 +240,7 @@
         { "appliedIndex", all.position.applied },
         { "configurationIndex", all.position.configuration },
         { "forgottenIndex", all.position.forgotten },
-        { "wallTimeMs", all.position.wallTimeMs },
+        { "logTimeMs", all.position.logTimeMs },
         { "manifest", { { "number", this->manifestNumber() }, { "digest", this->manifestDigest() }, { "acceptedAtMs", acceptedAtMs }, { "acceptedNumbers", all.manifest.accepted().size() } } },
         { "services", this->serviceDocuments().size() },
         { "targets", targetStates },
--- a/packages/coordination/src/CrashContainment.cpp
+++ b/packages/coordination/src/CrashContainment.cpp
@@ -33,8 +33,8 @@
     std::set<std::string> lostSinceSuccess; ///< Addresses whose connections were lost after the last whole answer.
     std::set<std::string> suspectedOn; ///< Addresses that the leader was told of.
     uint64_t succeededEvent = 0; ///< Event number of the last whole answer; 0: none.
-    int64_t succeededMs = 0; ///< Wall time of it.
-    int64_t suspectedMs = 0; ///< Wall time of the last suspicion.
+    int64_t succeededMs = 0; ///< Log time of it.
+    int64_t suspectedMs = 0; ///< Log time of the last suspicion.
     bool clearTold = false; ///< The leader was told to clear; its own record may not be changed yet.
 };
 
@@ -48,9 +48,9 @@
 
 /** Everything behind the interface. */
 struct CrashContainment::State {
-    ContainmentVerdict leaderVerdict(const RequestKey& key, int64_t wallMs) const;
-    ContainmentVerdict localVerdict(const RequestKey& key, int64_t wallMs) const;
-    ContainmentVerdict currentVerdict(const RequestKey& key, int64_t wallMs) const;
+    ContainmentVerdict leaderVerdict(const RequestKey& key, int64_t logMs) const;
+    ContainmentVerdict localVerdict(const RequestKey& key, int64_t logMs) const;
+    ContainmentVerdict currentVerdict(const RequestKey& key, int64_t logMs) const;
     void remove(RequestRecord& record, const std::string& address);
     void forgetOldAnswers();
     void forgetOldSuspicions();
@@ -64,39 +64,39 @@
     std::deque<std::pair<RequestKey, uint64_t>> answered; ///< Whole answers with their event numbers, oldest first.
     LeaderRecords leader; ///< As of the last snapshot.
     uint64_t events = 0; ///< Counts starts and answers.
-    mutable int64_t wallMs = 0; ///< Latest time heard.
+    mutable int64_t logMs = 0; ///< Latest time heard.
 };
 
-ContainmentVerdict CrashContainment::State::leaderVerdict(const RequestKey& key, int64_t wallMs) const
+ContainmentVerdict CrashContainment::State::leaderVerdict(const RequestKey& key, int64_t logMs) const
 {
     auto found = this->leader.quarantines.find(key);
     if (found == this->leader.quarantines.end() || found->second.cleared())
         return ContainmentVerdict::Run;
-    if (static_cast<int64_t>(found->second.until_wall_ms()) <= wallMs)
+    if (static_cast<int64_t>(found->second.until_log_ms()) <= logMs)
         return ContainmentVerdict::Run;
     bool quarantined = found->second.suspected_targets() >= suspectsForQuarantine;
     return quarantined ? ContainmentVerdict::Refuse : ContainmentVerdict::RunAlone;
 }
 
-ContainmentVerdict CrashContainment::State::localVerdict(const RequestKey& key, int64_t wallMs) const
+ContainmentVerdict CrashContainment::State::localVerdict(const RequestKey& key, int64_t logMs) const
 {
     auto found = this->records.find(key);
     if (found == this->records.end() || found->second.suspectedOn.empty())
         return ContainmentVerdict::Run;
     auto period = this->leader.periods.find(key.first);
     int64_t length = period == this->leader.periods.end() ? defaultQuarantineMs : period->second;
-    if (found->second.suspectedMs + length <= wallMs)
+    if (found->second.suspectedMs + length <= logMs)
         return ContainmentVerdict::Run;
     bool quarantined = found->second.suspectedOn.size() >= suspectsForQuarantine;
     return quarantined ? ContainmentVerdict::Refuse : ContainmentVerdict::RunAlone;
 }
 
-ContainmentVerdict CrashContainment::State::currentVerdict(const RequestKey& key, int64_t wallMs) const
+ContainmentVerdict CrashContainment::State::currentVerdict(const RequestKey& key, int64_t logMs) const
 {
     auto found = this->records.find(key);
     bool cleared = found != this->records.end() && found->second.clearTold;
-    ContainmentVerdict byLeader = cleared ? ContainmentVerdict::Run : this->leaderVerdict(key, wallMs);
-    return std::max(byLeader, this->localVerdict(key, wallMs));
+    ContainmentVerdict byLeader = cleared ? ContainmentVerdict::Run : this->leaderVerdict(key, logMs);
+    return std::max(byLeader, this->localVerdict(key, logMs));
 }
 
 void CrashContainment::State::remove(RequestRecord& record, const std::string& address)
@@ -124,7 +124,7 @@
 {
     for (auto it = this->suspects.begin(); it != this->suspects.end();) {
         auto found = this->records.find(*it);
-        bool over = found == this->records.end() || this->localVerdict(*it, this->wallMs) == ContainmentVerdict::Run;
+        bool over = found == this->records.end() || this->localVerdict(*it, this->logMs) == ContainmentVerdict::Run;
         if (!over && this->suspects.size() <= maxSuspects) {
             ++it;
             continue;
@@ -142,7 +142,7 @@
     auto found = this->records.find(key);
     if (key.first != service || found == this->records.end() || found->second.inFlight.empty())
         return;
-    if (this->currentVerdict(key, this->wallMs) == ContainmentVerdict::Run)
+    if (this->currentVerdict(key, this->logMs) == ContainmentVerdict::Run)
         return;
     for (const auto& [address, copies] : found->second.inFlight)
         addresses.insert(address);
@@ -167,7 +167,7 @@
         return false;
     auto copies = record.inFlight.find(address);
     bool answeredMeanwhile = copies != record.inFlight.end() && record.succeededEvent > copies->second.firstStarted;
-    return answeredMeanwhile || record.succeededMs + exonerationMs > this->wallMs;
+    return answeredMeanwhile || record.succeededMs + exonerationMs > this->logMs;
 }
 
 Fingerprint requestFingerprint(std::string_view service, std::string_view method, std::string_view target, std::string_view body)
@@ -211,18 +211,18 @@
     this->state->forgetOldSuspicions();
 }
 
-ContainmentVerdict CrashContainment::verdict(const std::string& service, const Fingerprint& fingerprint, int64_t wallMs) const
+ContainmentVerdict CrashContainment::verdict(const std::string& service, const Fingerprint& fingerprint, int64_t logMs) const
 {
     std::lock_guard<std::mutex> lock(this->state->mutex);
-    this->state->wallMs = std::max(this->state->wallMs, wallMs);
-    return this->state->currentVerdict({ service, fingerprint }, wallMs);
+    this->state->logMs = std::max(this->state->logMs, logMs);
+    return this->state->currentVerdict({ service, fingerprint }, logMs);
 }
 
 bool CrashContainment::started(const std::string& service, const Fingerprint& fingerprint, const std::string& address)
 {
     std::lock_guard<std::mutex> lock(this->state->mutex);
     RequestKey key { service, fingerprint };
-    bool suspect = this->state->currentVerdict(key, this->state->wallMs) != ContainmentVerdict::Run;
+    bool suspect = this->state->currentVerdict(key, this->state->logMs) != ContainmentVerdict::Run;
     bool taken = suspect && this->state->suspectTargets(service).contains(address);
     Copies& copies = this->state->records[key].inFlight[address];
     if (copies.count++ == 0)
@@ -241,11 +241,11 @@
 {
     std::lock_guard<std::mutex> lock(this->state->mutex);
     RequestKey key { service, fingerprint };
-    bool suspect = this->state->currentVerdict(key, this->state->wallMs) != ContainmentVerdict::Run;
+    bool suspect = this->state->currentVerdict(key, this->state->logMs) != ContainmentVerdict::Run;
     RequestRecord& record = this->state->records[key];
     this->state->remove(record, address);
     record.succeededEvent = ++this->state->events;
-    record.succeededMs = this->state->wallMs;
+    record.succeededMs = this->state->logMs;
     record.lostSinceSuccess.clear();
     record.suspectedOn.clear();
     record.clearTold |= suspect;
@@ -266,7 +266,7 @@
     if (innocent)
         return false;
     record.suspectedOn.insert(address);
-    record.suspectedMs = this->state->wallMs;
+    record.suspectedMs = this->state->logMs;
     record.clearTold = false;
     this->state->suspects.insert(key);
     if (this->state->suspects.size() > maxSuspects)
--- a/packages/coordination/src/EntryConfiguration.cpp
+++ b/packages/coordination/src/EntryConfiguration.cpp
@@ -11,18 +11,43 @@
 
 namespace {
 
-/** Applies changed and removed services. Returns false when a document is not readable. */
-bool mergeServices(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
+/** Keeps a parsed document. Returns false when it was not readable. */
+template <typename Model>
+bool keep(std::variant<Model, DocumentError> parsed, std::shared_ptr<const Model>& slot)
 {
-    for (const std::string& name : changes.removed_services())
+    if (!std::holds_alternative<Model>(parsed))
+        return false;
+    slot = std::make_shared<const Model>(std::get<Model>(std::move(parsed)));
+    return true;
+}
+
+/** Puts one changed document in its place. Returns false when it is not readable. */
+bool mergeDocument(const wire::ServiceDocument& document, ConfigurationSnapshot& snapshot)
+{
+    switch (documentType(document.name())) {
+    case DocumentType::Service:
+        return keep(parseService(document.json()), snapshot.services[document.name()]);
+    case DocumentType::Route:
+        return keep(parseRoute(document.json()), snapshot.routes[document.name()]);
+    case DocumentType::CallerLimits:
+        return keep(parseCallerLimits(document.json()), snapshot.callerLimits);
+    case DocumentType::Source:
+        return true;
+    }
+    return false;
+}
+
+/** Applies changed and removed documents. Returns false when a document is not readable. */
+bool mergeDocuments(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
+{
+    for (const std::string& name : changes.removed_services()) {
         snapshot.services.erase(name);
-    for (const wire::ServiceDocument& document : changes.services()) {
-        std::variant<Service, DocumentError> parsed = parseService(document.json());
-        if (!std::holds_alternative<Service>(parsed))
-            return false;
-        snapshot.services[document.name()] = std::make_shared<const Service>(std::get<Service>(std::move(parsed)));
+        snapshot.routes.erase(name);
+        if (documentType(name) == DocumentType::CallerLimits)
+            snapshot.callerLimits.reset();
     }
-    return true;
+    auto isReadable = [&](const wire::ServiceDocument& document) { return mergeDocument(document, snapshot); };
+    return std::all_of(changes.services().begin(), changes.services().end(), isReadable);
 }
 
 /** Changed records of one service by address. */
@@ -106,7 +131,7 @@
 {
     if (answer.result_code() != static_cast<int>(ResultCode::Ok))
         return false;
-    MergeResult merged = this->merge(answer.changes());
+    MergeResult merged = this->merge(answer.changes(), now);
     auto sent = this->sentRequests.find(requestId);
     if (merged == MergeResult::Refused || sent == this->sentRequests.end())
         return merged == MergeResult::Changed;
@@ -120,9 +145,9 @@
     return merged == MergeResult::Changed;
 }
 
-bool EntryConfiguration::receive(const wire::ConfigurationPush& push)
+bool EntryConfiguration::receive(const wire::ConfigurationPush& push, TimePoint now)
 {
-    return this->merge(push.changes()) == MergeResult::Changed;
+    return this->merge(push.changes(), now) == MergeResult::Changed;
 }
 
 bool EntryConfiguration::leaseValid(TimePoint now) const
@@ -145,8 +170,9 @@
     return this->leaseEndTime;
 }
 
-EntryConfiguration::MergeResult EntryConfiguration::merge(const wire::ConfigurationChanges& changes)
+EntryConfiguration::MergeResult EntryConfiguration::merge(const wire::ConfigurationChanges& changes, TimePoint now)
 {
+    this->clock.advance(changes.log_time_ms(), now);
     LogIndex held = this->current->index;
     bool isAdjacent = changes.full() || changes.from_index() <= held;
     if (changes.to_index() < held || !isAdjacent)
@@ -157,7 +183,7 @@
     next->index = changes.to_index();
     next->manifestNumber = changes.manifest_number();
     next->manifestDigest = changes.manifest_digest();
-    if (!mergeServices(changes, *next))
+    if (!mergeDocuments(changes, *next))
         return MergeResult::Refused;
     mergeTargets(changes, *next);
     mergeQuarantines(changes, *next);
--- a/packages/coordination/src/LatencySketch.cpp
+++ b/packages/coordination/src/LatencySketch.cpp
@@ -1,5 +1,5 @@
 /** @file LatencySketch.cpp Histogram of recent latencies. */
-#include "LatencySketch.h"
+#include "kingcup/LatencySketch.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/coordination/src/LoadReport.cpp
+++ b/packages/coordination/src/LoadReport.cpp
@@ -14,6 +14,7 @@
 constexpr size_t maxReportBytes = 256;
 constexpr uint32_t maxReportedCount = 1'000'000;
 constexpr double maxReportedLatencyMs = 3'600'000;
+constexpr double maxSlowdown = 1000;
 
 /** Parses a count; false when it is malformed or absurd. */
 bool parseCount(absl::string_view text, uint32_t& value)
@@ -21,10 +22,10 @@
     return absl::SimpleAtoi(text, &value) && value <= maxReportedCount;
 }
 
-/** Parses a latency in milliseconds; false when it is malformed or absurd. */
-bool parseLatency(absl::string_view text, double& value)
+/** Parses a number from 0 to a bound; false when it is malformed or absurd. */
+bool parseNumber(absl::string_view text, double bound, double& value)
 {
-    return absl::SimpleAtod(text, &value) && std::isfinite(value) && value >= 0 && value <= maxReportedLatencyMs;
+    return absl::SimpleAtod(text, &value) && std::isfinite(value) && value >= 0 && value <= bound;
 }
 
 } // namespace
@@ -45,7 +46,11 @@
         else if (name == "slots")
             valid = parseCount(text, report.slots);
         else if (name == "latency-ms")
-            valid = parseLatency(text, report.latencyMs);
+            valid = parseNumber(text, maxReportedLatencyMs, report.latencyMs);
+        else if (name == "waiting")
+            valid = parseCount(text, report.waiting);
+        else if (name == "slowdown")
+            valid = parseNumber(text, maxSlowdown, report.slowdown);
         if (!valid)
             return std::nullopt;
     }
--- a/packages/coordination/src/ManifestTable.cpp
+++ b/packages/coordination/src/ManifestTable.cpp
@@ -2,6 +2,7 @@
 #include "ManifestTable.h"
 
 #include "kingcup/ManifestDigest.h"
+#include "kingcup/ManifestParser.h"
 
 #include <absl/strings/str_cat.h>
 #include <set>
@@ -17,7 +18,7 @@
 {
     std::set<std::string_view> names;
     for (const wire::ServiceDocument& document : command.changed()) {
-        if (!isBounded(document.name(), maxNameBytes) || document.json().empty() || !names.insert(document.name()).second)
+        if (!isBounded(document.name(), maxDocumentKeyBytes) || document.json().empty() || !names.insert(document.name()).second)
             return false;
     }
     for (const std::string& name : command.removed()) {
@@ -42,6 +43,8 @@
     auto earlier = this->history.find(command.number());
     bool isEqual = command.number() == this->inForce.number;
     bool isLower = command.number() < this->inForce.number;
+    if ((isEqual || isLower) && command.highest_number_wins())
+        return settled(earlier == this->history.end() ? 0 : earlier->second.index);
     bool refusedByNumber = (isEqual && rules.equalNumbersConflict) || (isLower && rules.manifestNumbersGrow);
     if (refusedByNumber && earlier != this->history.end())
         return this->decideByNumber(command, earlier->second);
@@ -123,6 +126,8 @@
     changes.set_manifest_digest(this->inForce.digest);
     for (const std::string& name : this->modified.after(full ? 0 : index)) {
         const ServiceRow& row = this->rows.at(name);
+        if (documentType(name) == DocumentType::Source)
+            continue;
         if (!row.removedAtMs) {
             wire::ServiceDocument& document = *changes.add_services();
             document.set_name(row.name);
--- a/packages/coordination/src/ManifestTable.h
+++ b/packages/coordination/src/ManifestTable.h
@@ -14,7 +14,7 @@
     std::string name; ///< Service.
     std::string json; ///< Canonical document; empty when removed.
     LogIndex index = 0; ///< Last change.
-    uint64_t removedAtMs = 0; ///< Wall time of the removal; 0: in force.
+    uint64_t removedAtMs = 0; ///< Log time of the removal; 0: in force.
 };
 
 /** One accepted manifest number. */
@@ -22,7 +22,7 @@
     uint64_t number = 0; ///< Manifest number.
     std::string digest; ///< Its digest.
     LogIndex index = 0; ///< Entry that accepted it.
-    uint64_t acceptedAtMs = 0; ///< Wall time of its acceptance; 0: not known.
+    uint64_t acceptedAtMs = 0; ///< Log time of its acceptance; 0: not known.
 };
 
 /** Number in force. */
--- /dev/null
+++ b/packages/coordination/src/MembershipPlanner.cpp
@@ -0,0 +1,169 @@
+/** @file MembershipPlanner.cpp Order and conditions of membership changes. */
+#include "kingcup/MembershipPlanner.h"
+
+#include <algorithm>
+
+namespace kingcup {
+
+namespace {
+
+/** Returns the member with an id and incarnation, or null. */
+const wire::Member* findMember(const wire::Membership& membership, VmId vm, uint64_t incarnation)
+{
+    for (const wire::Member& member : membership.members()) {
+        if (member.vm_id() == vm && member.incarnation() == incarnation)
+            return &member;
+    }
+    return nullptr;
+}
+
+/** Returns another incarnation of a VM in the membership, or null. */
+const wire::Member* findOtherIncarnation(const wire::Membership& membership, VmId vm, uint64_t incarnation)
+{
+    for (const wire::Member& member : membership.members()) {
+        if (member.vm_id() == vm && member.incarnation() != incarnation)
+            return &member;
+    }
+    return nullptr;
+}
+
+/** Returns the membership without one member. */
+wire::Membership without(const wire::Membership& membership, const wire::Member& removed)
+{
+    wire::Membership next;
+    for (const wire::Member& member : membership.members()) {
+        if (&member != &removed)
+            *next.add_members() = member;
+    }
+    return next;
+}
+
+size_t countMembers(const wire::Membership& membership, bool voters)
+{
+    const auto& members = membership.members();
+    return static_cast<size_t>(std::count_if(members.begin(), members.end(), [voters](const wire::Member& member) { return member.voter() == voters; }));
+}
+
+} // namespace
+
+MembershipPlanner::MembershipPlanner(MembershipPlannerOptions options)
+    : options(options)
+{
+}
+
+void MembershipPlanner::becameLeader(TimePoint now)
+{
+    this->leaderSince = now;
+    this->lastHeard.clear();
+}
+
+void MembershipPlanner::announced(VmId vm, uint64_t incarnation, TimePoint now)
+{
+    Candidate& candidate = this->candidates[vm];
+    if (candidate.incarnation != incarnation)
+        candidate = {};
+    candidate.incarnation = incarnation;
+    candidate.announced = now;
+}
+
+void MembershipPlanner::heard(VmId vm, uint64_t incarnation, TimePoint now)
+{
+    this->lastHeard[{ vm, incarnation }] = now;
+}
+
+bool MembershipPlanner::force(VmId vm)
+{
+    auto candidate = this->candidates.find(vm);
+    if (candidate == this->candidates.end())
+        return false;
+    candidate->second.forced = true;
+    return true;
+}
+
+std::optional<wire::Membership> MembershipPlanner::next(const wire::Membership& current, VmId self, const std::function<bool(VmId)>& caughtUp, TimePoint now) const
+{
+    if (std::optional<wire::Membership> next = this->promote(current, self, caughtUp, now))
+        return next;
+    if (std::optional<wire::Membership> next = this->admit(current, now))
+        return next;
+    return this->dropSilentLearner(current, now);
+}
+
+/** Returns for how long a member has sent nothing. */
+Milliseconds MembershipPlanner::silence(const wire::Member& member, TimePoint now) const
+{
+    auto heard = this->lastHeard.find({ member.vm_id(), member.incarnation() });
+    return now - (heard == this->lastHeard.end() ? this->leaderSince : std::max(heard->second, this->leaderSince));
+}
+
+bool MembershipPlanner::mayReplaceOld(const Candidate& candidate, const wire::Member& old, TimePoint now) const
+{
+    return candidate.forced || this->silence(old, now) >= this->options.oldIncarnationSilence;
+}
+
+/** Adds a process that asked to join as a learner. */
+std::optional<wire::Membership> MembershipPlanner::admit(const wire::Membership& current, TimePoint now) const
+{
+    for (const auto& [vm, candidate] : this->candidates) {
+        bool fresh = candidate.forced || now - candidate.announced < this->options.announcementLifetime;
+        if (!fresh || findMember(current, vm, candidate.incarnation))
+            continue;
+        const wire::Member* old = findOtherIncarnation(current, vm, candidate.incarnation);
+        bool isUnknown = !old && (!this->options.takesUnknownVms || countMembers(current, false) >= this->options.maxLearners);
+        if (isUnknown || (old && !this->mayReplaceOld(candidate, *old, now)))
+            continue;
+        // A second learner of one VM would not be told from the first.
+        if (old && !old->voter())
+            return without(current, *old);
+        wire::Membership next = current;
+        wire::Member* learner = next.add_members();
+        learner->set_vm_id(vm);
+        learner->set_incarnation(candidate.incarnation);
+        return next;
+    }
+    return std::nullopt;
+}
+
+/** Takes the next step towards making a learner a voter. */
+std::optional<wire::Membership> MembershipPlanner::promote(const wire::Membership& current, VmId self, const std::function<bool(VmId)>& caughtUp, TimePoint now) const
+{
+    for (int position = 0; position < current.members_size(); position++) {
+        const wire::Member& learner = current.members(position);
+        if (learner.voter() || !caughtUp(learner.vm_id()) || this->silence(learner, now) >= this->options.announcementLifetime)
+            continue;
+        if (const wire::Member* old = findOtherIncarnation(current, learner.vm_id(), learner.incarnation()))
+            return without(current, *old);
+        if (countMembers(current, true) < this->options.wantedVoters) {
+            wire::Membership next = current;
+            next.mutable_members(position)->set_voter(true);
+            return next;
+        }
+        if (const wire::Member* silent = this->silentVoter(current, self, now))
+            return without(current, *silent);
+    }
+    return std::nullopt;
+}
+
+/** Returns the voter that has been silent for longest, if for long enough. */
+const wire::Member* MembershipPlanner::silentVoter(const wire::Membership& current, VmId self, TimePoint now) const
+{
+    const wire::Member* longest = nullptr;
+    for (const wire::Member& member : current.members()) {
+        if (!member.voter() || member.vm_id() == self || this->silence(member, now) < this->options.voterSilence)
+            continue;
+        if (!longest || this->silence(member, now) > this->silence(*longest, now))
+            longest = &member;
+    }
+    return longest;
+}
+
+std::optional<wire::Membership> MembershipPlanner::dropSilentLearner(const wire::Membership& current, TimePoint now) const
+{
+    for (const wire::Member& member : current.members()) {
+        if (!member.voter() && this->silence(member, now) >= this->options.learnerSilence)
+            return without(current, member);
+    }
+    return std::nullopt;
+}
+
+} // namespace kingcup
--- a/packages/coordination/src/ProbeBudget.cpp
+++ b/packages/coordination/src/ProbeBudget.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double msPerSecond = 1000;
-constexpr double maxProbeTokens = 1; ///< No burst: a bucket of one probe spaces probes evenly.
+constexpr double maxProbeTokens = 1; ///< Without a burst, a bucket of one probe spaces probes evenly.
 constexpr double maxByteTokensSeconds = 1;
 constexpr size_t maxBuckets = 4096;
 
@@ -66,16 +66,17 @@
     auto cost = static_cast<double>(bytes);
     bool firstBytes = this->bytesFilled == TimePoint {};
     double byteLimit = std::max(byteRate * maxByteTokensSeconds, cost);
-    this->byteTokens = firstBytes ? 0 : std::min(this->byteTokens + earned(byteRate, this->bytesFilled, now), byteLimit);
+    this->byteTokens = firstBytes ? byteRate * std::min(this->budget.burstSeconds, maxByteTokensSeconds) : std::min(this->byteTokens + earned(byteRate, this->bytesFilled, now), byteLimit);
     this->bytesFilled = now;
 
     if (this->buckets.size() >= maxBuckets && !this->buckets.contains(address))
         this->buckets.erase(this->buckets.begin());
-    auto [found, inserted] = this->buckets.try_emplace(address, Bucket { 0, now });
+    auto [found, inserted] = this->buckets.try_emplace(address, Bucket { this->firstTokens(), now });
     Bucket& bucket = found->second;
-    bucket.tokens = std::min(bucket.tokens + earned(this->share(), bucket.filled, now), maxProbeTokens);
+    double limit = std::max(maxProbeTokens, this->share() * this->budget.burstSeconds);
+    bucket.tokens = std::min(bucket.tokens + earned(this->share(), bucket.filled, now), limit);
     bucket.filled = now;
-    if (bucket.tokens < maxProbeTokens || this->byteTokens < cost) {
+    if (bucket.tokens < 1 || this->byteTokens < cost) {
         ++this->deniedCount;
         return false;
     }
@@ -95,6 +96,12 @@
     return this->deniedCount;
 }
 
+/** Returns what a process may spend on a target that it has not probed yet: the burst of its share among the assumed VMs. */
+double ProbeBudget::firstTokens() const
+{
+    return this->budget.burstSeconds * std::max(this->budget.probesPerSecondPerTarget, 0.0) / std::max(this->assumedVms, 1u);
+}
+
 double ProbeBudget::share() const
 {
     double rate = std::max(this->budget.probesPerSecondPerTarget, 0.0);
@@ -102,6 +109,8 @@
         return rate / this->liveVms;
     // Others may not count this VM, so its probes come on top of theirs: at most one a lease term.
     double unsettled = rate / std::max(this->assumedVms, this->liveVms);
+    if (this->budget.burstSeconds > 0)
+        return unsettled; // The burst allows for what comes on top within a lease term.
     double term = this->leaseTerm.count();
     return term > 0 ? std::min(unsettled, msPerSecond / term) : unsettled;
 }
--- a/packages/coordination/src/ReplicatedLogElection.cpp
+++ b/packages/coordination/src/ReplicatedLogElection.cpp
@@ -5,6 +5,12 @@
 
 namespace kingcup {
 
+namespace {
+
+constexpr double preVoteRepeat = 0.25; ///< Shortest pause between two pre-votes, in election timeouts.
+
+} // namespace
+
 void ReplicatedLog::State::setHardState(Term term, VmId votedFor, LogOutput& output)
 {
     this->hardState = { term, votedFor };
@@ -45,7 +51,8 @@
     }
     this->role = LogRole::PreCandidate;
     this->leader = 0;
-    this->resetElectionTimer(now);
+    // A pre-vote disturbs nobody, so one that was asked too early is soon repeated.
+    this->electionDeadline = now + this->options.electionTimeout * (preVoteRepeat * (1 + this->random.fraction()));
     this->sendVoteRequests(true, false, output);
 }
 
--- a/packages/coordination/src/RetryPolicy.cpp
+++ b/packages/coordination/src/RetryPolicy.cpp
@@ -1,10 +1,11 @@
 /** @file RetryPolicy.cpp Budgets of retries and hedges. */
 #include "kingcup/RetryPolicy.h"
 
-#include "LatencySketch.h"
+#include "kingcup/LatencySketch.h"
 
 #include <algorithm>
 #include <atomic>
+#include <mutex>
 
 namespace kingcup {
 
@@ -13,7 +14,6 @@
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr double retryBurst = 10; ///< Retries that a service with little traffic may make without earning them.
 constexpr double hedgeBurst = 10;
-constexpr uint32_t maxAttempts = 3;
 constexpr uint64_t fewestObservations = 50;
 constexpr double quickestUsefulQuantile = 0.1; ///< A retry with less time left than this quantile cannot be in time.
 
@@ -55,6 +55,17 @@
     EventBucket retries { retryBurst }; ///< In retries.
     EventBucket hedges { 0 }; ///< In calls; a hedge costs 1 / share of them.
     LatencySketch latencies; ///< Of recent attempts.
+    std::mutex budgetMutex; ///< Guards the budget.
+    std::optional<RetryBudget> budget; ///< Shared by all entry VMs, if there is one.
+
+    /** Takes one retry from the budget in force. */
+    bool takeRetry(TimePoint now)
+    {
+        std::lock_guard<std::mutex> lock(this->budgetMutex);
+        if (this->budget)
+            return this->budget->take(now);
+        return this->retryShare.load(relaxed) > 0 && this->retries.take(1, retryBurst);
+    }
 };
 
 RetryPolicy::RetryPolicy(const ServiceLimits& limits)
@@ -70,23 +81,39 @@
     this->state->retryShare.store(std::clamp(limits.retryShare, 0.0, 1.0), relaxed);
 }
 
-void RetryPolicy::call(TimePoint)
+void RetryPolicy::setBudget(const RetryBudgetLimits& budget, TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->state->budgetMutex);
+    this->state->budget.emplace(budget, now);
+}
+
+void RetryPolicy::setLiveVms(uint32_t count)
+{
+    std::lock_guard<std::mutex> lock(this->state->budgetMutex);
+    if (this->state->budget && count > 0)
+        this->state->budget->setLiveVms(count);
+}
+
+void RetryPolicy::call(TimePoint now)
 {
     constexpr double smallestShare = 0.001; // Bounds what is saved up for kinds with a small share.
     this->state->retries.earn(this->state->retryShare.load(relaxed), retryBurst);
     this->state->hedges.earn(1, hedgeBurst / smallestShare);
+    std::lock_guard<std::mutex> lock(this->state->budgetMutex);
+    if (this->state->budget)
+        this->state->budget->request(now);
 }
 
 bool RetryPolicy::mayRetry(const RetryQuestion& question, TimePoint now)
 {
     bool failed = question.outcome != AttemptOutcome::Answered && question.outcome != AttemptOutcome::Cancelled;
     bool safe = !question.sent || (question.repeatable && question.depth == 0);
-    if (!failed || !safe || question.attempts >= maxAttempts)
+    if (!failed || !safe || question.attempts >= question.maxAttempts)
         return false;
     std::optional<Milliseconds> quickest = this->state->latencies.quantile(quickestUsefulQuantile, fewestObservations, now);
     if (now + quickest.value_or(Milliseconds(0)) >= question.deadline)
         return false;
-    return this->state->retryShare.load(relaxed) > 0 && this->state->retries.take(1, retryBurst);
+    return this->state->takeRetry(now);
 }
 
 void RetryPolicy::latency(Milliseconds latency, TimePoint now)
@@ -101,12 +128,15 @@
     return this->state->latencies.quantile(kind.hedge->percentile, fewestObservations, now);
 }
 
-bool RetryPolicy::mayHedge(const Kind& kind, TimePoint)
+bool RetryPolicy::mayHedge(const Kind& kind, TimePoint now)
 {
     if (!kind.hedge || !kind.repeatable || kind.hedge->budgetShare <= 0)
         return false;
     double callsPerHedge = 1 / kind.hedge->budgetShare;
-    return this->state->hedges.take(callsPerHedge, hedgeBurst * callsPerHedge);
+    if (!this->state->hedges.take(callsPerHedge, hedgeBurst * callsPerHedge))
+        return false;
+    std::lock_guard<std::mutex> lock(this->state->budgetMutex);
+    return !this->state->budget || this->state->budget->take(now);
 }
 
 } // namespace kingcup
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -19,6 +19,7 @@
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr size_t counterStripes = 8;
 constexpr double observationLifetimeMs = 5000;
+constexpr double goneInstancePeriodMs = 3600000; ///< An instance that has lost its address does not come back.
 
 /** Returns a time point as a number of milliseconds. */
 double inMs(TimePoint time)
@@ -104,14 +105,14 @@
 
 Router::~Router() = default;
 
-void Router::update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now)
+void Router::update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now, uint64_t logTimeMs)
 {
     std::lock_guard<std::mutex> lock(this->state->updateMutex);
     std::unique_ptr<RoutingTable> next;
     {
         RcuReadGuard guard;
         const RoutingTable& previous = this->state->table.read(guard);
-        next = buildRoutingTable(this->state->owner, service, targets, previous, this->state->serial, inMs(now));
+        next = buildRoutingTable(this->state->owner, service, targets, previous, this->state->serial, { inMs(now), logTimeMs });
     }
     this->state->table.replace(std::move(next));
 }
@@ -131,10 +132,11 @@
     }
     if (!entry)
         return std::nullopt;
+    PickReason reason = pickReason(this->state->policy, choice, *entry);
     entry->target->started(inMs(now));
     this->state->outstanding.add(1);
     uint64_t ticket = static_cast<uint64_t>(entry->target->serial) << 32 | (number & 0xffffffff);
-    return Pick { entry->target->address, entry->target->incarnation, ticket };
+    return Pick { entry->target->address, entry->target->incarnation, entry->target->instance, ticket, reason };
 }
 
 void Router::finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now)
@@ -152,6 +154,14 @@
         this->state->tryEject(table, *entry->target, inMs(now));
 }
 
+void Router::instanceGone(const Pick& pick, TimePoint now)
+{
+    RcuReadGuard guard;
+    const RoutingEntry* entry = this->state->table.read(guard).find(pick.address);
+    if (entry && entry->target->serial == pick.ticket >> 32)
+        entry->target->ejectFor(goneInstancePeriodMs, inMs(now));
+}
+
 void Router::report(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now)
 {
     RcuReadGuard guard;
--- a/packages/coordination/src/RoutingTable.cpp
+++ b/packages/coordination/src/RoutingTable.cpp
@@ -27,14 +27,17 @@
 }
 
 /** Returns the estimates of a target from the previous table, or new ones. */
-std::shared_ptr<TargetEstimate> estimateFor(const wire::TargetRecord& record, const RoutingTable& previous, uint32_t& serial, double nowMs)
+std::shared_ptr<TargetEstimate> estimateFor(const wire::TargetRecord& record, const RoutingTable& previous, uint32_t& serial, const TableTime& time)
 {
     const RoutingEntry* known = previous.find(record.address());
     if (known && known->target->incarnation == record.incarnation())
         return known->target;
     // With no table before, this VM has just started and says nothing about the age of its targets.
-    double coldSinceMs = previous.entries.empty() ? neverMs : nowMs;
-    return std::make_shared<TargetEstimate>(record.address(), record.incarnation(), ++serial, coldSinceMs);
+    double coldSinceMs = previous.entries.empty() ? neverMs : time.nowMs;
+    auto estimate = std::make_shared<TargetEstimate>(record, ++serial, coldSinceMs);
+    if (record.cold_until_log_ms() > time.logTimeMs && time.logTimeMs)
+        estimate->setColdUntil(time.nowMs + static_cast<double>(record.cold_until_log_ms() - time.logTimeMs));
+    return estimate;
 }
 
 } // namespace
@@ -68,7 +71,7 @@
     return result;
 }
 
-std::unique_ptr<RoutingTable> buildRoutingTable(const SubsetOwner& owner, const Service& service, const std::vector<wire::TargetRecord>& targets, const RoutingTable& previous, uint32_t& serial, double nowMs)
+std::unique_ptr<RoutingTable> buildRoutingTable(const SubsetOwner& owner, const Service& service, const std::vector<wire::TargetRecord>& targets, const RoutingTable& previous, uint32_t& serial, const TableTime& time)
 {
     auto table = std::make_unique<RoutingTable>();
     table->service = service.name;
@@ -82,7 +85,7 @@
     }
     for (const wire::TargetRecord* record : used) {
         bool local = record->availability_zone() == owner.zone;
-        std::shared_ptr<TargetEstimate> estimate = estimateFor(*record, previous, serial, nowMs);
+        std::shared_ptr<TargetEstimate> estimate = estimateFor(*record, previous, serial, time);
         table->entries.push_back({ std::move(estimate), std::max(record->slots(), 1u), local, record->state() });
     }
     auto order = [](const RoutingEntry& entry) { return entry.state != wire::TARGET_SERVING ? 2 : entry.local ? 0
--- a/packages/coordination/src/RoutingTable.h
+++ b/packages/coordination/src/RoutingTable.h
@@ -32,6 +32,12 @@
     const RoutingEntry* find(const std::string& address) const;
 };
 
+/** When a table is built, by both clocks. */
+struct TableTime {
+    double nowMs = 0; ///< Clock of this VM.
+    uint64_t logTimeMs = 0; ///< Time of the log; 0: not known.
+};
+
 /** Who chooses the targets. */
 struct SubsetOwner {
     std::string entryVm; ///< Name of the VM.
@@ -46,6 +52,6 @@
  * @param previous Table in force, whose estimates are kept.
  * @param serial Last serial number given out; advanced for each new estimate.
  */
-std::unique_ptr<RoutingTable> buildRoutingTable(const SubsetOwner& owner, const Service& service, const std::vector<wire::TargetRecord>& targets, const RoutingTable& previous, uint32_t& serial, double nowMs);
+std::unique_ptr<RoutingTable> buildRoutingTable(const SubsetOwner& owner, const Service& service, const std::vector<wire::TargetRecord>& targets, const RoutingTable& previous, uint32_t& serial, const TableTime& time);
 
 } // namespace kingcup
--- a/packages/coordination/src/SuspicionTable.cpp
+++ b/packages/coordination/src/SuspicionTable.cpp
@@ -98,7 +98,7 @@
         quarantine.set_service(row.service);
         quarantine.set_fingerprint(row.fingerprint);
         quarantine.set_suspected_targets(static_cast<uint32_t>(row.targets.size()));
-        quarantine.set_until_wall_ms(row.cleared ? 0 : row.expiresAtMs);
+        quarantine.set_until_log_ms(row.cleared ? 0 : row.expiresAtMs);
         quarantine.set_cleared(row.cleared);
     }
 }
--- a/packages/coordination/src/SuspicionTable.h
+++ b/packages/coordination/src/SuspicionTable.h
@@ -14,7 +14,7 @@
 struct SuspicionRow {
     std::string service; ///< Service.
     std::string fingerprint; ///< Of the request, 16 bytes.
-    uint64_t expiresAtMs = 0; ///< Wall time: end of the suspicion, the quarantine or the tombstone.
+    uint64_t expiresAtMs = 0; ///< Log time: end of the suspicion, the quarantine or the tombstone.
     LogIndex index = 0; ///< Last change.
     bool cleared = false; ///< Tombstone.
     std::set<std::pair<std::string, uint64_t>> targets; ///< Address and incarnation of each target that was lost.
--- a/packages/coordination/src/TargetChooser.cpp
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -201,6 +201,19 @@
     return nullptr;
 }
 
+PickReason pickReason(RoutingPolicy policy, const Choice& choice, const RoutingEntry& entry)
+{
+    const TargetEstimate& target = *entry.target;
+    PickReason reason;
+    reason.costMs = policy == RoutingPolicy::Adaptive ? adaptiveCost(choice, entry) : 0;
+    reason.slowdown = target.reportedSlowdown.load(relaxed);
+    reason.reportAgeMs = choice.nowMs - target.reportedMs.load(relaxed);
+    reason.outstanding = target.outstanding.load(relaxed);
+    reason.coldFactor = target.coldFactor(choice.nowMs);
+    reason.candidates = static_cast<uint32_t>(choice.table.servingCount);
+    return reason;
+}
+
 const RoutingEntry* chooseTarget(RoutingPolicy policy, const Choice& choice)
 {
     if (!choice.table.servingCount)
--- a/packages/coordination/src/TargetChooser.h
+++ b/packages/coordination/src/TargetChooser.h
@@ -48,6 +48,9 @@
     const RoutingEntry* sample(size_t begin, size_t end) const;
 };
 
+/** Returns what is known of a chosen target, for logs. */
+PickReason pickReason(RoutingPolicy policy, const Choice& choice, const RoutingEntry& entry);
+
 /** Chooses by a policy; null when no target is eligible. */
 const RoutingEntry* chooseTarget(RoutingPolicy policy, const Choice& choice);
 
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -20,6 +20,8 @@
 constexpr double reportedLatencyWeight = 0.5; ///< A report only raises the estimate: stragglers that reported 1 ms took p99 from 43 to 280 ms otherwise.
 constexpr double coldRampMs = 3000;
 constexpr double coldRampStart = 0.1;
+constexpr double coldWorkFactor = 2; ///< Work on a target that has just started takes about twice as long.
+constexpr double slowdownForgetMs = 75; ///< Half of the time for which the speed of a machine stays the same.
 constexpr double shortestEjectionMs = 1000;
 constexpr double longestEjectionMs = 30000;
 constexpr uint32_t failuresBeforeEjection = 5;
@@ -27,9 +29,10 @@
 
 } // namespace
 
-TargetEstimate::TargetEstimate(std::string address, uint64_t incarnation, uint32_t serial, double coldSinceMs)
-    : address(std::move(address))
-    , incarnation(incarnation)
+TargetEstimate::TargetEstimate(const wire::TargetRecord& record, uint32_t serial, double coldSinceMs)
+    : address(record.address())
+    , incarnation(record.incarnation())
+    , instance(record.instance())
     , serial(serial)
     , coldSinceMs(coldSinceMs)
 {
@@ -63,7 +66,8 @@
 {
     if (observedMs < this->reportedMs.load(relaxed))
         return;
-    this->reportedInFlight.store(static_cast<int32_t>(load.inFlight), relaxed);
+    this->reportedInFlight.store(static_cast<int32_t>(load.inFlight + load.waiting), relaxed);
+    this->reportedSlowdown.store(load.slowdown, relaxed);
     this->ownAtReport.store(this->outstanding.load(relaxed), relaxed);
     this->reportedLatency.store(load.latencyMs, relaxed);
     this->picksSinceReport.store(0, relaxed);
@@ -86,9 +90,13 @@
 {
     uint32_t before = this->ejections.fetch_add(1, relaxed);
     double period = shortestEjectionMs * std::exp2(std::min(before, 10u));
-    double until = nowMs + std::min(period, longestEjectionMs);
-    this->ejectedUntilMs.store(until, relaxed);
-    this->coldSinceMs.store(until, relaxed);
+    this->ejectFor(std::min(period, longestEjectionMs), nowMs);
+}
+
+void TargetEstimate::ejectFor(double periodMs, double nowMs)
+{
+    this->ejectedUntilMs.store(nowMs + periodMs, relaxed);
+    this->coldSinceMs.store(nowMs + periodMs, relaxed);
 }
 
 double TargetEstimate::ramp(double nowMs) const
@@ -97,6 +105,11 @@
     return std::clamp(since / coldRampMs, coldRampStart, 1.0);
 }
 
+double TargetEstimate::coldFactor(double nowMs) const
+{
+    return nowMs < this->coldUntilMs.load(relaxed) ? coldWorkFactor : 1;
+}
+
 double TargetEstimate::latency(double fleetLatencyMs, double nowMs) const
 {
     double normal = std::log(std::max(fleetLatencyMs, 0.001));
@@ -106,6 +119,9 @@
     own *= std::exp(-std::max(0.0, nowMs - this->answeredMs.load(relaxed)) / latencyForgetMs);
     reported *= std::exp(-std::max(0.0, nowMs - this->reportedMs.load(relaxed)) / latencyForgetMs);
     double excess = own + reportedLatencyWeight * std::max(0.0, reported - own);
+    // The speed of a machine changes many times a second, so a report of it soon says nothing.
+    double slowdown = std::log(std::max(this->reportedSlowdown.load(relaxed), 1.0)) * std::exp(-std::max(0.0, nowMs - this->reportedMs.load(relaxed)) / slowdownForgetMs);
+    normal += slowdown + std::log(this->coldFactor(nowMs));
     double significant = excess > 0 ? std::max(0.0, excess - noiseBand) : std::min(0.0, excess + noiseBand);
     double estimate = std::exp(normal + significant);
     if (this->outstanding.load(relaxed) <= 0)
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -18,7 +18,7 @@
 class alignas(64) TargetEstimate {
 public:
     /** @param serial Unique number of this object within its router. @param coldSinceMs Start of the ramp; neverMs: warm. */
-    TargetEstimate(std::string address, uint64_t incarnation, uint32_t serial, double coldSinceMs);
+    TargetEstimate(const wire::TargetRecord& record, uint32_t serial, double coldSinceMs);
 
     /** Counts a new attempt. */
     void started(double nowMs);
@@ -35,12 +35,21 @@
     /** Ejects the target; each ejection in a row lasts twice as long. */
     void eject(double nowMs);
 
+    /** Ejects the target for a given time. */
+    void ejectFor(double periodMs, double nowMs);
+
     /** Returns whether the target is ejected. */
     bool ejected(double nowMs) const { return nowMs < this->ejectedUntilMs.load(std::memory_order_relaxed); }
 
     /** Returns the share of its slots that a cold target is trusted with, in (0, 1]. */
     double ramp(double nowMs) const;
 
+    /** Sets until when the target itself says that it is slow after its start. */
+    void setColdUntil(double untilMs) { this->coldUntilMs.store(untilMs, std::memory_order_relaxed); }
+
+    /** Returns how many times longer work takes because the target has just started. */
+    double coldFactor(double nowMs) const;
+
     /** Returns the latency that the next request has to expect before queueing. @param fleetLatencyMs Used while nothing is known. */
     double latency(double fleetLatencyMs, double nowMs) const;
 
@@ -58,6 +67,7 @@
 
     const std::string address; ///< host:port.
     const uint64_t incarnation; ///< Incarnation of the target.
+    const std::string instance; ///< Name of the incarnation; empty: none.
     const uint32_t serial; ///< Names this object in tickets.
     std::atomic<int32_t> outstanding { 0 }; ///< Own calls in flight.
     std::atomic<double> logLatency { 0 }; ///< Moving average of the logarithm of the latency in milliseconds.
@@ -67,6 +77,7 @@
     std::atomic<double> observedMs { neverMs }; ///< Newest report or answer.
     std::atomic<int32_t> reportedInFlight { 0 }; ///< From the newest report.
     std::atomic<int32_t> ownAtReport { 0 }; ///< Own calls in flight when it arrived.
+    std::atomic<double> reportedSlowdown { 1 }; ///< From the newest report.
     std::atomic<double> reportedLatency { 0 }; ///< From the newest report; 0: not stated.
     std::atomic<uint32_t> picksSinceReport { 0 }; ///< Own attempts started after it arrived.
 
@@ -83,6 +94,7 @@
     std::atomic<uint32_t> failures { 0 }; ///< In a row.
     std::atomic<uint32_t> ejections { 0 }; ///< In a row.
     std::atomic<double> ejectedUntilMs { neverMs };
+    std::atomic<double> coldUntilMs { neverMs };
     std::atomic<double> coldSinceMs;
 };
 
--- a/packages/coordination/src/TargetTable.cpp
+++ b/packages/coordination/src/TargetTable.cpp
@@ -2,12 +2,15 @@
 #include "TargetTable.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <google/protobuf/util/message_differencer.h>
 
 namespace kingcup {
 
 namespace {
 
+constexpr size_t maxFormerInstanceBytes = 1024; ///< Of one address; the oldest names are forgotten first.
+
 /** Returns the key of a record. */
 NamePair keyOf(const wire::TargetRecord& record)
 {
@@ -44,8 +47,57 @@
     return row.goneAtMs ? expiryAfter(row.goneAtMs, tombstoneRetentionMs) : 0;
 }
 
+/** Returns whether a list of names, one a line, holds a name. */
+bool holdsLine(std::string_view lines, std::string_view name)
+{
+    for (size_t start = 0; start < lines.size();) {
+        size_t end = std::min(lines.find('\n', start), lines.size());
+        if (lines.substr(start, end - start) == name)
+            return true;
+        start = end + 1;
+    }
+    return false;
+}
+
+/** Returns the names of earlier incarnations once a record replaces another one. */
+std::string formerInstancesAfter(const TargetRow& held, const wire::TargetRecord& next)
+{
+    if (held.record.instance().empty() || held.record.instance() == next.instance())
+        return held.formerInstances;
+    std::string lines = held.formerInstances + held.record.instance() + '\n';
+    while (lines.size() > maxFormerInstanceBytes)
+        lines.erase(0, lines.find('\n') + 1);
+    return lines;
+}
+
+/** Returns whether two records name different instances. */
+bool instancesDiffer(const wire::TargetRecord& first, const wire::TargetRecord& second)
+{
+    return !first.instance().empty() && !second.instance().empty() && first.instance() != second.instance();
+}
+
 } // namespace
 
+bool TargetTable::assignIncarnation(wire::TargetRecord& record) const
+{
+    if (record.incarnation())
+        return true;
+    uint64_t newest = 0;
+    for (const auto& [key, row] : this->rows) {
+        if (key.second != record.address())
+            continue;
+        if (holdsLine(row.formerInstances, record.instance()))
+            return false;
+        newest = std::max(newest, row.record.incarnation());
+        if (row.record.instance() == record.instance() && key.first == record.service()) {
+            record.set_incarnation(row.record.incarnation());
+            return true;
+        }
+    }
+    record.set_incarnation(newest + 1);
+    return true;
+}
+
 Decision TargetTable::decide(const wire::ChangeTarget& command, const ControlRules& rules) const
 {
     const wire::TargetRecord& record = command.target();
@@ -57,11 +109,11 @@
     if (found == this->rows.end())
         return acceptance();
     const TargetRow& row = found->second;
-    if (areEqual(row.record, record))
+    if (areEqual(row.record, record) && (!command.left() || row.drained))
         return settled(row.index);
     if (!rules.checkIncarnations || record.incarnation() > row.record.incarnation())
         return acceptance();
-    if (record.incarnation() < row.record.incarnation())
+    if (record.incarnation() < row.record.incarnation() || instancesDiffer(record, row.record))
         return refusal(ResultCode::OldIncarnation, absl::StrCat("incarnation ", row.record.incarnation(), " is known"), row.index);
     if (!mayFollow(row, record.state()))
         return refusal(ResultCode::OldIncarnation, "this incarnation is already in a later state", row.index);
@@ -73,10 +125,13 @@
     TargetRow row;
     row.record = command.target();
     row.index = index;
+    auto previous = this->rows.find(keyOf(row.record));
+    if (previous != this->rows.end())
+        row.formerInstances = formerInstancesAfter(previous->second, row.record);
     if (row.record.state() == wire::TARGET_GONE) {
         const TargetRow& held = this->rows.at(keyOf(row.record));
         bool sameIncarnation = held.record.incarnation() == row.record.incarnation();
-        row.drained = sameIncarnation && (held.record.state() == wire::TARGET_DRAINING || held.drained);
+        row.drained = command.left() || (sameIncarnation && (held.record.state() == wire::TARGET_DRAINING || held.drained));
         row.goneAtMs = std::max<uint64_t>(nowMs, 1);
     }
     this->put(std::move(row));
--- a/packages/coordination/src/TargetTable.h
+++ b/packages/coordination/src/TargetTable.h
@@ -14,8 +14,9 @@
 struct TargetRow {
     wire::TargetRecord record; ///< Newest accepted record.
     LogIndex index = 0; ///< Last change.
-    uint64_t goneAtMs = 0; ///< Wall time when it went; 0: not gone.
+    uint64_t goneAtMs = 0; ///< Log time when it went; 0: not gone.
     bool drained = false; ///< Whether its incarnation was draining before it went.
+    std::string formerInstances; ///< Names of earlier incarnations, one a line, newest last.
 };
 
 /** Decides on state transitions of targets. */
@@ -24,6 +25,12 @@
     /** Checks a command. */
     Decision decide(const wire::ChangeTarget& command, const ControlRules& rules) const;
 
+    /**
+     * Gives the next incarnation to a target that states an instance only. Returns false when that instance is known to
+     * have been replaced, so that a delayed message does not bring it back.
+     */
+    bool assignIncarnation(wire::TargetRecord& record) const;
+
     /** Applies a command that decide() accepted. */
     void apply(LogIndex index, uint64_t nowMs, const wire::ChangeTarget& command);
 
--- a/packages/coordination/tests/ControlCommands.h
+++ b/packages/coordination/tests/ControlCommands.h
@@ -22,7 +22,7 @@
 }
 
 /** Makes the command that brings documents into force at a machine. */
-inline wire::Command manifestCommand(const ControlStateMachine& machine, uint64_t number, const Documents& documents, uint64_t wallMs = 1000)
+inline wire::Command manifestCommand(const ControlStateMachine& machine, uint64_t number, const Documents& documents, uint64_t logMs = 1000)
 {
     CheckedManifest manifest;
     ManifestDigest digest;
@@ -33,16 +33,16 @@
     }
     manifest.digest = digest.text();
     wire::Command command;
-    command.set_wall_time_ms(wallMs);
+    command.set_log_time_ms(logMs);
     *command.mutable_apply_manifest() = makeApplyManifest(machine, manifest);
     return command;
 }
 
 /** Makes a change of a target. */
-inline wire::Command targetCommand(const std::string& address, uint64_t incarnation, wire::TargetState state, uint64_t wallMs = 1000)
+inline wire::Command targetCommand(const std::string& address, uint64_t incarnation, wire::TargetState state, uint64_t logMs = 1000)
 {
     wire::Command command;
-    command.set_wall_time_ms(wallMs);
+    command.set_log_time_ms(logMs);
     wire::TargetRecord& target = *command.mutable_change_target()->mutable_target();
     target.set_service("ledger");
     target.set_address(address);
@@ -64,10 +64,10 @@
 }
 
 /** Makes a claim. @param request Selects the fingerprint. */
-inline wire::Command claimCommand(const std::string& key, const wire::AttemptId& attempt, char request = 'a', uint64_t wallMs = 1000)
+inline wire::Command claimCommand(const std::string& key, const wire::AttemptId& attempt, char request = 'a', uint64_t logMs = 1000)
 {
     wire::Command command;
-    command.set_wall_time_ms(wallMs);
+    command.set_log_time_ms(logMs);
     wire::Claim& claim = *command.mutable_claim();
     claim.set_service("ledger");
     claim.set_key(key);
@@ -78,10 +78,10 @@
 }
 
 /** Makes the end of a claim. */
-inline wire::Command finishCommand(const std::string& key, const wire::AttemptId& attempt, wire::ClaimOutcome outcome, uint64_t wallMs = 1000)
+inline wire::Command finishCommand(const std::string& key, const wire::AttemptId& attempt, wire::ClaimOutcome outcome, uint64_t logMs = 1000)
 {
     wire::Command command;
-    command.set_wall_time_ms(wallMs);
+    command.set_log_time_ms(logMs);
     wire::FinishClaim& finish = *command.mutable_finish_claim();
     finish.set_service("ledger");
     finish.set_key(key);
@@ -96,20 +96,20 @@
 }
 
 /** Makes the departure of an entry VM's older incarnations. */
-inline wire::Command vmGoneCommand(const std::string& vm, uint64_t incarnation, uint64_t wallMs = 1000)
+inline wire::Command vmGoneCommand(const std::string& vm, uint64_t incarnation, uint64_t logMs = 1000)
 {
     wire::Command command;
-    command.set_wall_time_ms(wallMs);
+    command.set_log_time_ms(logMs);
     command.mutable_entry_vm_gone()->set_entry_vm(vm);
     command.mutable_entry_vm_gone()->set_incarnation(incarnation);
     return command;
 }
 
 /** Makes a suspicion. */
-inline wire::Command suspicionCommand(char request, const std::string& target, uint64_t incarnation, uint64_t wallMs = 1000)
+inline wire::Command suspicionCommand(char request, const std::string& target, uint64_t incarnation, uint64_t logMs = 1000)
 {
     wire::Command command;
-    command.set_wall_time_ms(wallMs);
+    command.set_log_time_ms(logMs);
     wire::Suspicion& suspicion = *command.mutable_suspicion();
     suspicion.set_service("ledger");
     suspicion.set_fingerprint(std::string(16, request));
@@ -120,20 +120,20 @@
 }
 
 /** Makes the removal of a suspicion. */
-inline wire::Command clearCommand(char request, uint64_t wallMs = 1000)
+inline wire::Command clearCommand(char request, uint64_t logMs = 1000)
 {
     wire::Command command;
-    command.set_wall_time_ms(wallMs);
+    command.set_log_time_ms(logMs);
     command.mutable_clear_suspicion()->set_service("ledger");
     command.mutable_clear_suspicion()->set_fingerprint(std::string(16, request));
     return command;
 }
 
 /** Makes the removal of what has expired. */
-inline wire::Command expireCommand(uint64_t wallMs)
+inline wire::Command expireCommand(uint64_t logMs)
 {
     wire::Command command;
-    command.set_wall_time_ms(wallMs);
+    command.set_log_time_ms(logMs);
     command.mutable_expire();
     return command;
 }
@@ -141,7 +141,7 @@
 /** Makes random commands over few names, so that they meet each other often. */
 class CommandSource {
 public:
-    /** @param maxStepMs Largest step of the wall time between two commands. */
+    /** @param maxStepMs Largest step of the log time between two commands. */
     CommandSource(uint64_t seed, uint64_t maxStepMs)
         : random(seed)
         , maxStepMs(maxStepMs)
@@ -151,7 +151,7 @@
     /** Returns the next command. @param machine State in which manifests are built, as a leader does. */
     wire::Command next(const ControlStateMachine& machine)
     {
-        this->wallMs += this->random.below(this->maxStepMs + 1);
+        this->logMs += this->random.below(this->maxStepMs + 1);
         char request = static_cast<char>('a' + this->random.below(3));
         std::string key = "key" + std::to_string(this->random.below(4));
         std::string address = "10.0.0." + std::to_string(this->random.below(4)) + ":80";
@@ -160,19 +160,19 @@
             return this->manifest(machine);
         case 1:
         case 2:
-            return targetCommand(address, 1 + this->random.below(4), static_cast<wire::TargetState>(this->random.below(4)), this->wallMs);
+            return targetCommand(address, 1 + this->random.below(4), static_cast<wire::TargetState>(this->random.below(4)), this->logMs);
         case 3:
         case 4:
-            return claimCommand(key, this->attempt(), this->random.below(8) ? 'a' : 'b', this->wallMs);
+            return claimCommand(key, this->attempt(), this->random.below(8) ? 'a' : 'b', this->logMs);
         case 5:
         case 6:
-            return finishCommand(key, this->attempt(), static_cast<wire::ClaimOutcome>(this->random.below(3)), this->wallMs);
+            return finishCommand(key, this->attempt(), static_cast<wire::ClaimOutcome>(this->random.below(3)), this->logMs);
         case 7:
-            return this->random.below(3) ? suspicionCommand(request, address, this->random.below(2), this->wallMs) : clearCommand(request, this->wallMs);
+            return this->random.below(3) ? suspicionCommand(request, address, this->random.below(2), this->logMs) : clearCommand(request, this->logMs);
         case 8:
-            return vmGoneCommand(this->vmName(), this->random.below(3), this->wallMs);
+            return vmGoneCommand(this->vmName(), this->random.below(3), this->logMs);
         default:
-            return expireCommand(this->wallMs);
+            return expireCommand(this->logMs);
         }
     }
 
@@ -192,12 +192,12 @@
                 documents["service" + std::to_string(i)] = "{\"v\":" + std::to_string(this->random.below(3)) + "}";
         }
         uint64_t lowest = machine.manifestNumber() > 2 ? machine.manifestNumber() - 2 : 1;
-        return manifestCommand(machine, lowest + this->random.below(5), documents, this->wallMs);
+        return manifestCommand(machine, lowest + this->random.below(5), documents, this->logMs);
     }
 
     RandomSource random;
     uint64_t maxStepMs;
-    uint64_t wallMs = 1000;
+    uint64_t logMs = 1000;
 };
 
 /** Finds broken promises in a history of commands and results, without knowledge of the state machine's inside. */
--- a/packages/coordination/tests/ControlStateMachineTest.cpp
+++ b/packages/coordination/tests/ControlStateMachineTest.cpp
@@ -105,6 +105,77 @@
     });
 }
 
+TEST(ControlStateMachineTest, targetsNamedByInstance)
+{
+    Log log;
+    const std::string address = "10.0.0.1:80";
+    auto announce = [&](const std::string& instance, wire::TargetState state, const std::string& service = "ledger") {
+        wire::Command command = targetCommand(address, 0, state);
+        command.mutable_change_target()->mutable_target()->set_instance(instance);
+        command.mutable_change_target()->mutable_target()->set_service(service);
+        command.mutable_change_target()->set_left(state == wire::TARGET_GONE);
+        if (!log.machine.assignIncarnation(*command.mutable_change_target()->mutable_target()))
+            return std::string("replaced");
+        return log.code(command);
+    };
+    EXPECT_EQ(announce("i-1", wire::TARGET_SERVING), "ok");
+    section("a repetition keeps its incarnation", [&] {
+        EXPECT_EQ(announce("i-1", wire::TARGET_SERVING), "ok");
+        EXPECT_EQ(log.machine.findTarget("ledger", address)->incarnation(), 1u);
+    });
+    section("a new instance at the address follows, and a delayed message of the old one changes nothing", [&] {
+        EXPECT_EQ(announce("i-2", wire::TARGET_SERVING), "ok");
+        EXPECT_EQ(log.machine.findTarget("ledger", address)->incarnation(), 2u);
+        EXPECT_EQ(announce("i-1", wire::TARGET_SERVING), "replaced");
+        EXPECT_EQ(announce("i-1", wire::TARGET_GONE), "replaced");
+        EXPECT_EQ(log.machine.findTarget("ledger", address)->instance(), "i-2");
+    });
+    section("of two instances that were given one incarnation the first stays", [&] {
+        wire::Command late = targetCommand(address, 2, wire::TARGET_SERVING);
+        late.mutable_change_target()->mutable_target()->set_instance("i-3");
+        EXPECT_EQ(log.code(late), "old_incarnation");
+    });
+    section("an instance that left does not come back by a delayed message", [&] {
+        EXPECT_EQ(announce("i-2", wire::TARGET_GONE), "ok");
+        EXPECT_EQ(announce("i-2", wire::TARGET_SERVING), "old_incarnation");
+        EXPECT_TRUE(log.machine.targets().empty());
+    });
+    section("the address may go to another service, and the names are kept over a restart", [&] {
+        EXPECT_EQ(announce("i-4", wire::TARGET_SERVING, "archive"), "ok");
+        EXPECT_EQ(log.machine.findTarget("archive", address)->incarnation(), 3u);
+        ControlStateMachine restarted;
+        ASSERT_EQ(restarted.load(log.machine.save()), ResultCode::Ok);
+        wire::TargetRecord old;
+        old.set_service("ledger");
+        old.set_address(address);
+        old.set_instance("i-1");
+        EXPECT_FALSE(restarted.assignIncarnation(old));
+        EXPECT_EQ(restarted.findTarget("archive", address)->instance(), "i-4");
+    });
+}
+
+TEST(ControlStateMachineTest, highestManifestNumberWins)
+{
+    Log log;
+    auto apply = [&](uint64_t number, const Documents& documents) {
+        wire::Command command = manifestCommand(log.machine, number, documents);
+        command.mutable_apply_manifest()->set_highest_number_wins(true);
+        return log.code(command);
+    };
+    EXPECT_EQ(apply(7, { { "a", "{}" } }), "ok");
+    section("an equal or lower number is acknowledged and changes nothing, with whatever content", [&] {
+        LogIndex before = log.machine.configurationIndex();
+        EXPECT_EQ(apply(7, { { "a", "{2}" } }), "ok");
+        EXPECT_EQ(apply(3, { { "b", "{}" } }), "ok");
+        EXPECT_EQ(log.machine.configurationIndex(), before);
+        EXPECT_EQ(log.machine.serviceDocuments()[0].json(), "{}");
+    });
+    section("a higher number follows in any step", [&] {
+        EXPECT_EQ(apply(90, { { "b", "{}" } }), "ok");
+        EXPECT_EQ(log.machine.manifestNumber(), 90u);
+    });
+}
+
 TEST(ControlStateMachineTest, claims)
 {
     Log log;
--- a/packages/coordination/tests/CrashContainmentTest.cpp
+++ b/packages/coordination/tests/CrashContainmentTest.cpp
@@ -32,7 +32,7 @@
     void run(int steps, bool withPoison)
     {
         for (int i = 0; i < steps; ++i) {
-            this->wallMs += 5;
+            this->logMs += 5;
             this->start(withPoison && this->random.below(12) == 0 ? "poison" : "popular-" + std::to_string(this->random.below(8)));
             this->endSome();
             if (i % 4 == 0)
@@ -53,7 +53,7 @@
     void start(const std::string& name)
     {
         size_t vm = this->random.below(std::size(this->vms));
-        ContainmentVerdict verdict = this->vms[vm].verdict(service, name, this->wallMs);
+        ContainmentVerdict verdict = this->vms[vm].verdict(service, name, this->logMs);
         if (verdict == ContainmentVerdict::Refuse) {
             this->refused.insert(name);
             return;
@@ -99,7 +99,7 @@
         for (const auto& [request, targets] : this->suspicions) {
             wire::Quarantine& quarantine = snapshot.quarantines[{ service, request }];
             quarantine.set_suspected_targets(static_cast<uint32_t>(targets.size()));
-            quarantine.set_until_wall_ms(static_cast<uint64_t>(this->wallMs) + 60000);
+            quarantine.set_until_log_ms(static_cast<uint64_t>(this->logMs) + 60000);
         }
         for (CrashContainment& vm : this->vms)
             vm.update(snapshot);
@@ -109,7 +109,7 @@
     CrashContainment vms[3];
     std::map<Fingerprint, std::set<std::string>> suspicions; ///< As the leader counts them.
     std::vector<InFlight> inFlight;
-    int64_t wallMs = 1000;
+    int64_t logMs = 1000;
 };
 
 /** Returns a snapshot with one quarantine record. */
@@ -118,7 +118,7 @@
     ConfigurationSnapshot snapshot;
     wire::Quarantine& quarantine = snapshot.quarantines[{ service, fingerprint }];
     quarantine.set_suspected_targets(targets);
-    quarantine.set_until_wall_ms(60000);
+    quarantine.set_until_log_ms(60000);
     quarantine.set_cleared(cleared);
     return snapshot;
 }
--- a/packages/coordination/tests/EntryConfigurationTest.cpp
+++ b/packages/coordination/tests/EntryConfigurationTest.cpp
@@ -88,7 +88,7 @@
     machine.apply(2, targetCommand("t2:80", 1, wire::TARGET_SERVING));
     machine.apply(3, targetCommand("t1:80", 1, wire::TARGET_SERVING));
     machine.apply(4, suspicionCommand('s', "t1:80", 1));
-    EXPECT_TRUE(entry.receive(pushOf(machine.changesSince(0))));
+    EXPECT_TRUE(entry.receive(pushOf(machine.changesSince(0)), timeAt(0)));
     std::shared_ptr<const ConfigurationSnapshot> first = entry.snapshot();
     section("a full copy holds everything", [&] {
         EXPECT_EQ(first->services.size(), 2u);
@@ -99,22 +99,22 @@
     machine.apply(6, targetCommand("t2:80", 1, wire::TARGET_GONE));
     section("lists without a change are shared with the older snapshot", [&] {
         EntryConfiguration other("vm2", 1, "espoo", Milliseconds(2500));
-        other.receive(pushOf(machine.changesSince(0)));
+        other.receive(pushOf(machine.changesSince(0)), timeAt(0));
         std::shared_ptr<const ConfigurationSnapshot> before = other.snapshot();
         ControlStateMachine later;
         ASSERT_EQ(later.load(machine.save()), ResultCode::Ok);
         later.apply(7, suspicionCommand('t', "t1:80", 1));
-        EXPECT_TRUE(other.receive(pushOf(later.changesSince(6))));
+        EXPECT_TRUE(other.receive(pushOf(later.changesSince(6)), timeAt(0)));
         EXPECT_TRUE(other.snapshot()->targets.at("ledger").isShared(before->targets.at("ledger")));
     });
     section("pushes that are not adjacent or older change nothing", [&] {
-        EXPECT_FALSE(entry.receive(pushOf(machine.changesSince(5))));
-        EXPECT_FALSE(entry.receive(pushOf(machine.changesSince(99))));
+        EXPECT_FALSE(entry.receive(pushOf(machine.changesSince(5)), timeAt(0)));
+        EXPECT_FALSE(entry.receive(pushOf(machine.changesSince(99)), timeAt(0)));
         EXPECT_EQ(entry.snapshot()->index, 4u);
     });
     machine.apply(7, clearCommand('s'));
     section("changes and removals are merged into a new copy", [&] {
-        EXPECT_TRUE(entry.receive(pushOf(machine.changesSince(3))));
+        EXPECT_TRUE(entry.receive(pushOf(machine.changesSince(3)), timeAt(0)));
         EXPECT_EQ(entry.snapshot()->services.size(), 1u);
         EXPECT_EQ(entry.snapshot()->services.at("a")->kinds[0].priority, 1);
         EXPECT_EQ(entry.snapshot()->targets.at("ledger").begin()->address(), "t1:80");
@@ -122,10 +122,10 @@
         EXPECT_EQ(first->services.size(), 2u);
     });
     section("the same changes again, and an older full copy, change nothing", [&] {
-        EXPECT_FALSE(entry.receive(pushOf(machine.changesSince(3))));
+        EXPECT_FALSE(entry.receive(pushOf(machine.changesSince(3)), timeAt(0)));
         ControlStateMachine older;
         older.apply(1, manifestCommand(older, 1, { { "a", document("a") } }));
-        EXPECT_FALSE(entry.receive(pushOf(older.changesSince(0))));
+        EXPECT_FALSE(entry.receive(pushOf(older.changesSince(0)), timeAt(0)));
         EXPECT_EQ(entry.snapshot()->manifestNumber, 2u);
     });
 }
@@ -144,10 +144,10 @@
             machine.apply(index, random.below(5) ? targetCommand(address, 1 + index / 20, state, index * 60000) : expireCommand(index * 60000));
             sent.push_back(machine.changesSince(random.below(2) ? entry.snapshot()->index : random.below(index)));
             LogIndex before = entry.snapshot()->index;
-            entry.receive(pushOf(sent[random.below(sent.size())]));
+            entry.receive(pushOf(sent[random.below(sent.size())]), timeAt(0));
             ASSERT_GE(entry.snapshot()->index, before) << "seed " << seed + run;
         }
-        entry.receive(pushOf(machine.changesSince(entry.snapshot()->index)));
+        entry.receive(pushOf(machine.changesSince(entry.snapshot()->index)), timeAt(0));
         wire::ConfigurationChanges expected;
         wire::ConfigurationChanges held;
         for (const wire::TargetRecord& target : machine.targets())
--- /dev/null
+++ b/packages/coordination/tests/MembershipPlannerTest.cpp
@@ -0,0 +1,183 @@
+/** @file MembershipPlannerTest.cpp Guards the growth and repair of a control group: nobody votes before it has caught up, and nothing is exchanged too early. */
+#include "kingcup/MembershipPlanner.h"
+
+#include "testing/Story.h"
+
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using kingcup::testing::section;
+
+namespace {
+
+MembershipPlannerOptions seededOptions()
+{
+    MembershipPlannerOptions options;
+    options.wantedVoters = 5;
+    options.takesUnknownVms = true;
+    options.oldIncarnationSilence = Milliseconds(0);
+    options.voterSilence = Milliseconds(5000);
+    return options;
+}
+
+/** A group as its leader sees it; VM 1 leads. */
+struct Group {
+    explicit Group(MembershipPlannerOptions options)
+        : planner(options)
+    {
+        planner.becameLeader(timeAt(0));
+    }
+
+    void add(VmId vm, uint64_t incarnation, bool voter)
+    {
+        wire::Member* member = this->membership.add_members();
+        member->set_vm_id(vm);
+        member->set_incarnation(incarnation);
+        member->set_voter(voter);
+    }
+
+    /** Takes all steps that are possible now. Returns their number. */
+    int settle(double nowMs)
+    {
+        int steps = 0;
+        while (auto next = this->planner.next(
+                   this->membership, 1, [this](VmId vm) { return !this->lagging.contains(vm); }, timeAt(nowMs))) {
+            this->membership = *next;
+            steps++;
+            for (const wire::Member& member : this->membership.members()) {
+                if (!this->silent.contains({ member.vm_id(), member.incarnation() }))
+                    this->planner.heard(member.vm_id(), member.incarnation(), timeAt(nowMs));
+            }
+        }
+        return steps;
+    }
+
+    bool votes(VmId vm, uint64_t incarnation) const
+    {
+        for (const wire::Member& member : this->membership.members()) {
+            if (member.vm_id() == vm && member.incarnation() == incarnation)
+                return member.voter();
+        }
+        return false;
+    }
+
+    size_t voters() const
+    {
+        return static_cast<size_t>(std::count_if(this->membership.members().begin(), this->membership.members().end(), [](const wire::Member& member) { return member.voter(); }));
+    }
+
+    MembershipPlanner planner;
+    wire::Membership membership;
+    std::set<VmId> lagging; ///< Learners that have not caught up.
+    std::set<std::pair<VmId, uint64_t>> silent; ///< Members that send nothing.
+};
+
+/** Returns a group of voters with incarnation 10. */
+Group groupOf(VmId voters)
+{
+    Group group(seededOptions());
+    for (VmId vm = 1; vm <= voters; vm++)
+        group.add(vm, 10, true);
+    return group;
+}
+
+} // namespace
+
+TEST(MembershipPlannerTest, growsAGroupOfSeeds)
+{
+    Group group = groupOf(3);
+    section("VMs that ask to join become voters up to the wanted number, the rest stay learners", [&] {
+        for (VmId vm = 4; vm <= 7; vm++)
+            group.planner.announced(vm, 10, timeAt(100));
+        group.settle(100);
+        EXPECT_EQ(group.voters(), 5u);
+        EXPECT_EQ(group.membership.members_size(), 7);
+    });
+    section("a VM that has not caught up does not vote", [&] {
+        Group other = groupOf(3);
+        other.lagging = { 4 };
+        other.planner.announced(4, 10, timeAt(100));
+        other.settle(100);
+        EXPECT_EQ(other.membership.members_size(), 4);
+        EXPECT_FALSE(other.votes(4, 10));
+    });
+    section("an announcement that is old adds nobody", [&] {
+        Group other = groupOf(3);
+        other.planner.announced(4, 10, timeAt(100));
+        EXPECT_EQ(other.settle(5000), 0);
+    });
+    section("a group with a fixed list takes no unknown VM", [&] {
+        Group other(MembershipPlannerOptions {});
+        other.add(1, 10, true);
+        other.planner.announced(9, 10, timeAt(100));
+        EXPECT_EQ(other.settle(100), 0);
+    });
+}
+
+TEST(MembershipPlannerTest, repairsAGroup)
+{
+    section("two VMs that lost their disks vote again at once, each under its new incarnation only", [] {
+        Group group = groupOf(5);
+        for (VmId vm : { 2u, 3u }) {
+            group.silent.insert({ vm, 10 });
+            group.planner.announced(vm, 11, timeAt(100));
+        }
+        group.settle(100);
+        EXPECT_EQ(group.voters(), 5u);
+        EXPECT_EQ(group.membership.members_size(), 5);
+        EXPECT_TRUE(group.votes(2, 11) && group.votes(3, 11));
+    });
+    section("the old incarnation stays until the new one has caught up", [] {
+        Group group = groupOf(5);
+        group.lagging = { 2 };
+        group.silent.insert({ 2, 10 });
+        group.planner.announced(2, 11, timeAt(100));
+        group.settle(100);
+        EXPECT_TRUE(group.votes(2, 10));
+        EXPECT_FALSE(group.votes(2, 11));
+    });
+    section("with a fixed list the old incarnation must have been silent for three seconds, or an operator asks", [] {
+        MembershipPlannerOptions options;
+        options.wantedVoters = 2;
+        Group group(options);
+        group.add(1, 10, true);
+        group.add(2, 10, true);
+        group.planner.heard(2, 10, timeAt(1000));
+        group.planner.announced(2, 11, timeAt(3500));
+        EXPECT_EQ(group.settle(3500), 0);
+        EXPECT_TRUE(group.planner.force(2));
+        EXPECT_GT(group.settle(3600), 0);
+        EXPECT_TRUE(group.votes(2, 11));
+    });
+    section("a VM at another address replaces the voter that was silent for longest, but not before five seconds", [] {
+        Group group = groupOf(5);
+        group.silent = { { 4, 10 }, { 5, 10 } };
+        for (VmId vm = 1; vm <= 4; vm++)
+            group.planner.heard(vm, 10, timeAt(1000));
+        group.planner.announced(8, 10, timeAt(4000));
+        group.settle(4000);
+        EXPECT_TRUE(group.votes(5, 10)) << "silent for 4 s only";
+        for (VmId vm : { 1u, 2u, 3u, 8u })
+            group.planner.heard(vm, 10, timeAt(5500));
+        group.settle(5500);
+        EXPECT_FALSE(group.votes(5, 10));
+        EXPECT_TRUE(group.votes(8, 10));
+        EXPECT_TRUE(group.votes(4, 10));
+    });
+    section("a voter that was removed while it was cut off comes back as a learner", [] {
+        Group group = groupOf(5);
+        group.planner.announced(9, 10, timeAt(100));
+        group.settle(100);
+        EXPECT_FALSE(group.votes(9, 10));
+        EXPECT_EQ(group.membership.members_size(), 6);
+    });
+    section("a learner that is silent for long is removed", [] {
+        Group group = groupOf(5);
+        group.add(9, 10, false);
+        group.silent.insert({ 9, 10 });
+        for (VmId vm = 1; vm <= 5; vm++)
+            group.planner.heard(vm, 10, timeAt(20000));
+        group.settle(20000);
+        EXPECT_EQ(group.membership.members_size(), 5);
+    });
+}
--- /dev/null
+++ b/packages/coordination/tests/RetryBudgetTest.cpp
@@ -0,0 +1,98 @@
+/** @file RetryBudgetTest.cpp Guards the shared retry budget against more repeated arrivals than it allows, over any span and all entry VMs. */
+#include "kingcup/RetryBudget.h"
+
+#include "kingcup/RandomSource.h"
+#include "testing/Story.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <memory>
+
+using namespace kingcup;
+using kingcup::testing::section;
+using kingcup::testing::testSeed;
+
+namespace {
+
+constexpr double windowMs = 10000;
+constexpr double stepMs = 20;
+const RetryBudgetLimits limits { 0.2, 62, Milliseconds(windowMs) };
+
+/** Entry VMs that repeat every request as often as they may, through bursts and restarts. Returns the largest excess over the budget in any window. */
+double largestExcess(uint64_t seed, uint32_t vmCount, bool vmsKnown)
+{
+    RandomSource random(seed);
+    std::vector<std::unique_ptr<RetryBudget>> vms;
+    for (uint32_t vm = 0; vm < vmCount; vm++)
+        vms.push_back(std::make_unique<RetryBudget>(limits, timeAt(0)));
+    std::deque<double> requests;
+    std::deque<double> arrivals;
+    double largest = -1e9;
+    for (double nowMs = 0; nowMs < 60000; nowMs += stepMs) {
+        bool burst = static_cast<int>(nowMs / 7000) % 2 == 0;
+        for (std::unique_ptr<RetryBudget>& vm : vms) {
+            if (random.below(2000) == 0)
+                vm = std::make_unique<RetryBudget>(limits, timeAt(nowMs));
+            vm->setLiveVms(vmsKnown ? vmCount : 0);
+            if (random.below(burst ? 3 : 12) == 0) {
+                vm->request(timeAt(nowMs));
+                requests.push_back(nowMs);
+            }
+            for (int repeat = 0; repeat < 3; repeat++) {
+                if (vm->take(timeAt(nowMs)))
+                    arrivals.push_back(nowMs);
+            }
+        }
+        while (!requests.empty() && requests.front() <= nowMs - windowMs)
+            requests.pop_front();
+        while (!arrivals.empty() && arrivals.front() <= nowMs - windowMs)
+            arrivals.pop_front();
+        double allowed = limits.share * static_cast<double>(requests.size()) + limits.slack;
+        largest = std::max(largest, static_cast<double>(arrivals.size()) - allowed);
+    }
+    return largest;
+}
+
+} // namespace
+
+TEST(RetryBudgetTest, holdsOverAllEntryVms)
+{
+    uint64_t first = testSeed(1);
+    section("bursts and restarts of 17 VMs stay within the budget of each window", [&] {
+        for (uint64_t seed = first; seed < first + 10; seed++)
+            EXPECT_LE(largestExcess(seed, 17, true), 0) << "seed " << seed;
+    });
+    section("so do 121 VMs", [&] {
+        for (uint64_t seed = first; seed < first + 3; seed++)
+            EXPECT_LE(largestExcess(seed, 121, true), 0) << "seed " << seed;
+    });
+    section("VMs that do not know how many they are use no slack", [&] {
+        for (uint64_t seed = first; seed < first + 3; seed++)
+            EXPECT_LE(largestExcess(seed, 17, false), -0.9 * limits.slack) << "seed " << seed;
+    });
+}
+
+TEST(RetryBudgetTest, isUsable)
+{
+    section("most of the share and of the own part of the slack can be used", [] {
+        RetryBudget budget(limits, timeAt(0));
+        budget.setLiveVms(10);
+        int taken = 0;
+        for (int request = 0; request < 100; request++)
+            budget.request(timeAt(windowMs + request));
+        while (budget.take(timeAt(windowMs + 100)))
+            taken++;
+        EXPECT_GE(taken, 22); // 0.9 of 20 and 6.2
+        EXPECT_LE(taken, 26);
+    });
+    section("what was taken is free again one window later", [] {
+        RetryBudget budget(limits, timeAt(0));
+        for (int request = 0; request < 50; request++)
+            budget.request(timeAt(request));
+        while (budget.take(timeAt(100))) { }
+        EXPECT_FALSE(budget.take(timeAt(9000)));
+        for (int request = 0; request < 50; request++)
+            budget.request(timeAt(12000));
+        EXPECT_TRUE(budget.take(timeAt(12001)));
+    });
+}
--- a/packages/protocol/include/kingcup/ManifestTypes.h
+++ b/packages/protocol/include/kingcup/ManifestTypes.h
@@ -29,6 +29,7 @@
     std::string path; ///< Exact path, or a prefix that ends in "/" followed by "*".
     bool repeatable = false; ///< Whether an attempt may be repeated.
     Milliseconds deadline { 1000 }; ///< From arrival to the end of the answer.
+    Milliseconds objective { 0 }; ///< Within this time an answer has its full value; 0: any time before the deadline.
     Milliseconds mayWait { 100 }; ///< Longest wait for admission.
     bool mayRefuse = true; ///< Whether it may be refused early under load.
     int priority = 5; ///< 0 (highest) to 9.
@@ -36,6 +37,7 @@
     WhenIsolated whenIsolated = WhenIsolated::Refuse; ///< Treatment past the lease.
     bool keyRequired = false; ///< Whether an Idempotency-Key must be present.
     std::vector<int> notRunStatuses; ///< Statuses by which the target promises that it did not run the request.
+    uint32_t maxAttempts = 3; ///< Targets to which one request may be sent, at least 1.
 };
 
 /** Preference for targets in the entry VM's own availability zone. */
@@ -62,6 +64,7 @@
 struct MeasuringBudget {
     double probesPerSecondPerTarget = 1; ///< Over all entry VMs.
     double bytesPerSecondPerVm = 4096; ///< On one entry VM, over all services' probes to this service.
+    double burstSeconds = 0; ///< Probes of so many seconds may be made at once; 0: they are spaced evenly.
 };
 
 /** One service and its kinds. */
@@ -72,13 +75,48 @@
     ZonePreference zonePreference = ZonePreference::Own; ///< Use of availability zones.
     ServiceLimits limits; ///< Bounds.
     MeasuringBudget measuringBudget; ///< Probe budget.
-    std::vector<Kind> kinds; ///< At least one.
+    std::string healthPath; ///< Path of the targets' health check; empty: none.
+    uint32_t maxConnections = 0; ///< Connections that one target accepts from all entry VMs together; 0: not limited.
+    std::vector<Kind> kinds; ///< Empty for a service that only routes lead to.
+};
+
+/** How often requests of a route may run; sets `Kind::repeatable`. */
+enum class RouteKind {
+    Safe, ///< A request may run more than once.
+    Unsafe, ///< A request may run at most once.
+    Download, ///< As safe, with large answers.
+};
+
+/** Part of a route's requests that goes to one service. */
+struct RouteShare {
+    std::string service; ///< Name of a service of the manifest.
+    uint32_t weight = 1; ///< Relative to the other shares of the route.
+};
+
+/** Requests of one host below one path prefix, and the services that serve them. */
+struct Route {
+    std::string name; ///< Unique among the routes.
+    std::string host; ///< Host header, compared without port.
+    std::string pathPrefix; ///< Begins and ends with "/"; of several matches the longest wins.
+    RouteKind kind = RouteKind::Unsafe; ///< What may be repeated.
+    Kind rules; ///< Treatment of the requests; method and path are not used.
+    std::vector<RouteShare> shares; ///< At least one.
+};
+
+/** Bounds of what callers may send to an entry VM. */
+struct CallerLimits {
+    uint64_t maxHeaderBytes = 16u << 10; ///< Largest request header.
+    uint64_t maxBodyBytes = 64u << 20; ///< Largest request body.
+    Milliseconds headerTimeout { 10000 }; ///< Longest time for sending a header.
+    Milliseconds idleTimeout { 60000 }; ///< Connections without a request are closed after this time.
 };
 
 /** A whole manifest. */
 struct Manifest {
     uint64_t number = 0; ///< Chosen by the operators; grows.
     std::vector<Service> services; ///< Ordered by name.
+    std::vector<Route> routes; ///< Ordered by name.
+    std::optional<CallerLimits> callerLimits; ///< Absent: those of the settings.
 };
 
 } // namespace kingcup
--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -5,6 +5,7 @@
 #include "kingcup/MillisecondClock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -19,7 +20,32 @@
     std::string publicKey; ///< CURVE public key, 40 characters of Z85.
 };
 
-/** Settings of one process, read once at its start. */
+/** How links between the processes are protected. */
+enum class LinkSecurity {
+    Curve, ///< Encrypted and authenticated with CURVE keys.
+    None, ///< Plain, for a network that only VMs of the deployment reach.
+};
+
+/** Who may use the operator listener. */
+enum class ListenerAccess {
+    Tokens, ///< Holders of the bearer tokens.
+    Open, ///< Everybody who can connect, for a network that the platform guards.
+};
+
+/** Which manifest numbers are errors. */
+enum class NumberPolicy {
+    Strict, ///< Equal numbers with other content and unknown lower numbers are refused.
+    HighestWins, ///< A number that is not higher than the one in force is acknowledged and changes nothing.
+};
+
+/** Bound of the arrivals at a service beyond the first of each request, over all entry VMs. */
+struct RetryBudgetLimits {
+    double share = 0; ///< Of the requests of the window.
+    double slack = 0; ///< Arrivals that are allowed besides, over all entry VMs.
+    Milliseconds window { 10000 }; ///< Any span of this length counts.
+};
+
+/** Settings of one process. */
 struct Settings {
     std::string deployment; ///< Deployment id; messages of another deployment are dropped.
     std::string vm; ///< Name of this VM, unique.
@@ -31,7 +57,19 @@
     uint32_t controlId = 0; ///< Own id among the control VMs; role control.
     std::string linkListener; ///< host:port of the link listener; role control.
     std::string dataFolder; ///< Folder of the durable state; role control.
-    std::vector<ControlVmAddress> controlVms; ///< All control VMs.
+    std::vector<ControlVmAddress> controlVms; ///< All control VMs; empty when they are found through seeds.
+    std::vector<std::string> controlSeeds; ///< host:port of some control VMs' operator listeners; their links use `linkPort`.
+    uint32_t linkPort = 0; ///< Port of the link listeners of all control VMs; with seeds.
+    bool formGroup = false; ///< Whether this is the first start of the whole deployment, so that the seeds form the group.
+    uint32_t toleratedLosses = 2; ///< Control VMs that may be lost at once; with seeds the group grows to 2n + 1 voters.
+    LinkSecurity linkSecurity = LinkSecurity::Curve; ///< Protection of links.
+    ListenerAccess access = ListenerAccess::Tokens; ///< Protection of the operator listener.
+    ManifestPolicy manifestPolicy; ///< How manifests are read.
+    NumberPolicy numberPolicy = NumberPolicy::Strict; ///< Which numbers are errors.
+    std::optional<RetryBudgetLimits> retryBudget; ///< Absent: the manifest's retryShare of each service.
+    MeasuringBudget routeMeasuringBudget; ///< Of services that only routes lead to.
+    Milliseconds suspicionWait { 500 }; ///< Longest wait of a retry for the leader's record of a suspicion.
+    Milliseconds tickInterval { 10 }; ///< Between two turns of the timers of links and control.
     std::string curvePublicKey; ///< Own CURVE public key.
     std::string curveSecretKeyFile; ///< File with the own CURVE secret key.
     std::vector<std::string> allowedKeys; ///< CURVE public keys that may connect; role control.
--- a/packages/protocol/src/JsonReader.cpp
+++ b/packages/protocol/src/JsonReader.cpp
@@ -257,6 +257,8 @@
     if (!this->good() || !this->value.is_object())
         return;
     for (const auto& [key, ignored] : this->value.items()) {
+        if (this->codes.unknownKeys == UnknownKeys::Ignore)
+            break;
         if (std::find(this->known.begin(), this->known.end(), key) == this->known.end()) {
             this->fail(this->codes.unknownKey, key, "is not a known key");
             return;
--- a/packages/protocol/src/JsonReader.h
+++ b/packages/protocol/src/JsonReader.h
@@ -21,6 +21,7 @@
     ResultCode wrongType; ///< A value of another JSON type.
     ResultCode outOfRange; ///< A value outside its bounds.
     ResultCode missingKey; ///< A required key is absent.
+    UnknownKeys unknownKeys = UnknownKeys::Refuse; ///< Whether unknown keys are errors.
 };
 
 /** Whether a key must be present. */
--- a/packages/protocol/src/ManifestParser.cpp
+++ b/packages/protocol/src/ManifestParser.cpp
@@ -1,11 +1,10 @@
 /** @file ManifestParser.cpp Checks manifests, builds their model and writes their canonical text. */
 #include "kingcup/ManifestParser.h"
 
-#include "JsonReader.h"
+#include "ManifestText.h"
+#include "RouteParser.h"
 #include "kingcup/ManifestDigest.h"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <map>
@@ -17,14 +16,6 @@
 
 namespace {
 
-constexpr DocumentCodes manifestCodes = {
-    ResultCode::ManifestSyntax,
-    ResultCode::ManifestUnknownKey,
-    ResultCode::ManifestWrongType,
-    ResultCode::ManifestOutOfRange,
-    ResultCode::ManifestMissingKey,
-};
-
 constexpr EnumName<WhenIsolated> whenIsolatedNames[] = {
     { WhenIsolated::Refuse, "refuse" },
     { WhenIsolated::Serve, "serve" },
@@ -37,44 +28,18 @@
 
 constexpr uint64_t maxNumber = (uint64_t(1) << 53) - 1; ///< Largest number that every JSON library keeps exact.
 constexpr size_t maxServices = 10000; ///< Services of one manifest.
+constexpr size_t maxRoutes = 100000; ///< Routes of one manifest.
 constexpr size_t maxKinds = 200; ///< Kinds of one service; the overlap check is quadratic.
 constexpr size_t maxNotRunStatuses = 32; ///< Statuses of one kind.
-constexpr double dayMs = 24.0 * 3600 * 1000;
-
-/** Returns whether the text is an HTTP method in capitals, or "*". */
-bool isMethod(std::string_view text)
-{
-    return text == "*" || std::all_of(text.begin(), text.end(), [](char c) { return absl::ascii_isupper(static_cast<unsigned char>(c)); });
-}
-
-/** Returns whether the text is an absolute path without query, empty segments and dot segments. */
-bool isPlainPath(std::string_view text)
-{
-    auto allowed = [](char c) { return absl::ascii_isgraph(static_cast<unsigned char>(c)) && c != '?' && c != '#' && c != '*'; };
-    if (!text.starts_with('/') || !std::all_of(text.begin(), text.end(), allowed))
-        return false;
-    std::string closed = std::string(text) + "/";
-    bool emptySegment = text.find("//") != std::string_view::npos;
-    return !emptySegment && !absl::StrContains(closed, "/./") && !absl::StrContains(closed, "/../");
-}
 
-/** Returns whether the text is a plain path or a prefix that ends in "/" followed by "*". */
-bool isKindPath(std::string_view text)
+/** Returns whether a service's prefix is a plain path, or absent. */
+bool isServicePrefix(std::string_view text)
 {
-    return isPlainPath(text.ends_with("/*") ? text.substr(0, text.size() - 1) : text);
+    return text.empty() || prefixText.accepts(text);
 }
 
-/** Returns whether the text is a host name in small letters, with an optional port. */
-bool isHost(std::string_view text)
-{
-    auto allowed = [](char c) { return absl::ascii_islower(static_cast<unsigned char>(c)) || absl::ascii_isdigit(static_cast<unsigned char>(c)) || c == '.' || c == '-' || c == ':'; };
-    return std::all_of(text.begin(), text.end(), allowed);
-}
-
-constexpr TextRule methodText = { 1, 16, isMethod, "an HTTP method in capitals or \"*\"" };
-constexpr TextRule kindPathText = { 1, 512, isKindPath, "a path, or a prefix that ends in \"/*\"" };
-constexpr TextRule prefixText = { 1, 512, isPlainPath, "an absolute path" };
-constexpr TextRule hostText = { 0, 255, isHost, "a host name in small letters" };
+constexpr TextRule servicePrefixText = { 0, 512, isServicePrefix, "an absolute path" };
+constexpr TextRule healthPathText = { 0, 512, isServicePrefix, "an absolute path" };
 
 /** Describes the members of a hedge rule to a reader or writer. */
 template <typename Visitor, typename Rule>
@@ -98,6 +63,8 @@
     visitor.integer("priority", kind.priority, Presence::Optional, 0, 9);
     visitor.choice("whenIsolated", kind.whenIsolated, Presence::Optional, whenIsolatedNames);
     visitor.flag("keyRequired", kind.keyRequired, Presence::Optional);
+    visitor.milliseconds("objectiveMs", kind.objective, Presence::Optional, 0, dayMs);
+    visitor.integer("maxAttempts", kind.maxAttempts, Presence::Optional, 1, 10);
 }
 
 /** Describes the limits of a service. */
@@ -122,6 +89,7 @@
 {
     visitor.number("probesPerSecondPerTarget", budget.probesPerSecondPerTarget, Presence::Optional, 0, 1000);
     visitor.number("bytesPerSecondPerVm", budget.bytesPerSecondPerVm, Presence::Optional, 0, 1e9);
+    visitor.number("burstSeconds", budget.burstSeconds, Presence::Optional, 0, 60);
 }
 
 /** Describes the plain members of a service. */
@@ -130,8 +98,10 @@
 {
     visitor.text("name", service.name, Presence::Required, nameText);
     visitor.text("host", service.host, Presence::Optional, hostText);
-    visitor.text("pathPrefix", service.pathPrefix, Presence::Required, prefixText);
+    visitor.text("pathPrefix", service.pathPrefix, Presence::Optional, servicePrefixText);
     visitor.choice("zonePreference", service.zonePreference, Presence::Optional, zonePreferenceNames);
+    visitor.text("healthPath", service.healthPath, Presence::Optional, healthPathText);
+    visitor.integer("maxConnections", service.maxConnections, Presence::Optional, 0, 1000000);
 }
 
 /** Reads the statuses by which a target promises that it did not run a request. */
@@ -153,6 +123,8 @@
 {
     if (kind.mayWait > kind.deadline)
         reader.fail(manifestCodes.outOfRange, "mayWaitMs", "must not exceed deadlineMs");
+    if (kind.objective > kind.deadline)
+        reader.fail(manifestCodes.outOfRange, "objectiveMs", "must not exceed deadlineMs");
     if (kind.hedge && !kind.repeatable)
         reader.fail(manifestCodes.outOfRange, "hedge", "needs a repeatable kind, because a hedge runs the request twice");
     if (kind.keyRequired && kind.whenIsolated == WhenIsolated::Serve)
@@ -166,16 +138,16 @@
     const json* object = reader.object(key, Presence::Optional);
     if (!object)
         return;
-    JsonReader nested(*object, reader.pointerOf(key), manifestCodes, error);
+    JsonReader nested(*object, reader.pointerOf(key), reader.documentCodes(), error);
     describe(nested);
     nested.finish();
 }
 
 /** Reads one kind. */
-Kind readKind(const json& value, const std::string& pointer, DocumentError& error)
+Kind readKind(const json& value, const std::string& pointer, const DocumentCodes& codes, DocumentError& error)
 {
     Kind kind;
-    JsonReader reader(value, pointer, manifestCodes, error);
+    JsonReader reader(value, pointer, codes, error);
     describeKind(reader, kind);
     readNested(reader, "hedge", error, [&](JsonReader& nested) { describeHedge(nested, kind.hedge.emplace()); });
     readStatuses(reader, kind);
@@ -219,21 +191,23 @@
 }
 
 /** Reads one service. */
-Service readService(const json& value, const std::string& pointer, DocumentError& error)
+Service readService(const json& value, const std::string& pointer, const DocumentCodes& codes, DocumentError& error)
 {
     Service service;
-    JsonReader reader(value, pointer, manifestCodes, error);
+    JsonReader reader(value, pointer, codes, error);
     describeService(reader, service);
     readNested(reader, "limits", error, [&](JsonReader& nested) { describeLimits(nested, service.limits); });
     readNested(reader, "measuringBudget", error, [&](JsonReader& nested) { describeBudget(nested, service.measuringBudget); });
-    const json* kinds = reader.array("kinds", Presence::Required, 1, maxKinds);
+    const json* kinds = reader.array("kinds", Presence::Optional, 0, maxKinds);
     for (size_t i = 0; kinds && reader.good() && i < kinds->size(); i++) {
         std::string place = pointerTo(reader.pointerOf("kinds"), std::to_string(i));
-        Kind kind = readKind((*kinds)[i], place, error);
+        Kind kind = readKind((*kinds)[i], place, codes, error);
         checkOverlap(service.kinds, kind, place, error);
         service.kinds.push_back(std::move(kind));
     }
     reader.finish();
+    if (!service.kinds.empty() && service.pathPrefix.empty())
+        reader.fail(manifestCodes.missingKey, "pathPrefix", "is required");
     return service;
 }
 
@@ -278,31 +252,133 @@
         const Service& service = services[i];
         std::string pointer = absl::StrCat("/services/", i);
         std::string prefix = service.pathPrefix.ends_with("/") ? service.pathPrefix : service.pathPrefix + "/";
-        auto [selector, isNew] = selectors.emplace(std::pair(service.host, prefix), service.name);
-        if (!names.insert(service.name).second)
+        if (!names.insert(service.name).second) {
             error = { ResultCode::ManifestOverlap, pointer + "/name", absl::StrCat("service ", service.name, " is defined twice") };
-        else if (!isNew)
+            return;
+        }
+        if (service.kinds.empty())
+            continue;
+        auto [selector, isNew] = selectors.emplace(std::pair(service.host, prefix), service.name);
+        if (!isNew)
             error = { ResultCode::ManifestOverlap, pointer + "/pathPrefix", absl::StrCat("service ", selector->second, " has the same host and path prefix") };
     }
 }
 
+/** Refuses a route to a service that the manifest does not have. */
+void checkShares(const Manifest& manifest, DocumentError& error)
+{
+    std::set<std::string_view> services;
+    for (const Service& service : manifest.services)
+        services.insert(service.name);
+    for (size_t i = 0; i < manifest.routes.size() && error.code == ResultCode::Ok; i++) {
+        for (const RouteShare& share : manifest.routes[i].shares) {
+            if (!services.contains(share.service))
+                error = { ResultCode::ManifestOutOfRange, absl::StrCat("/routes/", i), absl::StrCat("names the unknown service ", share.service) };
+        }
+    }
+}
+
+/** Refuses a service that no request can reach, which is a mistake unless a pipeline lists its services before their routes. */
+void checkReachable(const Manifest& manifest, DocumentError& error)
+{
+    std::set<std::string_view> reached;
+    for (const Route& route : manifest.routes) {
+        for (const RouteShare& share : route.shares)
+            reached.insert(share.service);
+    }
+    for (size_t i = 0; i < manifest.services.size() && error.code == ResultCode::Ok; i++) {
+        const Service& service = manifest.services[i];
+        if (service.kinds.empty() && !reached.contains(service.name))
+            error = { ResultCode::ManifestOutOfRange, absl::StrCat("/services/", i, "/kinds"), "is empty, and no route leads to the service" };
+    }
+}
+
+/** Reads the routes. Two routes may have one host and prefix: the first by name is used. */
+void readRoutes(JsonReader& reader, Manifest& manifest, DocumentError& error)
+{
+    std::set<std::string> names;
+    const json* routes = reader.array("routes", Presence::Optional, 0, maxRoutes);
+    for (size_t i = 0; routes && reader.good() && i < routes->size(); i++) {
+        std::string place = pointerTo(reader.pointerOf("routes"), std::to_string(i));
+        Route route = readRoute((*routes)[i], place, reader.documentCodes(), error);
+        if (reader.good() && !names.insert(route.name).second)
+            error = { ResultCode::ManifestOverlap, place + "/name", absl::StrCat("route ", route.name, " is defined twice") };
+        manifest.routes.push_back(std::move(route));
+    }
+}
+
 /** Reads the whole document. */
-Manifest readManifest(const json& document, DocumentError& error)
+Manifest readManifest(const json& document, const DocumentCodes& codes, DocumentError& error)
 {
     Manifest manifest;
-    JsonReader reader(document, "", manifestCodes, error);
+    JsonReader reader(document, "", codes, error);
     reader.integer("number", manifest.number, Presence::Required, 1, maxNumber);
     const json* services = reader.array("services", Presence::Required, 0, maxServices);
     for (size_t i = 0; services && reader.good() && i < services->size(); i++)
-        manifest.services.push_back(readService((*services)[i], absl::StrCat("/services/", i), error));
+        manifest.services.push_back(readService((*services)[i], absl::StrCat("/services/", i), codes, error));
+    readRoutes(reader, manifest, error);
+    if (const json* limits = reader.object("callerLimits", Presence::Optional))
+        manifest.callerLimits = readCallerLimits(*limits, reader.pointerOf("callerLimits"), codes, error);
     reader.finish();
     checkServices(manifest.services, error);
+    checkShares(manifest, error);
+    if (codes.unknownKeys == UnknownKeys::Refuse)
+        checkReachable(manifest, error);
     return manifest;
 }
 
+/** Returns the canonical documents of a manifest, ordered by key. */
+std::vector<std::pair<std::string, std::string>> canonicalDocuments(const Manifest& manifest)
+{
+    std::vector<std::pair<std::string, std::string>> documents;
+    for (const Service& service : manifest.services)
+        documents.emplace_back(documentKey(DocumentType::Service, service.name), writeService(service));
+    for (const Route& route : manifest.routes)
+        documents.emplace_back(documentKey(DocumentType::Route, route.name), writeRoute(route));
+    if (manifest.callerLimits)
+        documents.emplace_back(documentKey(DocumentType::CallerLimits), writeCallerLimits(*manifest.callerLimits));
+    return documents;
+}
+
+/** Parses one document with a reader of its type. */
+template <typename Model>
+std::variant<Model, DocumentError> parseDocument(std::string_view text, Model (*read)(const json&, const std::string&, const DocumentCodes&, DocumentError&))
+{
+    std::variant<json, DocumentError> document = parseJson(text, manifestCodes);
+    if (auto* failure = std::get_if<DocumentError>(&document))
+        return *failure;
+    DocumentError error;
+    Model model = read(std::get<json>(document), "", manifestCodes, error);
+    if (error.code != ResultCode::Ok)
+        return error;
+    return model;
+}
+
+/** Prefixes of keys. Names of services have no slash, so no service has such a key. */
+constexpr EnumName<DocumentType> documentPrefixes[] = {
+    { DocumentType::Service, "" },
+    { DocumentType::Route, "route/" },
+    { DocumentType::CallerLimits, "callerLimits/" },
+    { DocumentType::Source, "source/" },
+};
+
 } // namespace
 
-std::variant<CheckedManifest, DocumentError> parseManifest(std::string_view text)
+std::string documentKey(DocumentType type, const std::string& name)
+{
+    return std::string(nameOf(documentPrefixes, type)) + name;
+}
+
+DocumentType documentType(std::string_view key)
+{
+    for (const EnumName<DocumentType>& row : documentPrefixes) {
+        if (!row.name.empty() && key.starts_with(row.name))
+            return row.value;
+    }
+    return DocumentType::Service;
+}
+
+std::variant<CheckedManifest, DocumentError> parseManifest(std::string_view text, const ManifestPolicy& policy)
 {
     if (text.size() > maxManifestBytes)
         return DocumentError { ResultCode::ManifestTooLarge, "", absl::StrCat("has more than ", maxManifestBytes, " bytes") };
@@ -311,30 +387,37 @@
         return *failure;
     DocumentError error;
     CheckedManifest checked;
-    checked.manifest = readManifest(std::get<json>(document), error);
+    const DocumentCodes& codes = policy.unknownKeys == UnknownKeys::Ignore ? lenientManifestCodes : manifestCodes;
+    checked.manifest = readManifest(std::get<json>(document), codes, error);
     if (error.code != ResultCode::Ok)
         return error;
-    std::vector<Service>& services = checked.manifest.services;
-    std::sort(services.begin(), services.end(), [](const Service& a, const Service& b) { return a.name < b.name; });
+    auto byName = [](const auto& a, const auto& b) { return a.name < b.name; };
+    std::sort(checked.manifest.services.begin(), checked.manifest.services.end(), byName);
+    std::sort(checked.manifest.routes.begin(), checked.manifest.routes.end(), byName);
+    checked.documents = canonicalDocuments(checked.manifest);
+    if (policy.keepSource)
+        checked.documents.emplace_back(documentKey(DocumentType::Source), text);
+    std::sort(checked.documents.begin(), checked.documents.end());
     ManifestDigest digest;
-    for (const Service& service : services) {
-        checked.documents.emplace_back(service.name, writeService(service));
-        digest.add(checked.documents.back().second);
-    }
+    for (const auto& [key, json] : checked.documents)
+        digest.add(json);
     checked.digest = digest.text();
     return checked;
 }
 
 std::variant<Service, DocumentError> parseService(std::string_view text)
 {
-    std::variant<json, DocumentError> document = parseJson(text, manifestCodes);
-    if (auto* failure = std::get_if<DocumentError>(&document))
-        return *failure;
-    DocumentError error;
-    Service service = readService(std::get<json>(document), "", error);
-    if (error.code != ResultCode::Ok)
-        return error;
-    return service;
+    return parseDocument<Service>(text, readService);
+}
+
+std::variant<Route, DocumentError> parseRoute(std::string_view text)
+{
+    return parseDocument<Route>(text, readRoute);
+}
+
+std::variant<CallerLimits, DocumentError> parseCallerLimits(std::string_view text)
+{
+    return parseDocument<CallerLimits>(text, readCallerLimits);
 }
 
 } // namespace kingcup
--- a/packages/protocol/src/Settings.cpp
+++ b/packages/protocol/src/Settings.cpp
@@ -2,6 +2,7 @@
 #include "kingcup/Settings.h"
 
 #include "JsonReader.h"
+#include "kingcup/ControlAddress.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -23,10 +24,31 @@
 };
 
 constexpr size_t maxControlVms = 9; ///< Control VMs of one deployment.
+constexpr size_t maxSeeds = 32; ///< Seeds of one process.
 constexpr size_t maxAllowedKeys = 10000; ///< Keys that may connect.
 constexpr double minuteMs = 60 * 1000;
 constexpr double hourMs = 60 * minuteMs;
 
+constexpr EnumName<LinkSecurity> linkSecurityNames[] = {
+    { LinkSecurity::Curve, "curve" },
+    { LinkSecurity::None, "none" },
+};
+
+constexpr EnumName<ListenerAccess> accessNames[] = {
+    { ListenerAccess::Tokens, "tokens" },
+    { ListenerAccess::Open, "open" },
+};
+
+constexpr EnumName<NumberPolicy> numberPolicyNames[] = {
+    { NumberPolicy::Strict, "strict" },
+    { NumberPolicy::HighestWins, "highest" },
+};
+
+constexpr EnumName<UnknownKeys> unknownKeysNames[] = {
+    { UnknownKeys::Refuse, "refuse" },
+    { UnknownKeys::Ignore, "ignore" },
+};
+
 /** Returns whether all characters belong to the alphabet of Z85 (ZeroMQ RFC 32). */
 bool isZ85(std::string_view text)
 {
@@ -61,13 +83,13 @@
 void readControlVms(JsonReader& reader, Settings& settings, DocumentError& error)
 {
     std::set<uint32_t> ids;
-    const json* vms = reader.array("controlVms", Presence::Required, 1, maxControlVms);
+    const json* vms = reader.array("controlVms", requiredIf(settings.controlSeeds.empty()), 1, maxControlVms);
     for (size_t i = 0; vms && i < vms->size(); i++) {
         ControlVmAddress vm;
         JsonReader nested((*vms)[i], pointerTo(reader.pointerOf("controlVms"), std::to_string(i)), settingsCodes, error);
         nested.integer("id", vm.id, Presence::Required, 1, 65535);
         nested.text("link", vm.link, Presence::Required, endpointText);
-        nested.text("publicKey", vm.publicKey, Presence::Required, keyText);
+        nested.text("publicKey", vm.publicKey, requiredIf(settings.linkSecurity == LinkSecurity::Curve), keyText);
         nested.finish();
         if (!ids.insert(vm.id).second)
             nested.fail(settingsCodes.outOfRange, "id", "is used twice");
@@ -75,6 +97,56 @@
     }
 }
 
+/** Reads how control VMs are found when they are not listed. */
+void readSeeds(JsonReader& reader, Settings& settings)
+{
+    const json* seeds = reader.array("controlSeeds", Presence::Optional, 1, maxSeeds);
+    for (size_t i = 0; seeds && i < seeds->size(); i++)
+        settings.controlSeeds.push_back(reader.textElement(*seeds, i, "controlSeeds", endpointText));
+    reader.integer("linkPort", settings.linkPort, requiredIf(seeds != nullptr), 1, 65535);
+    reader.flag("formGroup", settings.formGroup, Presence::Optional);
+    reader.integer("toleratedLosses", settings.toleratedLosses, Presence::Optional, 0, 4);
+}
+
+/** Reads what is protected and what is taken as it comes. */
+void readPolicies(JsonReader& reader, Settings& settings)
+{
+    reader.choice("linkSecurity", settings.linkSecurity, Presence::Optional, linkSecurityNames);
+    reader.choice("access", settings.access, Presence::Optional, accessNames);
+    reader.choice("manifestUnknownKeys", settings.manifestPolicy.unknownKeys, Presence::Optional, unknownKeysNames);
+    reader.flag("keepManifestSource", settings.manifestPolicy.keepSource, Presence::Optional);
+    reader.choice("manifestNumbers", settings.numberPolicy, Presence::Optional, numberPolicyNames);
+}
+
+/** Reads the retry budget. */
+void readRetryBudget(JsonReader& reader, Settings& settings, DocumentError& error)
+{
+    const json* object = reader.object("retryBudget", Presence::Optional);
+    if (!object)
+        return;
+    RetryBudgetLimits& budget = settings.retryBudget.emplace();
+    JsonReader nested(*object, reader.pointerOf("retryBudget"), settingsCodes, error);
+    nested.number("share", budget.share, Presence::Required, 0, 1);
+    nested.number("slack", budget.slack, Presence::Required, 0, 1e6);
+    double windowSeconds = 0;
+    nested.number("windowSeconds", windowSeconds, Presence::Required, 0.1, 3600);
+    budget.window = Milliseconds(windowSeconds * 1000);
+    nested.finish();
+}
+
+/** Reads the probe budget of services that only routes lead to. */
+void readMeasuringBudget(JsonReader& reader, Settings& settings, DocumentError& error)
+{
+    const json* object = reader.object("routeMeasuringBudget", Presence::Optional);
+    if (!object)
+        return;
+    JsonReader nested(*object, reader.pointerOf("routeMeasuringBudget"), settingsCodes, error);
+    nested.number("probesPerSecondPerTarget", settings.routeMeasuringBudget.probesPerSecondPerTarget, Presence::Optional, 0, 1000);
+    nested.number("bytesPerSecondPerVm", settings.routeMeasuringBudget.bytesPerSecondPerVm, Presence::Optional, 0, 1e9);
+    nested.number("burstSeconds", settings.routeMeasuringBudget.burstSeconds, Presence::Optional, 0, 60);
+    nested.finish();
+}
+
 /** Reads names, listeners and keys. */
 void readIdentity(JsonReader& reader, Settings& settings)
 {
@@ -83,13 +155,16 @@
     reader.text("availabilityZone", settings.availabilityZone, Presence::Required, nameText);
     reader.text("callerListener", settings.callerListener, requiredIf(settings.entry), endpointText);
     reader.text("operatorListener", settings.operatorListener, Presence::Required, endpointText);
-    reader.integer("controlId", settings.controlId, requiredIf(settings.control), 1, 65535);
+    bool listed = settings.controlSeeds.empty();
+    bool secured = settings.linkSecurity == LinkSecurity::Curve;
+    bool tokens = settings.access == ListenerAccess::Tokens;
+    reader.integer("controlId", settings.controlId, requiredIf(settings.control && listed), 1, 65535);
     reader.text("linkListener", settings.linkListener, requiredIf(settings.control), endpointText);
     reader.text("dataFolder", settings.dataFolder, requiredIf(settings.control), printableText);
-    reader.text("curvePublicKey", settings.curvePublicKey, Presence::Required, keyText);
-    reader.text("curveSecretKeyFile", settings.curveSecretKeyFile, Presence::Required, printableText);
-    reader.text("operatorTokenFile", settings.operatorTokenFile, Presence::Required, printableText);
-    reader.text("targetTokenFile", settings.targetTokenFile, Presence::Required, printableText);
+    reader.text("curvePublicKey", settings.curvePublicKey, requiredIf(secured), keyText);
+    reader.text("curveSecretKeyFile", settings.curveSecretKeyFile, requiredIf(secured), printableText);
+    reader.text("operatorTokenFile", settings.operatorTokenFile, requiredIf(tokens), printableText);
+    reader.text("targetTokenFile", settings.targetTokenFile, requiredIf(tokens), printableText);
     reader.text("logFile", settings.logFile, Presence::Optional, printableText);
     const json* keys = reader.array("allowedKeys", Presence::Optional, 0, maxAllowedKeys);
     for (size_t i = 0; keys && i < keys->size(); i++)
@@ -113,6 +188,19 @@
     reader.milliseconds("sessionIntervalMs", settings.sessionInterval, Presence::Optional, 1, minuteMs);
     reader.milliseconds("targetLeaseMs", settings.targetLease, Presence::Optional, 10, hourMs);
     reader.integer("snapshotEntries", settings.snapshotEntries, Presence::Optional, 1, 1u << 24);
+    reader.milliseconds("suspicionWaitMs", settings.suspicionWait, Presence::Optional, 0, minuteMs);
+    reader.milliseconds("tickMs", settings.tickInterval, Presence::Optional, 1, 1000);
+}
+
+/** Names a control VM that is found through seeds by the address of its links. */
+void deriveControlId(JsonReader& reader, Settings& settings)
+{
+    if (!settings.control || settings.controlSeeds.empty())
+        return;
+    std::optional<uint32_t> id = vmIdOfEndpoint(settings.linkListener);
+    if (!id)
+        reader.fail(settingsCodes.outOfRange, "linkListener", "must be an IPv4 address with controlSeeds");
+    settings.controlId = id.value_or(0);
 }
 
 /** Checks rules that concern several members. */
@@ -120,7 +208,7 @@
 {
     auto isSelf = [&](const ControlVmAddress& vm) { return vm.id == settings.controlId; };
     bool listed = std::any_of(settings.controlVms.begin(), settings.controlVms.end(), isSelf);
-    if (settings.control && !listed)
+    if (settings.control && settings.controlSeeds.empty() && !listed)
         reader.fail(settingsCodes.outOfRange, "controlId", "is not among controlVms");
     if (settings.heartbeatInterval * 2 > settings.electionTimeout)
         reader.fail(settingsCodes.outOfRange, "heartbeatIntervalMs", "must be at most half of electionTimeoutMs");
@@ -139,10 +227,15 @@
     Settings settings;
     JsonReader reader(std::get<json>(document), "", settingsCodes, error);
     readRoles(reader, settings);
+    readPolicies(reader, settings);
+    readSeeds(reader, settings);
     readIdentity(reader, settings);
+    readRetryBudget(reader, settings, error);
+    readMeasuringBudget(reader, settings, error);
     readControlVms(reader, settings, error);
     readLimits(reader, settings);
     reader.finish();
+    deriveControlId(reader, settings);
     checkTogether(reader, settings);
     if (error.code != ResultCode::Ok)
         return error;
--- /dev/null
+++ b/packages/protocol/tests/RouteParserTest.cpp
@@ -0,0 +1,119 @@
+/** @file RouteParserTest.cpp Guards routes, callers' limits and the policies for manifests of pipelines that write keys of their own. */
+#include "kingcup/ControlAddress.h"
+#include "kingcup/ManifestParser.h"
+
+#include "testing/Story.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace kingcup;
+using kingcup::testing::section;
+using nlohmann::json;
+
+namespace {
+
+json routedManifest()
+{
+    return json::parse(R"({
+        "number": 7,
+        "routes": [
+            {"name": "lookups", "host": "a.example", "pathPrefix": "/x/", "kind": "safe", "deadlineMs": 1200, "objectiveMs": 400, "priority": 2, "maxAttempts": 2,
+             "split": [{"service": "matters", "weight": 90}, {"service": "ledger", "weight": 10}]},
+            {"name": "posts", "host": "b.example", "pathPrefix": "/y/", "kind": "unsafe", "deadlineMs": 1500, "service": "ledger"}],
+        "services": [{"name": "matters", "healthPath": "/health", "maxConnections": 260}, {"name": "ledger"}],
+        "callerLimits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000}
+    })");
+}
+
+/** Returns the error of a changed manifest. */
+DocumentError errorOf(const std::string& place, const json& value, const ManifestPolicy& policy = {})
+{
+    json changed = routedManifest();
+    changed[json::json_pointer(place)] = value;
+    auto result = parseManifest(changed.dump(), policy);
+    auto* error = std::get_if<DocumentError>(&result);
+    return error ? *error : DocumentError {};
+}
+
+} // namespace
+
+TEST(RouteParserTest, readsRoutes)
+{
+    auto parsed = parseManifest(routedManifest().dump());
+    ASSERT_TRUE(std::holds_alternative<CheckedManifest>(parsed)) << std::get<DocumentError>(parsed).text;
+    const CheckedManifest& checked = std::get<CheckedManifest>(parsed);
+    section("rules follow from the kind", [&] {
+        const Route& lookups = checked.manifest.routes[0];
+        const Route& posts = checked.manifest.routes[1];
+        EXPECT_TRUE(lookups.rules.repeatable);
+        EXPECT_FALSE(posts.rules.repeatable);
+        EXPECT_EQ(lookups.rules.objective, Milliseconds(400));
+        EXPECT_EQ(posts.rules.objective, posts.rules.deadline);
+        EXPECT_EQ(lookups.shares.size(), 2u);
+        EXPECT_EQ(posts.shares[0].service, "ledger");
+        EXPECT_EQ(posts.rules.whenIsolated, WhenIsolated::Serve);
+    });
+    section("documents are stored under keys of their type and read back", [&] {
+        size_t routes = 0;
+        for (const auto& [key, text] : checked.documents) {
+            if (documentType(key) != DocumentType::Route)
+                continue;
+            routes++;
+            EXPECT_TRUE(std::holds_alternative<Route>(parseRoute(text))) << text;
+        }
+        EXPECT_EQ(routes, 2u);
+        EXPECT_EQ(documentType("route"), DocumentType::Service);
+        EXPECT_EQ(documentType(documentKey(DocumentType::CallerLimits)), DocumentType::CallerLimits);
+    });
+}
+
+TEST(RouteParserTest, refusesWhatCannotWork)
+{
+    section("a route to an unknown service", [] { EXPECT_EQ(errorOf("/routes/1/service", "nobody").code, ResultCode::ManifestOutOfRange); });
+    section("a share of an unknown service", [] { EXPECT_EQ(errorOf("/routes/0/split/1/service", "nobody").pointer, "/routes/0"); });
+    section("a deadline over ten minutes", [] {
+        EXPECT_EQ(errorOf("/routes/0/deadlineMs", 600001).pointer, "/routes/0/deadlineMs");
+        EXPECT_EQ(errorOf("/routes/0/deadlineMs", 600000).code, ResultCode::Ok);
+    });
+    section("an objective a minute or more behind the deadline", [] {
+        EXPECT_EQ(errorOf("/routes/0/objectiveMs", 61200).pointer, "/routes/0/objectiveMs");
+        EXPECT_EQ(errorOf("/routes/0/objectiveMs", 61199).code, ResultCode::Ok);
+    });
+    section("an unknown kind", [] { EXPECT_EQ(errorOf("/routes/0/kind", "streaming").pointer, "/routes/0/kind"); });
+    section("a service that nothing leads to, unless the pipeline writes keys of its own", [] {
+        json unused = { { "name", "unused" } };
+        EXPECT_EQ(errorOf("/services/2", unused).pointer, "/services/2/kinds");
+        EXPECT_EQ(errorOf("/services/2", unused, { UnknownKeys::Ignore, false }).code, ResultCode::Ok);
+    });
+    section("a text that is cut short", [] {
+        std::string text = routedManifest().dump();
+        for (size_t length = 0; length < text.size(); length += 7)
+            EXPECT_TRUE(std::holds_alternative<DocumentError>(parseManifest(text.substr(0, length), { UnknownKeys::Ignore, true }))) << length;
+    });
+}
+
+TEST(RouteParserTest, keepsToItsPolicy)
+{
+    section("unknown keys are refused or have no effect", [] {
+        EXPECT_EQ(errorOf("/routes/0/color", "blue").code, ResultCode::ManifestUnknownKey);
+        EXPECT_EQ(errorOf("/routes/0/color", "blue", { UnknownKeys::Ignore, false }).code, ResultCode::Ok);
+        EXPECT_EQ(errorOf("/services/0/Protocol", "h1", { UnknownKeys::Ignore, false }).code, ResultCode::Ok);
+    });
+    section("the text is kept as it came", [] {
+        std::string text = routedManifest().dump(3);
+        auto parsed = parseManifest(text, { UnknownKeys::Refuse, true });
+        bool found = false;
+        for (const auto& [key, document] : std::get<CheckedManifest>(parsed).documents)
+            found = found || (documentType(key) == DocumentType::Source && document == text);
+        EXPECT_TRUE(found);
+    });
+}
+
+TEST(ControlAddressTest, namesVmsByTheirAddress)
+{
+    EXPECT_EQ(vmIdOfEndpoint("10.1.0.21:8382"), 0x0a010015u);
+    EXPECT_EQ(hostOfVmId(0x0a010015u), "10.1.0.21");
+    EXPECT_EQ(vmIdOfEndpoint("control-1:8382"), std::nullopt);
+    EXPECT_EQ(vmIdOfEndpoint("0.0.0.0:1"), std::nullopt);
+}
--- a/packages/state/include/kingcup/MillisecondClock.h
+++ b/packages/state/include/kingcup/MillisecondClock.h
@@ -6,7 +6,7 @@
 
 namespace kingcup {
 
-/** Monotonic clock that counts in fractional milliseconds. */
+/** Monotonic clock that counts in fractional milliseconds, also while the machine is suspended. */
 struct MillisecondClock {
     using rep = double;
     using period = std::milli;
@@ -17,7 +17,7 @@
     /** Returns the monotonic time of this machine. */
     static time_point now();
 
-    /** Returns the wall time in milliseconds since 1970-01-01 UTC. */
+    /** Returns the wall time in milliseconds since 1970-01-01 UTC, for logs only: it may jump. */
     static int64_t wallTimeMs();
 };
 
--- a/packages/state/src/MillisecondClock.cpp
+++ b/packages/state/src/MillisecondClock.cpp
@@ -1,12 +1,16 @@
 /** @file MillisecondClock.cpp Reads the clocks of the machine. */
 #include "kingcup/MillisecondClock.h"
 
+#include <ctime>
+
 namespace kingcup {
 
 MillisecondClock::time_point MillisecondClock::now()
 {
-    auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point(std::chrono::duration_cast<duration>(sinceOrigin));
+    // The steady clock of the C++ library stands still while the machine is suspended, and a lease must not outlive that.
+    timespec sinceOrigin {};
+    clock_gettime(CLOCK_BOOTTIME, &sinceOrigin);
+    return time_point(std::chrono::seconds(sinceOrigin.tv_sec) + std::chrono::nanoseconds(sinceOrigin.tv_nsec));
 }
 
 int64_t MillisecondClock::wallTimeMs()
--- a/packages/transport/include/kingcup/Link.h
+++ b/packages/transport/include/kingcup/Link.h
@@ -32,6 +32,7 @@
 
 /** Options of a hub. */
 struct LinkHubOptions {
+    bool secured = true; ///< Whether links use CURVE; without it anybody who can connect is trusted.
     std::string deployment; ///< Messages of other deployments are dropped.
     std::string sender; ///< Own VM name.
     uint32_t senderVm = 0; ///< Own control VM id; 0 for entry VMs.
@@ -76,6 +77,9 @@
     /** Sends to a control VM. Deployment and sender are filled in. */
     void send(uint32_t vm, wire::Envelope envelope);
 
+    /** Connects to a further control VM, unless there is a connection to it. */
+    void connect(LinkPeer peer);
+
     /** Answers the sender of a received message. */
     void reply(const LinkOrigin& origin, wire::Envelope envelope);
 
--- a/packages/transport/include/kingcup/UpstreamClient.h
+++ b/packages/transport/include/kingcup/UpstreamClient.h
@@ -1,6 +1,7 @@
 /** @file UpstreamClient.h HTTP/1.1 client towards targets on libcurl's multi interface. */
 #pragma once
 
+#include "kingcup/EnumNames.h"
 #include "kingcup/HttpTypes.h"
 #include "kingcup/MillisecondClock.h"
 
@@ -21,6 +22,16 @@
     Invalid, ///< The answer is not valid HTTP.
 };
 
+constexpr EnumName<UpstreamOutcome> upstreamOutcomeNames[] = {
+    { UpstreamOutcome::Complete, "complete" },
+    { UpstreamOutcome::ConnectFailed, "connect_failed" },
+    { UpstreamOutcome::ConnectionLost, "connection_lost" },
+    { UpstreamOutcome::Truncated, "truncated" },
+    { UpstreamOutcome::TimedOut, "timed_out" },
+    { UpstreamOutcome::Cancelled, "cancelled" },
+    { UpstreamOutcome::Invalid, "invalid" },
+};
+
 /** Result of an attempt. */
 struct UpstreamResult {
     UpstreamOutcome outcome = UpstreamOutcome::ConnectFailed; ///< How it ended.
@@ -44,6 +55,8 @@
     Milliseconds connectTimeout { 1000 }; ///< For opening a connection.
     TimePoint deadline {}; ///< End of the attempt.
     uint64_t maxHeaderBytes = 64u << 10; ///< Largest answer header.
+    bool takesUnframedAnswer = false; ///< Whether an answer without length may end with its connection; one that is reset is truncated.
+    std::function<bool(const HttpAnswerHead&)> acceptsAnswer; ///< Whether the answer belongs to this request; otherwise it is invalid and its connection is closed.
 
     std::function<void(const HttpAnswerHead&)> onHead; ///< Final answer's header (1xx are skipped).
     std::function<bool(std::string_view)> onData; ///< Body bytes; returning false pauses after taking them, until resume().
--- a/packages/transport/src/AnswerParser.cpp
+++ b/packages/transport/src/AnswerParser.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-AnswerParser::AnswerParser(std::string_view requestMethod, uint64_t headerLimit)
+AnswerParser::AnswerParser(std::string_view requestMethod, uint64_t headerLimit, bool takesUnframed)
     : headRequest(requestMethod == "HEAD")
+    , takesUnframedBody(takesUnframed)
     , maxHeaderBytes(headerLimit)
 {
 }
@@ -65,8 +66,8 @@
     if (!framing || (framing->chunked && this->oldVersion))
         return Progress::Invalid;
     bool bodyless = this->headRequest || isBodylessStatus(status);
-    // A body that ends with the connection looks the same when the target crashes halfway.
-    if (!bodyless && !framing->chunked && !framing->contentLength)
+    // A body that ends with the connection looks the same when the target stops halfway without a reset.
+    if (!this->takesUnframedBody && !bodyless && !framing->chunked && !framing->contentLength)
         return Progress::Invalid;
     this->answerHead.contentLength = framing->contentLength;
     this->isComplete = true;
--- a/packages/transport/src/AnswerParser.h
+++ b/packages/transport/src/AnswerParser.h
@@ -18,7 +18,7 @@
     };
 
     /** @param requestMethod HEAD answers have no body. @param headerLimit Largest header in bytes. */
-    AnswerParser(std::string_view requestMethod, uint64_t headerLimit);
+    AnswerParser(std::string_view requestMethod, uint64_t headerLimit, bool takesUnframed);
 
     /** Takes one line with its line end. */
     Progress takeLine(std::string_view line);
@@ -38,6 +38,7 @@
     Progress endHeader();
 
     bool headRequest = false; ///< The request's method is HEAD.
+    bool takesUnframedBody = false; ///< Whether a body may end with its connection.
     uint64_t maxHeaderBytes = 0; ///< Limit.
     uint64_t headerBytes = 0; ///< Received.
     bool oldVersion = false; ///< HTTP/1.0, which has no chunked coding.
--- a/packages/transport/src/Link.cpp
+++ b/packages/transport/src/Link.cpp
@@ -23,6 +23,7 @@
 constexpr int reconnectIntervalMs = 50;
 constexpr int maxReconnectIntervalMs = 500;
 constexpr int connectTimeoutMs = 1000;
+constexpr int unacknowledgedLimitMs = 2000; // As long as a missing heartbeat is borne.
 constexpr int handshakeTimeoutMs = 2000;
 constexpr int lingerMs = 200;
 constexpr size_t keyLength = 40;
@@ -37,6 +38,10 @@
     socket.set(zmq::sockopt::heartbeat_ivl, heartbeatIntervalMs);
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMs);
     socket.set(zmq::sockopt::handshake_ivl, handshakeTimeoutMs);
+    // A peer that lost its power answers nothing; without this limit the kernel would repeat the data for minutes.
+    socket.set(zmq::sockopt::tcp_maxrt, unacknowledgedLimitMs);
+    if (!options.secured)
+        return;
     socket.set(zmq::sockopt::curve_publickey, options.keys.publicKey);
     socket.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
 }
@@ -81,6 +86,7 @@
     std::thread thread; ///< Owns the sockets while it runs.
 
     void open();
+    void connectPeer(const LinkPeer& peer);
     void run();
     void poll(Milliseconds timeout);
     void runTasks();
@@ -93,27 +99,38 @@
 /** Creates, secures and connects all sockets. Throws zmq::error_t. */
 void LinkHub::State::open()
 {
-    this->zap = std::make_unique<ZapHandler>(this->context, this->options.allowedKeys);
+    if (this->options.secured)
+        this->zap = std::make_unique<ZapHandler>(this->context, this->options.allowedKeys);
     if (!this->options.listen.empty()) {
         this->router = std::make_unique<zmq::socket_t>(this->context, zmq::socket_type::router);
         configure(*this->router, this->options);
-        this->router->set(zmq::sockopt::curve_server, true);
-        this->router->set(zmq::sockopt::zap_domain, "kingcup");
+        if (this->options.secured) {
+            this->router->set(zmq::sockopt::curve_server, true);
+            this->router->set(zmq::sockopt::zap_domain, "kingcup");
+        }
         this->router->bind("tcp://" + this->options.listen);
     }
-    for (const LinkPeer& peer : this->options.peers) {
-        zmq::socket_t dealer(this->context, zmq::socket_type::dealer);
-        configure(dealer, this->options);
-        // Messages for a peer without a connection are dropped, because they would be stale when it returns.
-        dealer.set(zmq::sockopt::immediate, true);
-        dealer.set(zmq::sockopt::reconnect_ivl, reconnectIntervalMs);
-        dealer.set(zmq::sockopt::reconnect_ivl_max, maxReconnectIntervalMs);
-        dealer.set(zmq::sockopt::connect_timeout, connectTimeoutMs);
+    for (const LinkPeer& peer : this->options.peers)
+        this->connectPeer(peer);
+}
+
+/** Opens the connection to a control VM, unless there is one. Throws zmq::error_t. */
+void LinkHub::State::connectPeer(const LinkPeer& peer)
+{
+    if (this->dealers.contains(peer.vm))
+        return;
+    zmq::socket_t dealer(this->context, zmq::socket_type::dealer);
+    configure(dealer, this->options);
+    // Messages for a peer without a connection are dropped, because they would be stale when it returns.
+    dealer.set(zmq::sockopt::immediate, true);
+    dealer.set(zmq::sockopt::reconnect_ivl, reconnectIntervalMs);
+    dealer.set(zmq::sockopt::reconnect_ivl_max, maxReconnectIntervalMs);
+    dealer.set(zmq::sockopt::connect_timeout, connectTimeoutMs);
+    if (this->options.secured)
         dealer.set(zmq::sockopt::curve_serverkey, peer.publicKey);
-        dealer.connect("tcp://" + peer.address);
-        this->dealers.emplace(peer.vm, std::move(dealer));
-        this->peerKeys.emplace(peer.vm, peer.publicKey);
-    }
+    dealer.connect("tcp://" + peer.address);
+    this->dealers.emplace(peer.vm, std::move(dealer));
+    this->peerKeys.emplace(peer.vm, peer.publicKey);
 }
 
 /** Body of the thread. */
@@ -137,7 +154,8 @@
 {
     std::vector<zmq::pollitem_t> items;
     items.push_back({ nullptr, this->wakeDescriptor, ZMQ_POLLIN, 0 });
-    items.push_back({ this->zap->handle(), 0, ZMQ_POLLIN, 0 });
+    if (this->zap)
+        items.push_back({ this->zap->handle(), 0, ZMQ_POLLIN, 0 });
     if (this->router)
         items.push_back({ this->router->handle(), 0, ZMQ_POLLIN, 0 });
     for (auto& [vm, dealer] : this->dealers)
@@ -149,7 +167,8 @@
         uint64_t count = 0;
         [[maybe_unused]] ssize_t bytes = read(this->wakeDescriptor, &count, sizeof(count));
     }
-    this->zap->answerRequests();
+    if (this->zap)
+        this->zap->answerRequests();
     if (this->router)
         this->receiveAll(*this->router, 0);
     for (auto& [vm, dealer] : this->dealers)
@@ -207,7 +226,7 @@
 /** A message that claims to come from a control VM must be authenticated with that VM's key. */
 bool LinkHub::State::senderAuthentic(const wire::Envelope& envelope, const std::string& key) const
 {
-    if (!envelope.sender_vm())
+    if (!envelope.sender_vm() || !this->options.secured)
         return true;
     auto peer = this->peerKeys.find(envelope.sender_vm());
     return peer != this->peerKeys.end() && peer->second == key;
@@ -276,6 +295,17 @@
     });
 }
 
+void LinkHub::connect(LinkPeer peer)
+{
+    this->post([state = this->state.get(), peer = std::move(peer)] {
+        try {
+            state->connectPeer(peer);
+        } catch (const zmq::error_t&) {
+            state->dropped++;
+        }
+    });
+}
+
 void LinkHub::reply(const LinkOrigin& origin, wire::Envelope envelope)
 {
     if (origin.route.empty()) {
--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -41,7 +41,7 @@
 UpstreamAttempt::UpstreamAttempt(UpstreamClient::AttemptHandle handle, UpstreamRequest attemptRequest, TimePoint attemptStart)
     : id(handle)
     , request(std::move(attemptRequest))
-    , parser(this->request.method, this->request.maxHeaderBytes)
+    , parser(this->request.method, this->request.maxHeaderBytes, this->request.takesUnframedAnswer)
     , startTime(attemptStart)
 {
 }
@@ -155,10 +155,13 @@
     if (!this->parser.sawBytes())
         this->firstByteTime = MillisecondClock::now();
     AnswerParser::Progress progress = this->parser.takeLine(line);
-    this->invalid = progress == AnswerParser::Progress::Invalid;
+    bool isForeign = progress == AnswerParser::Progress::Complete && this->request.acceptsAnswer && !this->request.acceptsAnswer(this->parser.head());
+    this->invalid = isForeign || progress == AnswerParser::Progress::Invalid;
+    if (this->invalid)
+        return false;
     if (progress == AnswerParser::Progress::Complete && this->request.onHead)
         this->request.onHead(this->parser.head());
-    return !this->invalid;
+    return true;
 }
 
 size_t UpstreamAttempt::onBodyBytes(char* bytes, size_t size, size_t count, void* self)
--- a/programs/kingcupswitchd/ControlLeader.cpp
+++ b/programs/kingcupswitchd/control/ControlLeader.cpp
@@ -87,6 +87,14 @@
     }
 }
 
+/** Returns what an entry VM lacks, with the time by which its quarantines end. */
+wire::ConfigurationChanges ControlNode::changesSince(LogIndex index) const
+{
+    wire::ConfigurationChanges changes = this->machine.changesSince(index);
+    changes.set_log_time_ms(this->driver->logTimeMs(MillisecondClock::now()));
+    return changes;
+}
+
 /** Sends new changes to every entry VM that lacks them. */
 void ControlNode::pushConfiguration()
 {
@@ -95,7 +103,7 @@
         if (subscriber.sentIndex >= newest)
             continue;
         wire::Envelope envelope;
-        *envelope.mutable_configuration_push()->mutable_changes() = this->machine.changesSince(subscriber.sentIndex);
+        *envelope.mutable_configuration_push()->mutable_changes() = this->changesSince(subscriber.sentIndex);
         subscriber.sentIndex = newest;
         this->hub->reply(subscriber.origin, std::move(envelope));
     }
@@ -125,6 +133,7 @@
     if (this->leads() == this->wasLeader)
         return;
     this->wasLeader = this->leads();
+    this->membership->roleChanged();
     this->soundLeader = false;
     this->subscribers.clear();
     this->pendingTargets.clear();
--- a/programs/kingcupswitchd/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -16,6 +16,7 @@
 constexpr Milliseconds diskCheckInterval { 1000 };
 constexpr uint64_t diskReserveBytes = 32u << 20; ///< New commands are refused below this, so that what is accepted can still be written.
 constexpr int stateFailureExitCode = 70;
+constexpr Milliseconds replacementSilence { 5000 }; ///< Longer than a restart takes, shorter than the next loss is expected.
 
 /** Ends the process at once, because its durable or replicated state is no longer known to be right. */
 [[noreturn]] void endAfterFailure(std::error_code error)
@@ -55,6 +56,20 @@
     return rules;
 }
 
+/** Returns when members are exchanged. A VM that is named by its address cannot run twice, so its old incarnation has ended. */
+MembershipPlannerOptions plannerOptions(const Settings& settings, const ControlDirectory& directory)
+{
+    MembershipPlannerOptions options;
+    options.wantedVoters = directory.firstVms().size();
+    if (!directory.isOpen())
+        return options;
+    options.wantedVoters = 2 * settings.toleratedLosses + 1;
+    options.takesUnknownVms = true;
+    options.oldIncarnationSilence = Milliseconds(0);
+    options.voterSilence = replacementSilence;
+    return options;
+}
+
 } // namespace
 
 ControlNode::ControlNode()
@@ -62,8 +77,9 @@
 {
 }
 
-std::error_code ControlNode::open(const Settings& settings, uint64_t newIncarnation)
+std::error_code ControlNode::open(const Settings& settings, const ControlDirectory& controlDirectory, uint64_t newIncarnation)
 {
+    this->directory = &controlDirectory;
     this->settings = settings;
     std::error_code error = DataFolder::open(settings.dataFolder, settings.deployment, settings.controlId, newIncarnation, this->folder);
     if (error)
@@ -92,6 +108,7 @@
     LogDriverHooks hooks;
     hooks.apply = [this](LogIndex index, const wire::Command& command) { return this->apply(index, command); };
     hooks.save = [this] { return this->machine.save(); };
+    hooks.logTimeMs = [this] { return this->machine.logTimeMs(); };
     hooks.load = [this](const std::string& data) {
         ResultCode code = this->machine.load(data);
         logLine(LogLevel::Info, "snapshot_loaded", { { "result", resultCodeRow(code).name } });
@@ -108,10 +125,11 @@
     membershipOptions.self = options.self;
     membershipOptions.incarnation = options.incarnation;
     membershipOptions.deployment = this->settings.deployment;
-    for (const ControlVmAddress& address : this->settings.controlVms)
-        membershipOptions.addresses[address.id] = address.link;
+    membershipOptions.founders = this->directory->firstVms();
+    membershipOptions.formsGroup = this->settings.formGroup;
+    membershipOptions.planner = plannerOptions(this->settings, *this->directory);
     auto mark = [this] { return this->folder->markBootstrapped(); };
-    this->membership = std::make_unique<MembershipManager>(std::move(membershipOptions), *this->driver, hub, mark, this->folder->identity().bootstrapped);
+    this->membership = std::make_unique<MembershipManager>(std::move(membershipOptions), *this->directory, *this->driver, hub, mark, this->folder->identity().bootstrapped);
 }
 
 void ControlNode::stop()
--- a/programs/kingcupswitchd/ControlNode.h
+++ b/programs/kingcupswitchd/control/ControlNode.h
@@ -25,7 +25,7 @@
     ControlNode();
 
     /** Opens the data folder. Errors of DataFolder and LogStorage. */
-    std::error_code open(const Settings& settings, uint64_t newIncarnation);
+    std::error_code open(const Settings& settings, const ControlDirectory& directory, uint64_t newIncarnation);
 
     /** Connects the node with the hub, whose thread must not run yet. @param seed Of random numbers. */
     void start(LinkHub& hub, uint64_t seed);
@@ -36,6 +36,9 @@
     /** Advances time. */
     void tick();
 
+    /** Takes over other seeds. */
+    void setSeeds(std::vector<VmId> vms) { this->membership->setSeeds(std::move(vms)); }
+
     /** Forms the group. */
     void bootstrap(MembershipManager::Done done);
 
@@ -84,6 +87,8 @@
     void answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result);
     void proposeManifest(const std::string& text, int attempt, LogDriver::Done done);
     void considerTarget(const wire::TargetRecord& target);
+    bool resolveDeparture(wire::ChangeTarget& change);
+    void proposeReplacedGone(const wire::TargetRecord& target);
     void proposeTarget(const wire::TargetRecord& target);
     void proposeEntryVmGone(const std::string& entryVm, uint64_t incarnation);
     void proposeInternal(wire::Command command);
@@ -95,9 +100,14 @@
     void checkDisk(TimePoint now);
     ResultCode leaderCode() const;
     nlohmann::json answerQuery(const std::string& subject) const;
+    nlohmann::json manifestInForce() const;
     nlohmann::json manifestStatus(uint64_t number) const;
 
+    wire::ConfigurationChanges changesSince(LogIndex index) const;
+    void addControlVms(wire::SessionAnswer& answer) const;
+
     Settings settings; ///< Of this process.
+    const ControlDirectory* directory = nullptr; ///< Addresses.
     std::unique_ptr<DataFolder> folder; ///< Durable state.
     std::unique_ptr<LogStorage> storage; ///< Log and snapshots in it.
     DurableLogState durable; ///< Read at the start.
@@ -110,6 +120,7 @@
     std::map<std::string, Subscriber> subscribers; ///< Entry VMs by name.
     std::set<std::pair<std::string, std::string>> pendingTargets; ///< Targets with a proposal under way.
     std::vector<AwaitedConfiguration> awaitedConfigurations; ///< Answers that wait until all entry VMs hold a configuration.
+    std::set<std::string> leftInstances; ///< Instances that left before this leader knew them.
     bool pushPosted = false; ///< A push is waiting in the hub.
     bool wasLeader = false; ///< Role at the last change.
     bool soundLeader = false; ///< Whether the soft state was set up for this term of leadership.
--- a/programs/kingcupswitchd/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr size_t loadDigestBytes = 2048; ///< In one answer a second, within the 4 KB/s of control traffic.
-constexpr int maxManifestAttempts = 5; ///< Tries of a change whose base was replaced meanwhile.
+constexpr int maxManifestAttempts = 16; ///< Tries of a change whose base was replaced meanwhile.
 
 /** Returns whether an announcement changes the record of a target. */
 bool differs(const wire::TargetRecord& announced, const wire::TargetRecord* known)
@@ -21,7 +21,7 @@
     if (!known)
         return announced.state() != wire::TARGET_GONE;
     return announced.incarnation() != known->incarnation() || announced.state() != known->state() || announced.slots() != known->slots()
-        || announced.availability_zone() != known->availability_zone();
+        || announced.availability_zone() != known->availability_zone() || announced.instance() != known->instance();
 }
 
 } // namespace
@@ -46,7 +46,8 @@
         this->answerConfirmed(now);
         body->set_lease_ms(static_cast<uint64_t>(this->settings.leaseTerm.count()));
         body->set_live_entry_vms(this->sessions->liveEntryVms(now));
-        *body->mutable_changes() = this->machine.changesSince(request.held_index());
+        *body->mutable_changes() = this->changesSince(request.held_index());
+        this->addControlVms(*body);
         this->subscribers[request.entry_vm()] = { origin, this->machine.configurationIndex() };
         if (request.leaving())
             this->subscribers.erase(request.entry_vm());
@@ -54,6 +55,15 @@
     this->hub->reply(origin, std::move(answer));
 }
 
+/** Tells an entry VM the members, so that it finds them when its seeds are gone. */
+void ControlNode::addControlVms(wire::SessionAnswer& answer) const
+{
+    if (!this->directory->isOpen())
+        return;
+    for (const wire::Member& member : this->driver->log().membership().members())
+        answer.add_control_vms(member.vm_id());
+}
+
 void ControlNode::answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result)
 {
     wire::Envelope answer;
@@ -79,20 +89,45 @@
         this->proposeManifest(request.manifest_json(), 1, done);
         return;
     }
-    wire::CommandResult checked = this->machine.check(request.command());
+    wire::Command command = request.command();
+    if (command.has_change_target() && !this->resolveDeparture(*command.mutable_change_target())) {
+        done({});
+        return;
+    }
+    wire::CommandResult checked = this->machine.check(command);
     if (checked.result_code() != 0) {
         done(checked);
         return;
     }
-    if (request.command().has_claim())
+    if (command.has_claim())
         failPoint("leader.claim_received");
-    this->driver->propose(request.command(), request.command().has_suspicion() ? this->answeredOnceInForce(done) : done);
+    this->driver->propose(std::move(command), request.command().has_suspicion() ? this->answeredOnceInForce(done) : done);
+}
+
+/** Completes the record of a target that drains or left. Returns false when it gets no work under this name in any case. */
+bool ControlNode::resolveDeparture(wire::ChangeTarget& change)
+{
+    const std::string& instance = change.target().instance();
+    if (!change.target().service().empty() || instance.empty())
+        return this->machine.assignIncarnation(*change.mutable_target());
+    for (const wire::TargetRecord& known : this->machine.targets()) {
+        if (known.instance() != instance)
+            continue;
+        *change.mutable_target() = known;
+        change.mutable_target()->set_state(wire::TARGET_GONE);
+        return true;
+    }
+    constexpr size_t maxLeftInstances = 1000;
+    if (this->leftInstances.size() >= maxLeftInstances)
+        this->leftInstances.clear();
+    this->leftInstances.insert(instance);
+    return false;
 }
 
 /** Checks a manifest again, turns it into a change against the one in force and proposes that. */
 void ControlNode::proposeManifest(const std::string& text, int attempt, LogDriver::Done done)
 {
-    auto parsed = parseManifest(text);
+    auto parsed = parseManifest(text, this->settings.manifestPolicy);
     if (const DocumentError* error = std::get_if<DocumentError>(&parsed)) {
         wire::CommandResult refused;
         refused.set_result_code(static_cast<int>(error->code));
@@ -102,6 +137,7 @@
     }
     wire::Command command;
     *command.mutable_apply_manifest() = makeApplyManifest(this->machine, std::get<CheckedManifest>(parsed));
+    command.mutable_apply_manifest()->set_highest_number_wins(this->settings.numberPolicy == NumberPolicy::HighestWins);
     wire::CommandResult checked = this->machine.check(command);
     if (checked.result_code() != 0) {
         done(checked);
@@ -122,13 +158,19 @@
     answer.set_request_id(envelope.request_id());
     wire::HeartbeatAnswer* body = answer.mutable_heartbeat_answer();
     ResultCode code = this->leaderCode();
+    if (code == ResultCode::Ok && !this->soundLeader)
+        code = ResultCode::NoQuorum;
     body->set_result_code(static_cast<int>(code));
-    if (code == ResultCode::Ok && this->soundLeader) {
+    if (code == ResultCode::Ok) {
         TimePoint now = MillisecondClock::now();
-        for (const wire::TargetLoad& load : envelope.heartbeat_batch().targets()) {
+        for (wire::TargetLoad load : envelope.heartbeat_batch().targets()) {
+            if (!this->machine.assignIncarnation(*load.mutable_target()))
+                continue;
             const wire::TargetRecord* known = this->machine.findTarget(load.target().service(), load.target().address());
             if (known && known->incarnation() > load.target().incarnation())
                 continue;
+            if (load.cold_left_ms())
+                load.mutable_target()->set_cold_until_log_ms(this->driver->logTimeMs(now) + load.cold_left_ms());
             this->sessions->heartbeat(load, now);
             this->considerTarget(load.target());
         }
@@ -141,12 +183,26 @@
 /** Proposes a change of a target when its announcement says something new. */
 void ControlNode::considerTarget(const wire::TargetRecord& target)
 {
-    if (!differs(target, this->machine.findTarget(target.service(), target.address())))
+    if (this->leftInstances.contains(target.instance()) || !differs(target, this->machine.findTarget(target.service(), target.address())))
         return;
+    this->proposeReplacedGone(target);
     if (!this->pendingTargets.contains({ target.service(), target.address() }))
         this->proposeTarget(target);
 }
 
+/** Takes targets of other services out of use whose address a newer target has. */
+void ControlNode::proposeReplacedGone(const wire::TargetRecord& target)
+{
+    for (const wire::TargetRecord& known : this->machine.targets()) {
+        bool isReplaced = known.address() == target.address() && known.service() != target.service() && known.incarnation() < target.incarnation();
+        if (!isReplaced || this->pendingTargets.contains({ known.service(), known.address() }))
+            continue;
+        wire::TargetRecord gone = known;
+        gone.set_state(wire::TARGET_GONE);
+        this->proposeTarget(gone);
+    }
+}
+
 void ControlNode::proposeTarget(const wire::TargetRecord& target)
 {
     wire::Command command;
@@ -195,17 +251,36 @@
         }
         return { { "targets", targets } };
     }
-    if (subject == "manifest") {
-        nlohmann::json services = nlohmann::json::array();
-        for (const wire::ServiceDocument& document : this->machine.serviceDocuments())
-            services.push_back(nlohmann::json::parse(document.json()));
-        return { { "number", this->machine.manifestNumber() }, { "digest", this->machine.manifestDigest() }, { "services", services } };
-    }
+    if (subject == "manifest")
+        return this->manifestInForce();
     if (subject.starts_with(numberPrefix))
         return this->manifestStatus(std::strtoull(subject.c_str() + numberPrefix.size(), nullptr, 10));
     return this->status();
 }
 
+/** Returns the manifest in force, and its text as it came where that is kept. */
+nlohmann::json ControlNode::manifestInForce() const
+{
+    nlohmann::json manifest { { "number", this->machine.manifestNumber() }, { "digest", this->machine.manifestDigest() }, { "services", nlohmann::json::array() } };
+    for (const wire::ServiceDocument& document : this->machine.serviceDocuments()) {
+        switch (documentType(document.name())) {
+        case DocumentType::Service:
+            manifest["services"].push_back(nlohmann::json::parse(document.json()));
+            break;
+        case DocumentType::Route:
+            manifest["routes"].push_back(nlohmann::json::parse(document.json()));
+            break;
+        case DocumentType::CallerLimits:
+            manifest["callerLimits"] = nlohmann::json::parse(document.json());
+            break;
+        case DocumentType::Source:
+            manifest["source"] = document.json();
+            break;
+        }
+    }
+    return manifest;
+}
+
 /** Returns how far a manifest number is in force. */
 nlohmann::json ControlNode::manifestStatus(uint64_t number) const
 {
--- a/programs/kingcupswitchd/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -59,9 +59,10 @@
         return;
     std::vector<std::string> payloads;
     std::vector<Done> done;
+    uint64_t logTimeMs = this->logTimeMs(MillisecondClock::now());
     while (!this->proposals.empty() && payloads.size() < maxProposalsPerBatch) {
         Proposed& next = this->proposals.front();
-        next.command.set_wall_time_ms(static_cast<uint64_t>(MillisecondClock::wallTimeMs()));
+        next.command.set_log_time_ms(logTimeMs);
         payloads.push_back(next.command.SerializeAsString());
         done.push_back(std::move(next.done));
         this->proposals.pop_front();
@@ -78,6 +79,12 @@
     failPoint("leader.batch_proposed");
 }
 
+uint64_t LogDriver::logTimeMs(TimePoint now) const
+{
+    this->clock.advance(this->hooks.logTimeMs(), now);
+    return this->clock.at(now);
+}
+
 ResultCode LogDriver::proposeMembership(const wire::Membership& next)
 {
     ReplicatedLog::Proposal proposal;
--- a/programs/kingcupswitchd/LogDriver.h
+++ b/programs/kingcupswitchd/control/LogDriver.h
@@ -4,6 +4,7 @@
 #include "LogWriter.h"
 
 #include "kingcup/Link.h"
+#include "kingcup/LogClock.h"
 #include "kingcup/ReplicatedLog.h"
 
 #include <deque>
@@ -18,6 +19,7 @@
     std::function<wire::CommandResult(LogIndex, const wire::Command&)> apply; ///< Applies a committed command.
     std::function<std::string()> save; ///< Saves the state machine.
     std::function<void(const std::string&)> load; ///< Loads a snapshot into the state machine.
+    std::function<uint64_t()> logTimeMs; ///< Newest time in the state machine.
     std::function<void()> roleChanged; ///< The role or the leader changed.
     std::function<void(std::error_code)> failed; ///< The disk failed; the process must end. Called on the writer's thread.
 };
@@ -57,6 +59,7 @@
     const ReplicatedLog& log() const { return this->replicatedLog; } ///< For questions about role, term and quorum.
     bool idle() const { return this->writer.idle(); } ///< Whether all that was written is synced.
     LogIndex appliedIndex() const { return this->applied; } ///< Last applied entry.
+    uint64_t logTimeMs(TimePoint now) const; ///< Time of the log.
     uint64_t syncs() const { return this->writer.syncs(); } ///< Syncs so far.
 
 private:
@@ -86,6 +89,7 @@
     Term appliedTerm; ///< Its term.
     LogIndex snapshotIndex; ///< Position of the newest snapshot taken.
     uint64_t snapshotEntries; ///< Applied entries between two snapshots.
+    mutable LogClock clock; ///< Carries the time of the log on.
     bool spaceShort = false; ///< Little space is left on the disk.
     bool writerBlocked = false; ///< The writer waits for space.
     bool snapshotRunning = false; ///< A snapshot is being written.
--- a/programs/kingcupswitchd/MembershipManager.cpp
+++ b/programs/kingcupswitchd/control/MembershipManager.cpp
@@ -12,7 +12,8 @@
 constexpr Milliseconds bootstrapTimeout { 10000 };
 constexpr Milliseconds bootstrapRepeatInterval { 200 };
 constexpr Milliseconds announcementInterval { 500 };
-constexpr Milliseconds oldIncarnationSilence { 3000 }; ///< An old incarnation that was heard within this time is not replaced by itself.
+constexpr Milliseconds exclusionTime { 2000 }; ///< A member that knows no leader for this time may have been removed, and asks to join again.
+constexpr Milliseconds autoBootstrapPause { 50 }; ///< Before a founder asks the others, which may not listen yet.
 
 /** Returns the member with an id and incarnation, or null. */
 const wire::Member* findMember(const wire::Membership& membership, VmId vm, uint64_t incarnation)
@@ -24,27 +25,6 @@
     return nullptr;
 }
 
-/** Returns another incarnation of a VM in the membership, or null. */
-const wire::Member* findOtherIncarnation(const wire::Membership& membership, VmId vm, uint64_t incarnation)
-{
-    for (const wire::Member& member : membership.members()) {
-        if (member.vm_id() == vm && member.incarnation() != incarnation)
-            return &member;
-    }
-    return nullptr;
-}
-
-/** Returns the membership without one member. */
-wire::Membership without(const wire::Membership& membership, VmId vm, uint64_t incarnation)
-{
-    wire::Membership next;
-    for (const wire::Member& member : membership.members()) {
-        if (member.vm_id() != vm || member.incarnation() != incarnation)
-            *next.add_members() = member;
-    }
-    return next;
-}
-
 /** Returns whether two memberships list the same members in the same order. */
 bool sameMembership(const wire::Membership& one, const wire::Membership& other)
 {
@@ -53,12 +33,17 @@
 
 } // namespace
 
-MembershipManager::MembershipManager(MembershipManagerOptions options, LogDriver& driver, LinkHub& hub, std::function<std::error_code()> markBootstrapped, bool bootstrapped)
+MembershipManager::MembershipManager(MembershipManagerOptions options, const ControlDirectory& directory, LogDriver& driver, LinkHub& hub, std::function<std::error_code()> markBootstrapped, bool bootstrapped)
     : options(std::move(options))
+    , directory(directory)
     , driver(driver)
     , hub(hub)
     , markBootstrapped(std::move(markBootstrapped))
     , bootstrapped(bootstrapped)
+    , planner(this->options.planner)
+    , contacts(this->options.founders)
+    , leaderKnown(MillisecondClock::now())
+    , nextAnnouncement(MillisecondClock::now() + autoBootstrapPause)
 {
 }
 
@@ -86,11 +71,11 @@
     if (now < pending.repeatAt)
         return;
     pending.repeatAt = now + bootstrapRepeatInterval;
-    if (pending.identities.size() == this->options.addresses.size()) {
+    if (pending.identities.size() == this->options.founders.size()) {
         this->sendBootstrapRequests();
         return;
     }
-    for (const auto& [vm, address] : this->options.addresses) {
+    for (VmId vm : this->options.founders) {
         if (pending.identities.contains(vm))
             continue;
         wire::Envelope envelope;
@@ -125,7 +110,7 @@
         wire::Member* member = membership.add_members();
         member->set_vm_id(vm);
         member->set_incarnation(identity.incarnation());
-        member->set_link_address(this->options.addresses.at(vm));
+        member->set_link_address(this->directory.peer(vm).value_or(LinkPeer()).address);
         member->set_voter(true);
     }
     return membership;
@@ -141,13 +126,8 @@
 
 ResultCode MembershipManager::replace(VmId vm)
 {
-    auto announcement = this->announced.find(vm);
-    if (announcement == this->announced.end())
-        return ResultCode::UnknownVm;
-    if (this->replacement)
-        return ResultCode::MembershipChangePending;
-    this->startReplacement(vm, announcement->second);
-    return ResultCode::Ok;
+    logLine(LogLevel::Info, "replacement_asked", { { "controlVm", vm } });
+    return this->planner.force(vm) ? ResultCode::Ok : ResultCode::UnknownVm;
 }
 
 bool MembershipManager::receive(const LinkOrigin& origin, const wire::Envelope& envelope)
@@ -172,7 +152,7 @@
 
 void MembershipManager::heard(VmId vm, uint64_t incarnation)
 {
-    this->lastHeard[{ vm, incarnation }] = MillisecondClock::now();
+    this->planner.heard(vm, incarnation, MillisecondClock::now());
 }
 
 /** Records durably that this VM is listed in a membership that it holds on disk. */
@@ -196,20 +176,59 @@
     TimePoint now = MillisecondClock::now();
     if (this->pendingBootstrap)
         this->advanceBootstrap(now);
-    if (!this->bootstrapped && now >= this->nextAnnouncement) {
+    if (this->needsAnnouncement(now) && now >= this->nextAnnouncement) {
         this->nextAnnouncement = now + announcementInterval;
         this->announceSelf();
     }
+    this->connectMembers();
     this->noteMembership();
-    this->advanceReplacement();
+    this->advancePlan(now);
+}
+
+/** Returns whether this VM has no group, or may have lost its place in it while it was away. */
+bool MembershipManager::needsAnnouncement(TimePoint now)
+{
+    if (this->driver.log().leader())
+        this->leaderKnown = now;
+    return !this->bootstrapped || (this->directory.isOpen() && now - this->leaderKnown >= exclusionTime);
+}
+
+void MembershipManager::connect(VmId vm)
+{
+    if (std::optional<LinkPeer> peer = this->directory.peer(vm))
+        this->hub.connect(std::move(*peer));
 }
 
-/** Tells the other control VMs that this VM has an empty folder. */
+/** Opens links to all members when the membership has changed. */
+void MembershipManager::connectMembers()
+{
+    std::string membership = this->driver.log().membership().SerializeAsString();
+    if (membership == this->connectedMembership)
+        return;
+    this->connectedMembership = std::move(membership);
+    nlohmann::json members = nlohmann::json::array();
+    for (const wire::Member& member : this->driver.log().membership().members()) {
+        this->connect(member.vm_id());
+        members.push_back({ { "id", member.vm_id() }, { "incarnation", member.incarnation() }, { "voter", member.voter() } });
+    }
+    logLine(LogLevel::Info, "membership_changed", { { "members", members } });
+}
+
+void MembershipManager::roleChanged()
+{
+    this->planner.becameLeader(MillisecondClock::now());
+}
+
+/** Asks control VMs for a place in their group. The first founder also forms the group, when that was asked for. */
 void MembershipManager::announceSelf()
 {
-    for (const auto& [vm, address] : this->options.addresses) {
+    bool leadsFoundation = this->options.formsGroup && !this->bootstrapped && !this->options.founders.empty() && this->options.founders.front() == this->options.self;
+    if (leadsFoundation && !this->pendingBootstrap)
+        this->bootstrap([](ResultCode, const std::string&) {});
+    for (VmId vm : this->contacts) {
         if (vm == this->options.self)
             continue;
+        this->connect(vm);
         wire::Envelope envelope;
         wire::IdentityAnswer* identity = envelope.mutable_identity_answer();
         identity->set_vm_id(this->options.self);
@@ -231,81 +250,39 @@
     this->hub.reply(origin, std::move(answer));
 }
 
-/** Takes an answer of a running bootstrap, or the announcement of a VM with an empty folder. */
+/** Takes an answer of a running bootstrap, or the announcement of a VM that has no place in the group. */
 void MembershipManager::receiveIdentity(const wire::Envelope& envelope)
 {
     const wire::IdentityAnswer& identity = envelope.identity_answer();
-    if (identity.vm_id() != envelope.sender_vm() || !this->options.addresses.contains(identity.vm_id()))
+    if (identity.vm_id() != envelope.sender_vm() || !this->directory.peer(identity.vm_id()))
         return;
     if (this->pendingBootstrap && envelope.request_id()) {
         this->pendingBootstrap->identities[identity.vm_id()] = identity;
         this->pendingBootstrap->repeatAt = {};
     }
-    if (!identity.bootstrapped())
-        this->considerReplacement(identity.vm_id(), identity.incarnation());
-}
-
-/** Starts the replacement of an old incarnation that has been silent for long enough. */
-void MembershipManager::considerReplacement(VmId vm, uint64_t incarnation)
-{
-    this->announced[vm] = incarnation;
-    if (this->replacement || this->driver.log().role() != LogRole::Leader)
-        return;
-    const wire::Membership& membership = this->driver.log().membership();
-    const wire::Member* old = findOtherIncarnation(membership, vm, incarnation);
-    if (!old && !findMember(membership, vm, incarnation))
-        return;
-    TimePoint now = MillisecondClock::now();
-    auto heard = old ? this->lastHeard.find({ vm, old->incarnation() }) : this->lastHeard.end();
-    if (heard != this->lastHeard.end() && now - heard->second < oldIncarnationSilence)
-        return;
-    this->startReplacement(vm, incarnation);
-}
-
-void MembershipManager::startReplacement(VmId vm, uint64_t incarnation)
-{
-    this->replacement = Replacement { vm, incarnation };
-    logLine(LogLevel::Info, "replacement_started", { { "controlVm", vm }, { "incarnation", incarnation } });
+    bool asksToJoin = !identity.bootstrapped() || !findMember(this->driver.log().membership(), identity.vm_id(), identity.incarnation());
+    if (asksToJoin)
+        this->planner.announced(identity.vm_id(), identity.incarnation(), MillisecondClock::now());
 }
 
-/** Takes the next step: add as learner, remove the old incarnation, promote; each after the one before is committed. */
-void MembershipManager::advanceReplacement()
+/** Takes the next step of the plan once the one before is committed. */
+void MembershipManager::advancePlan(TimePoint now)
 {
     const ReplicatedLog& log = this->driver.log();
-    if (!this->replacement)
+    if (log.role() != LogRole::Leader || !log.membershipCommitted())
         return;
-    if (log.role() != LogRole::Leader) {
-        this->replacement.reset();
-        return;
-    }
-    if (!log.membershipCommitted())
-        return;
-    wire::Membership next = log.membership();
-    VmId vm = this->replacement->vm;
-    uint64_t incarnation = this->replacement->incarnation;
-    const wire::Member* member = findMember(next, vm, incarnation);
-    const wire::Member* old = findOtherIncarnation(next, vm, incarnation);
-    if (member && member->voter() && !old) {
-        logLine(LogLevel::Info, "replacement_finished", { { "controlVm", vm }, { "incarnation", incarnation } });
-        this->replacement.reset();
-        return;
-    }
-    if (!member) {
-        wire::Member* learner = next.add_members();
-        learner->set_vm_id(vm);
-        learner->set_incarnation(incarnation);
-        learner->set_link_address(this->options.addresses.at(vm));
-    } else if (!log.caughtUp(vm)) {
+    auto caughtUp = [&log](VmId vm) { return log.caughtUp(vm); };
+    std::optional<wire::Membership> next = this->planner.next(log.membership(), this->options.self, caughtUp, now);
+    if (!next)
         return;
-    } else if (old) {
-        next = without(next, vm, old->incarnation());
-    } else {
-        for (wire::Member& entry : *next.mutable_members()) {
-            if (entry.vm_id() == vm)
-                entry.set_voter(true);
-        }
+    for (wire::Member& member : *next->mutable_members()) {
+        this->connect(member.vm_id());
+        if (member.link_address().empty())
+            member.set_link_address(this->directory.peer(member.vm_id()).value_or(LinkPeer()).address);
     }
-    this->driver.proposeMembership(next);
+    ResultCode code = this->driver.proposeMembership(*next);
+    if (code != ResultCode::Ok && code != ResultCode::MembershipChangePending && code != ResultCode::NotCaughtUp)
+        logLine(LogLevel::Warning, "membership_refused", { { "result", resultCodeRow(code).name } });
 }
 
 void MembershipManager::receiveBootstrap(const LinkOrigin& origin, const wire::Envelope& envelope)
@@ -347,7 +324,7 @@
     Bootstrap& pending = *this->pendingBootstrap;
     pending.formed[envelope.sender_vm()] = true;
     pending.repeatAt = {};
-    bool complete = std::all_of(this->options.addresses.begin(), this->options.addresses.end(), [&](const auto& entry) { return pending.formed[entry.first]; });
+    bool complete = std::all_of(this->options.founders.begin(), this->options.founders.end(), [&](VmId vm) { return pending.formed[vm]; });
     if (complete)
         this->finishBootstrap(ResultCode::Ok, "group formed");
 }
--- a/programs/kingcupswitchd/MembershipManager.h
+++ b/programs/kingcupswitchd/control/MembershipManager.h
@@ -1,9 +1,11 @@
 /** @file MembershipManager.h Forms a control group, and replaces a control VM that came back with an empty disk. */
 #pragma once
 
+#include "ControlDirectory.h"
 #include "LogDriver.h"
 
 #include "kingcup/Link.h"
+#include "kingcup/MembershipPlanner.h"
 
 #include <functional>
 #include <map>
@@ -18,16 +20,18 @@
     VmId self = 0; ///< This VM.
     uint64_t incarnation = 0; ///< Of its data folder.
     std::string deployment; ///< Deployment id.
-    std::map<VmId, std::string> addresses; ///< Link addresses of all control VMs.
+    std::vector<VmId> founders; ///< VMs that form the group.
+    bool formsGroup = false; ///< Whether the founders form the group without an operator.
+    MembershipPlannerOptions planner; ///< When members are exchanged.
 };
 
-/** Drives changes of membership one committed step after the other. Runs on the thread of the hub. */
+/** Forms the group, and drives changes of membership one committed step after the other. Runs on the thread of the hub. */
 class MembershipManager {
 public:
     using Done = std::function<void(ResultCode, std::string detail)>;
 
     /** @param markBootstrapped Records durably that this VM is part of a group. */
-    MembershipManager(MembershipManagerOptions options, LogDriver& driver, LinkHub& hub, std::function<std::error_code()> markBootstrapped, bool bootstrapped);
+    MembershipManager(MembershipManagerOptions options, const ControlDirectory& directory, LogDriver& driver, LinkHub& hub, std::function<std::error_code()> markBootstrapped, bool bootstrapped);
 
     /** Collects the identities of all control VMs and forms the group. Repeating it is safe. */
     void bootstrap(Done done);
@@ -41,9 +45,15 @@
     /** Notes a message of a member, so that a silent old incarnation is told from a live one. */
     void heard(VmId vm, uint64_t incarnation);
 
-    /** Repeats requests and takes the next step of a replacement. */
+    /** Repeats requests and takes the next step of a change. */
     void tick();
 
+    /** Forgets what only counts for one leadership. */
+    void roleChanged();
+
+    /** Takes over other seeds to which this VM announces itself. */
+    void setSeeds(std::vector<VmId> vms) { this->contacts = std::move(vms); }
+
     bool isBootstrapped() const { return this->bootstrapped; } ///< Whether this VM belongs to a group.
 
 private:
@@ -54,10 +64,6 @@
         std::map<VmId, wire::IdentityAnswer> identities; ///< Collected so far.
         std::map<VmId, bool> formed; ///< Members that accepted the membership.
     };
-    struct Replacement {
-        VmId vm = 0; ///< VM to be replaced.
-        uint64_t incarnation = 0; ///< New incarnation.
-    };
     void noteMembership();
     void announceSelf();
     void answerIdentity(const LinkOrigin& origin, const wire::Envelope& envelope);
@@ -69,20 +75,23 @@
     void advanceBootstrap(TimePoint now);
     void sendBootstrapRequests();
     void finishBootstrap(ResultCode code, const std::string& detail);
-    void considerReplacement(VmId vm, uint64_t incarnation);
-    void startReplacement(VmId vm, uint64_t incarnation);
-    void advanceReplacement();
+    bool needsAnnouncement(TimePoint now);
+    void connect(VmId vm);
+    void connectMembers();
+    void advancePlan(TimePoint now);
 
     MembershipManagerOptions options; ///< Own place.
+    const ControlDirectory& directory; ///< Addresses.
     LogDriver& driver; ///< The log.
     LinkHub& hub; ///< Sends.
     std::function<std::error_code()> markBootstrapped; ///< Durable mark.
     bool bootstrapped; ///< Whether this VM belongs to a group.
     std::optional<Bootstrap> pendingBootstrap; ///< Running bootstrap.
-    std::optional<Replacement> replacement; ///< Running replacement.
-    std::map<VmId, uint64_t> announced; ///< Incarnations without a group that announced themselves.
-    std::map<std::pair<VmId, uint64_t>, TimePoint> lastHeard; ///< Last message by VM and incarnation.
-    TimePoint nextAnnouncement {}; ///< Of this VM, while it has no group.
+    MembershipPlanner planner; ///< Decides on changes.
+    std::vector<VmId> contacts; ///< VMs to which this VM announces itself.
+    TimePoint leaderKnown {}; ///< When a leader was last known.
+    TimePoint nextAnnouncement {}; ///< Of this VM, while it has no place in a group.
+    std::string connectedMembership; ///< Encoded membership to which links were opened.
     uint64_t lastRequestId = 0; ///< Ids of own requests.
 };
 
--- a/programs/kingcupswitchd/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -13,6 +13,7 @@
 constexpr size_t bodyChunkBytes = 64u << 10;
 constexpr size_t heldBodyBytes = 256u << 10; ///< Bodies up to this size are held, so that an attempt can be repeated; larger ones are streamed.
 constexpr Milliseconds defaultRetryAfter { 1000 };
+constexpr Milliseconds isolatedRetryAfter { 250 }; ///< Other VMs may know the configuration, and this one gets it as soon as there is a leader.
 
 } // namespace
 
@@ -42,12 +43,15 @@
     const HttpRequestHead& head = this->exchange->head();
     {
         RcuReadGuard guard;
-        this->match = this->gateway.table.read(guard).match(head.headers.find("Host").value_or(""), head.method, head.path);
+        const RequestTable& table = this->gateway.table.read(guard);
+        this->match = table.match(head.headers.find("Host").value_or(""), head.method, head.path);
+        this->manifestNumber = table.configuration->manifestNumber;
     }
+    this->parameters = parseCallParameters(head.headers, this->gateway.edge.headers);
     this->setExchangeHooks();
     ResultCode code = this->check();
     if (code != ResultCode::Ok) {
-        this->refuse(code, defaultRetryAfter);
+        this->refuse(code, code == ResultCode::Isolated ? isolatedRetryAfter : defaultRetryAfter);
         return;
     }
     this->readBody();
@@ -66,7 +70,6 @@
     const Kind& kind = *this->match.kind;
     if (isolated && kind.whenIsolated == WhenIsolated::Refuse)
         return ResultCode::Isolated;
-    this->parameters = parseCallParameters(this->exchange->head().headers);
     if (this->parameters.code != ResultCode::Ok)
         return this->parameters.code;
     if (kind.keyRequired && this->parameters.idempotencyKey.empty())
@@ -139,7 +142,7 @@
     this->bodyStarted = true;
     const HttpRequestHead& head = this->exchange->head();
     this->fingerprint = requestFingerprint(this->match.service->name, head.method, head.target, *this->body);
-    if (this->gateway.containment.verdict(this->match.service->name, this->fingerprint, MillisecondClock::wallTimeMs()) == ContainmentVerdict::Refuse) {
+    if (this->gateway.containment.verdict(this->match.service->name, this->fingerprint, this->gateway.logTimeMs()) == ContainmentVerdict::Refuse) {
         this->refuse(ResultCode::Quarantined, this->match.service->limits.quarantine);
         return;
     }
@@ -236,7 +239,7 @@
     stored.status = static_cast<int>(recorded.status());
     if (!recorded.content_type().empty())
         stored.headers.add("Content-Type", recorded.content_type());
-    HttpAnswerHead head = callerHead(stored, ResultCode::KeyFinished, RunState::Ran);
+    HttpAnswerHead head = callerHead(stored, this->gateway.edge.headers, ResultCode::KeyFinished, RunState::Ran);
     this->exchange->answer(std::move(head), recorded.body());
     this->conclude(ResultCode::KeyFinished);
 }
--- a/programs/kingcupswitchd/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -44,10 +44,12 @@
 
     // Attempts (CallAttempts.cpp).
     bool startAttempt(bool hedge, std::optional<uint64_t> resumeOffset = std::nullopt);
+    void send(const AttemptPointer& attempt);
     std::optional<Pick> pickTarget(ContainmentVerdict verdict, TimePoint now);
     std::vector<std::string> excludedTargets(ContainmentVerdict verdict) const;
     UpstreamRequest upstreamRequest(const AttemptPointer& attempt);
     int nextBodyBytes(char* buffer, size_t size);
+    bool isOwnAnswer(const HttpAnswerHead& head) const;
     void scheduleHedge();
     void hedgeDue();
     void headArrived(const AttemptPointer& attempt, const HttpAnswerHead& head);
@@ -62,6 +64,17 @@
     bool anyActive() const;
     void cancelOthers(const AttemptPointer& keep);
 
+    // Search for a target (CallPlacement.cpp).
+    bool searchesTarget(const AttemptPointer& attempt) const;
+    void beginSearch(const AttemptPointer& attempt);
+    void askTarget(const AttemptPointer& attempt, const Pick& pick);
+    void askNextTarget(const AttemptPointer& attempt);
+    void targetAnswered(const AttemptPointer& attempt, size_t position, const std::optional<LoadReport>& load);
+    void stepSearch(const AttemptPointer& attempt, SearchStep step);
+    void endSearch(const AttemptPointer& attempt, std::optional<size_t> chosen);
+    void refuseForLoad(const AttemptPointer& attempt, double cost);
+    TargetSearchLimits searchLimits() const;
+
     // The answer (CallAnswer.cpp).
     void streamFrom(const AttemptPointer& attempt);
     void deliver(const std::string& data);
@@ -72,8 +85,11 @@
     void stallCheck(uint64_t seenBytes);
     void refuse(ResultCode code, Milliseconds retryAfter);
     void conclude(ResultCode code);
+    void logAttempt(const AttemptPointer& attempt, const UpstreamResult& result) const;
+    void logEnd(ResultCode code, Milliseconds total) const;
     void finishClaim(ResultCode code);
-    bool promisedNotRun(int status) const;
+    bool promisedNotRun(const HttpAnswerHead& head) const;
+    bool isRejectedByInstance(const HttpAnswerHead& head) const;
 
     Gateway& gateway; ///< Shared by all calls.
     std::shared_ptr<HttpExchange> exchange; ///< The caller.
@@ -82,6 +98,7 @@
     TimePoint arrived; ///< When the header was complete.
     TimePoint deadline {}; ///< Of the whole call.
     RequestMatch match; ///< Service and kind.
+    uint64_t manifestNumber = 0; ///< Manifest by which it was matched.
     CallParameters parameters; ///< From the header.
     Fingerprint fingerprint; ///< Names the request.
     std::shared_ptr<std::string> body; ///< Bytes read so far.
