Change: Searches wait for another round while their work can still be done in time, and refuse what cannot

Now a search takes a nearly full target after three answers, otherwise waits 20 ms and asks again until the latest start (objective less 1.25 usual times), and then refuses when every target is full and the answer would come after the objective. Ruled out: slowness grows while work runs. Work started at 1.0, 1.7 and 2.1 times the usual took 159, 260 and 296 ms at the median in the same seconds, so what counts is the state at the start.

--- a/packages/coordination/include/kingcup/TargetSearch.h
+++ b/packages/coordination/include/kingcup/TargetSearch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "kingcup/MillisecondClock.h"
+#include "kingcup/RecentLoad.h"
 #include "kingcup/Router.h"
 
 #include <cstdint>
@@ -13,23 +14,28 @@
 
 /** Bounds of a search. */
 struct TargetSearchLimits {
-    uint32_t maxProbes = 6; ///< Targets that one search asks.
+    uint32_t maxProbes = 5; ///< Targets that one round asks.
     Milliseconds silence { 12 }; ///< A target that has not answered by then is passed over; another one is asked.
-    Milliseconds duration { 40 }; ///< Afterwards the best known target is taken.
-    double usefulCost = std::numeric_limits<double>::infinity(); ///< A request that waits for longer than this many usual times of work is refused.
+    Milliseconds roundPause { 20 }; ///< Between two rounds. Slots become free and machines change their speed meanwhile.
+    TimePoint latestStart = TimePoint::max(); ///< No round begins after this time; the best known target is taken then.
+    TimePoint objectiveEnd = TimePoint::max(); ///< An answer has its full value up to this time.
+    std::optional<Milliseconds> usualTime; ///< Of the work on a free target of usual speed, if it is known.
 };
 
 /** What to do next. */
 enum class SearchStep {
     Wait, ///< For an answer or for `nextEvent()`.
     Probe, ///< Ask a further target.
+    Again, ///< Start another round, in which every target may be asked again.
     Send, ///< Send the request to `best()`.
-    Refuse, ///< Every target is full, and the request would wait too long.
+    Refuse, ///< Every target is full, and the answer would come after the objective.
 };
 
 /**
- * One search. Load reports that came with earlier answers are too old where the speed of a machine changes many times a
- * second, so targets are asked one after the other until one has a free slot on a machine of usual speed. Not thread-safe.
+ * One round of a search. Load reports that came with earlier answers are too old where the speed of a machine changes many
+ * times a second, so targets are asked one after the other until one has a free slot on a machine of usual speed. After a
+ * few answers a busier target will do, if the answer still comes in time. While there is none, the request waits for
+ * another round as long as its work can still be done in time. Not thread-safe.
  */
 class TargetSearch {
 public:
@@ -38,8 +44,8 @@
     /** Notes that a target is being asked. Returns its position. */
     size_t probing(TimePoint now);
 
-    /** Notes that a target is not asked, because the budget for measuring has nothing left. */
-    void unasked(size_t position);
+    /** Notes that a target is not asked, because the budget for measuring has nothing left. @param typical Load of others a moment ago. */
+    void unasked(size_t position, const std::optional<TypicalLoad>& typical);
 
     /** Takes a target's answer. @param coldFactor How many times longer work takes because the target has just started. */
     SearchStep answered(size_t position, const LoadReport& load, double coldFactor, TimePoint now);
@@ -50,6 +56,9 @@
     /** Notes that there is no further target to ask. */
     SearchStep exhausted(TimePoint now);
 
+    /** Returns whether another round follows once this one has found nothing. */
+    bool mayTryAgain(TimePoint now) const;
+
     /** Decides by the time alone. */
     SearchStep advance(TimePoint now) const;
 
@@ -59,25 +68,32 @@
     /** Returns the cost of that target. */
     double bestCost() const;
 
-    /** Returns when advance() may give another step. */
-    TimePoint nextEvent() const;
+    /** Returns when advance() may give another step, after `now`. */
+    TimePoint nextEvent(TimePoint now) const;
 
     /** Returns how many times longer than usual a request will take that is sent now, queueing included. */
     static double costOf(const LoadReport& load);
 
+    /** Returns whether a target has no free slot. */
+    static bool isFull(const LoadReport& load) { return load.slots > 0 && load.inFlight + load.waiting >= load.slots; }
+
 private:
     /** One target. */
     struct Asked {
         TimePoint time {}; ///< When it was asked.
         std::optional<double> cost; ///< Set by its answer.
         bool failed = false; ///< It could not be asked.
-        bool full = false; ///< It answered that requests wait.
+        bool answered = false; ///< Its load is known.
+        bool full = false; ///< It answered that it has no free slot.
     };
     bool anyOpen(TimePoint now) const;
+    bool fits(double cost, TimePoint now) const;
+    bool isTolerable(TimePoint now) const;
 
     TargetSearchLimits limits; ///< Bounds.
     TimePoint started; ///< Start of the search.
     bool noneLeft = false; ///< There is no further target.
+    std::optional<TimePoint> roundEnd; ///< When the last target of the round was asked or had answered.
     std::vector<Asked> targets; ///< In the order in which they were asked.
 };
 
--- a/packages/coordination/src/TargetSearch.cpp
+++ b/packages/coordination/src/TargetSearch.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr double goodCost = 1.3; ///< A target whose requests take at most this much longer than usual is taken at once.
+constexpr double tolerableCost = 2.2; ///< A target whose requests take at most this much longer is taken after a few answers.
+constexpr size_t answersBeforeTolerance = 3;
+constexpr double queueFactor = 2.5; ///< What a full target works on takes longer than usual, and so does the wait for it.
 constexpr double unknownCost = 3; ///< Of a target that did not answer: worse than a busy one, better than a slow one.
 constexpr double unaskedCost = 2; ///< Of a target that was not asked: as a mean one.
 constexpr double failedCost = 1000; ///< Of a target that could not be reached.
@@ -24,13 +27,15 @@
 
 size_t TargetSearch::probing(TimePoint now)
 {
-    this->targets.push_back({ now, std::nullopt, false, false });
+    this->targets.push_back({ now, std::nullopt, false, false, false });
+    this->roundEnd = now;
     return this->targets.size() - 1;
 }
 
-void TargetSearch::unasked(size_t position)
+void TargetSearch::unasked(size_t position, const std::optional<TypicalLoad>& typical)
 {
-    this->targets[position].cost = unaskedCost;
+    this->targets[position].cost = typical ? std::max(typical->cost, unaskedCost) : unaskedCost;
+    this->targets[position].full = typical && typical->full;
 }
 
 double TargetSearch::costOf(const LoadReport& load)
@@ -39,14 +44,16 @@
     double busyAfter = load.inFlight + 1.0;
     double rounds = std::max(0.0, (load.inFlight + load.waiting + 1.0 - slots) / slots);
     double crowding = busyAfter / slots > nearlyFullShare ? nearlyFullFactor : 1;
-    return load.slowdown * (crowding + rounds);
+    return load.slowdown * (crowding + rounds * queueFactor);
 }
 
 SearchStep TargetSearch::answered(size_t position, const LoadReport& load, double coldFactor, TimePoint now)
 {
     Asked& target = this->targets[position];
     target.cost = costOf(load) * coldFactor;
-    target.full = load.slots > 0 && load.inFlight + load.waiting >= load.slots;
+    target.answered = true;
+    this->roundEnd = now;
+    target.full = isFull(load);
     return this->advance(now);
 }
 
@@ -69,19 +76,40 @@
     return std::any_of(this->targets.begin(), this->targets.end(), [&](const Asked& target) { return !target.cost && now - target.time < this->limits.silence; });
 }
 
+bool TargetSearch::fits(double cost, TimePoint now) const
+{
+    return !this->limits.usualTime || now + *this->limits.usualTime * cost <= this->limits.objectiveEnd;
+}
+
+/** Returns whether enough targets have answered, and the best of them is only a little busy. */
+bool TargetSearch::isTolerable(TimePoint now) const
+{
+    auto answers = static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const Asked& target) { return target.answered; }));
+    if (answers < answersBeforeTolerance || !this->targets[this->best()].answered)
+        return false;
+    return this->bestCost() <= tolerableCost && this->fits(this->bestCost(), now);
+}
+
+bool TargetSearch::mayTryAgain(TimePoint now) const
+{
+    return this->roundEnd && std::max(now, *this->roundEnd + this->limits.roundPause) < this->limits.latestStart;
+}
+
 SearchStep TargetSearch::advance(TimePoint now) const
 {
     auto isGood = [](const Asked& target) { return target.cost && *target.cost <= goodCost; };
-    if (std::any_of(this->targets.begin(), this->targets.end(), isGood))
+    if (std::any_of(this->targets.begin(), this->targets.end(), isGood) || this->isTolerable(now))
         return SearchStep::Send;
-    bool over = now - this->started >= this->limits.duration;
-    if (!over && this->anyOpen(now))
+    if (this->targets.empty())
+        return this->noneLeft ? SearchStep::Refuse : SearchStep::Probe;
+    if (this->anyOpen(now))
         return SearchStep::Wait;
-    bool mayProbe = !over && !this->noneLeft && this->targets.size() < this->limits.maxProbes;
-    if (mayProbe)
+    if (!this->noneLeft && this->targets.size() < this->limits.maxProbes && now < this->limits.latestStart)
         return SearchStep::Probe;
-    bool allFull = !this->targets.empty() && std::all_of(this->targets.begin(), this->targets.end(), [](const Asked& target) { return target.full || target.failed; });
-    return allFull && this->bestCost() > this->limits.usefulCost ? SearchStep::Refuse : SearchStep::Send;
+    if (this->mayTryAgain(now))
+        return now < *this->roundEnd + this->limits.roundPause ? SearchStep::Wait : SearchStep::Again;
+    bool allFull = std::all_of(this->targets.begin(), this->targets.end(), [](const Asked& target) { return target.full || target.failed; });
+    return allFull && !this->fits(this->bestCost(), now) ? SearchStep::Refuse : SearchStep::Send;
 }
 
 size_t TargetSearch::best() const
@@ -100,17 +128,25 @@
 
 double TargetSearch::bestCost() const
 {
+    if (this->targets.empty())
+        return failedCost;
     return this->targets[this->best()].cost.value_or(unknownCost);
 }
 
-TimePoint TargetSearch::nextEvent() const
+TimePoint TargetSearch::nextEvent(TimePoint now) const
 {
-    TimePoint next = this->started + this->limits.duration;
+    TimePoint next = TimePoint::max();
+    auto consider = [&](TimePoint time) {
+        if (time > now)
+            next = std::min(next, time);
+    };
     for (const Asked& target : this->targets) {
         if (!target.cost)
-            next = std::min(next, target.time + this->limits.silence);
+            consider(target.time + this->limits.silence);
     }
-    return next;
+    if (this->roundEnd)
+        consider(*this->roundEnd + this->limits.roundPause);
+    return next == TimePoint::max() ? now : next;
 }
 
 } // namespace kingcup
--- /dev/null
+++ b/packages/coordination/tests/OverloadReplayTest.cpp
@@ -0,0 +1,231 @@
+/** @file OverloadReplayTest.cpp Replays bursts on targets with noisy neighbours, and compares the search for a target with the policies before it. */
+#include "kingcup/TargetSearch.h"
+
+#include "kingcup/RandomSource.h"
+#include "testing/Story.h"
+
+#include <cmath>
+#include <deque>
+#include <gtest/gtest.h>
+#include <queue>
+
+using namespace kingcup;
+using kingcup::testing::section;
+using kingcup::testing::testSeed;
+
+namespace {
+
+constexpr double workMs = 160;
+constexpr double objectiveMs = 400;
+constexpr double deadlineMs = 1200;
+constexpr double probeMs = 2;
+constexpr double slowFactor = 5;
+constexpr double slowPeriodMs = 150;
+constexpr double nearlyFullFactor = 1.7;
+constexpr double runMs = 12000;
+
+/** How a request finds its target. */
+enum class Policy {
+    OldReports, ///< The less loaded of two by reports that are 100 ms old; nothing is refused.
+    OneRound, ///< A search without further rounds; nothing is refused.
+    Search, ///< The search of the product: rounds until the latest start, then refusal of what comes too late.
+};
+
+/** Results of a run. */
+struct Outcome {
+    int inTime = 0; ///< Answered within the objective.
+    int late = 0; ///< Answered after it.
+    int failed = 0; ///< Not answered by the deadline.
+    int refused = 0; ///< Refused.
+    double longestRefusalMs = 0; ///< Longest time after which a request was refused.
+};
+
+/** Targets with slots, queues and machines whose speed changes; events in order of time. */
+class OverloadReplay {
+public:
+    OverloadReplay(uint64_t seed, Policy policy, size_t targetCount, double slowShare)
+        : random(seed)
+        , seed(seed)
+        , policy(policy)
+        , slowShare(slowShare)
+        , targets(targetCount)
+    {
+    }
+
+    /** Runs with a burst of `factor` times the load from 4 to 8 s. */
+    Outcome run(double requestsPerSecond, double factor)
+    {
+        for (double at = 0; at < runMs;) {
+            bool burst = at >= 4000 && at < 8000;
+            at += -std::log(1 - this->random.fraction()) * 1000 / (requestsPerSecond * (burst ? factor : 1));
+            this->events.push({ at, [this, at] { this->arrive(at); } });
+        }
+        while (!this->events.empty()) {
+            Event event = this->events.top();
+            this->events.pop();
+            this->nowMs = event.atMs;
+            event.action();
+        }
+        return this->outcome;
+    }
+
+private:
+    struct Event {
+        double atMs;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return this->atMs > other.atMs; }
+    };
+    struct Target {
+        uint32_t running = 0;
+        std::deque<double> waiting; ///< Arrivals of requests that wait.
+        std::deque<std::pair<double, LoadReport>> history; ///< Old reports.
+    };
+
+    LoadReport reportOf(size_t target) const
+    {
+        RandomSource machine(this->seed * 7919 + target * 104729 + static_cast<uint64_t>(this->nowMs / slowPeriodMs));
+        const Target& state = this->targets[target];
+        return { state.running, slots, 0, static_cast<uint32_t>(state.waiting.size()), machine.fraction() < this->slowShare ? slowFactor : 1 };
+    }
+
+    void arrive(double arrivedMs)
+    {
+        if (this->policy == Policy::OldReports) {
+            size_t first = this->random.below(this->targets.size());
+            size_t second = this->random.below(this->targets.size());
+            this->send(TargetSearch::costOf(this->oldReport(first)) <= TargetSearch::costOf(this->oldReport(second)) ? first : second, arrivedMs);
+            return;
+        }
+        this->beginRound(arrivedMs);
+    }
+
+    /** Returns the report of 100 ms ago. */
+    LoadReport oldReport(size_t target)
+    {
+        std::deque<std::pair<double, LoadReport>>& history = this->targets[target].history;
+        history.emplace_back(this->nowMs, this->reportOf(target));
+        while (history.size() > 1 && history[1].first <= this->nowMs - 100)
+            history.pop_front();
+        return history.front().second;
+    }
+
+    void beginRound(double arrivedMs)
+    {
+        TargetSearchLimits limits;
+        limits.usualTime = Milliseconds(workMs);
+        limits.objectiveEnd = timeAt(this->policy == Policy::Search ? arrivedMs + objectiveMs : 1e12);
+        limits.latestStart = timeAt(this->policy == Policy::Search ? arrivedMs + objectiveMs - 1.25 * workMs : arrivedMs + probeMs * (limits.maxProbes - 1));
+        auto search = std::make_shared<TargetSearch>(limits, timeAt(this->nowMs));
+        auto asked = std::make_shared<std::vector<size_t>>();
+        this->step(search, asked, SearchStep::Probe, arrivedMs);
+    }
+
+    void step(const std::shared_ptr<TargetSearch>& search, const std::shared_ptr<std::vector<size_t>>& asked, SearchStep next, double arrivedMs)
+    {
+        switch (next) {
+        case SearchStep::Probe: {
+            size_t position = search->probing(timeAt(this->nowMs));
+            asked->push_back(this->random.below(this->targets.size()));
+            this->events.push({ this->nowMs + probeMs, [=, this] { this->step(search, asked, search->answered(position, this->reportOf(asked->back()), 1, timeAt(this->nowMs)), arrivedMs); } });
+            return;
+        }
+        case SearchStep::Wait:
+            this->events.push({ search->nextEvent(timeAt(this->nowMs)).time_since_epoch().count(), [=, this] { this->step(search, asked, search->advance(timeAt(this->nowMs)), arrivedMs); } });
+            return;
+        case SearchStep::Again:
+            this->beginRound(arrivedMs);
+            return;
+        case SearchStep::Send:
+            this->send((*asked)[search->best()], arrivedMs);
+            return;
+        case SearchStep::Refuse:
+            this->outcome.refused++;
+            this->outcome.longestRefusalMs = std::max(this->outcome.longestRefusalMs, this->nowMs - arrivedMs);
+        }
+    }
+
+    void send(size_t target, double arrivedMs)
+    {
+        if (this->targets[target].running < slots)
+            this->start(target, arrivedMs);
+        else
+            this->targets[target].waiting.push_back(arrivedMs);
+    }
+
+    /** Starts work; its time depends on the machine and the busy slots at this moment. */
+    void start(size_t target, double arrivedMs)
+    {
+        double slowdown = this->reportOf(target).slowdown;
+        uint32_t busy = ++this->targets[target].running;
+        double factor = slowdown * (busy > 0.8 * slots ? nearlyFullFactor : 1);
+        double spread = std::exp(0.3 * (this->random.fraction() + this->random.fraction() + this->random.fraction() - 1.5) * 2);
+        double endMs = std::min(this->nowMs + workMs * spread * factor, arrivedMs + deadlineMs);
+        this->events.push({ endMs, [=, this] { this->end(target, arrivedMs); } });
+    }
+
+    void end(size_t target, double arrivedMs)
+    {
+        double tookMs = this->nowMs - arrivedMs;
+        (tookMs <= objectiveMs ? this->outcome.inTime : tookMs < deadlineMs ? this->outcome.late
+                                                                            : this->outcome.failed)++;
+        Target& state = this->targets[target];
+        state.running--;
+        while (!state.waiting.empty() && state.running < slots) {
+            double next = state.waiting.front();
+            state.waiting.pop_front();
+            if (this->nowMs < next + deadlineMs)
+                this->start(target, next);
+            else
+                this->outcome.failed++;
+        }
+    }
+
+    static constexpr uint32_t slots = 6;
+    RandomSource random;
+    uint64_t seed;
+    Policy policy;
+    double slowShare;
+    std::vector<Target> targets;
+    std::priority_queue<Event> events;
+    double nowMs = 0;
+    Outcome outcome;
+};
+
+Outcome replay(uint64_t seed, Policy policy, double slowShare, double factor)
+{
+    Outcome outcome = OverloadReplay(seed, policy, 13, slowShare).run(110, factor);
+    constexpr const char* names[] = { "old reports", "one round", "search" };
+    std::cout << names[static_cast<int>(policy)] << ": in time " << outcome.inTime << ", late " << outcome.late << ", failed " << outcome.failed << ", refused " << outcome.refused << "\n";
+    return outcome;
+}
+
+} // namespace
+
+TEST(OverloadReplayTest, noisyNeighboursAtUsualLoad)
+{
+    uint64_t seed = testSeed(1);
+    for (double share : { 0.25, 0.42 }) {
+        section("with a share of " + std::to_string(share) + " slow, nearly all requests are in time, and none is refused", [&] {
+            Outcome before = replay(seed, Policy::OldReports, share, 1);
+            Outcome after = replay(seed, Policy::Search, share, 1);
+            int all = after.inTime + after.late + after.failed + after.refused;
+            EXPECT_GE(after.inTime, 0.97 * all);
+            EXPECT_EQ(after.refused, 0);
+            EXPECT_GT(after.inTime, before.inTime * 1.1);
+        });
+    }
+}
+
+TEST(OverloadReplayTest, burstBeyondTheCapacity)
+{
+    uint64_t seed = testSeed(1);
+    section("in a burst of four times the load, rounds and refusals keep answers in time that the policies before lose", [&] {
+        Outcome oldReports = replay(seed, Policy::OldReports, 0.25, 4);
+        Outcome oneRound = replay(seed, Policy::OneRound, 0.25, 4);
+        Outcome search = replay(seed, Policy::Search, 0.25, 4);
+        EXPECT_GT(search.inTime, oneRound.inTime * 1.2);
+        EXPECT_GT(search.inTime, oldReports.inTime * 1.5);
+        EXPECT_LT(search.failed, oneRound.failed);
+        EXPECT_LE(search.longestRefusalMs, objectiveMs) << "what cannot be served in time is refused before its objective";
+    });
+}
--- a/packages/transport/src/Link.cpp
+++ b/packages/transport/src/Link.cpp
@@ -21,8 +21,8 @@
 constexpr int heartbeatIntervalMs = 500;
 constexpr int heartbeatTimeoutMs = 2000; // A link that silently lost its peer is opened again after this time.
 constexpr int reconnectIntervalMs = 50;
-constexpr int maxReconnectIntervalMs = 500;
-constexpr int connectTimeoutMs = 1000;
+constexpr int maxReconnectIntervalMs = 200;
+constexpr int connectTimeoutMs = 300; // A peer that is starting does not answer the first packet, and TCP repeats that after a second only.
 constexpr int unacknowledgedLimitMs = 2000; // As long as a missing heartbeat is borne.
 constexpr int handshakeTimeoutMs = 2000;
 constexpr int lingerMs = 200;
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -69,8 +69,10 @@
     void beginSearch(const AttemptPointer& attempt);
     void askTarget(const AttemptPointer& attempt, const Pick& pick);
     void askNextTarget(const AttemptPointer& attempt);
-    void targetAnswered(const AttemptPointer& attempt, size_t position, const std::optional<LoadReport>& load);
+    void targetAnswered(const AttemptPointer& attempt, const std::shared_ptr<CallSearch>& round, size_t position, const std::optional<LoadReport>& load);
     void stepSearch(const AttemptPointer& attempt, SearchStep step);
+    void searchAgain(const AttemptPointer& attempt);
+    void releasePicks(CallSearch& search, std::optional<size_t> chosen);
     void endSearch(const AttemptPointer& attempt, std::optional<size_t> chosen);
     void refuseForLoad(const AttemptPointer& attempt, double cost);
     TargetSearchLimits searchLimits() const;
--- a/programs/kingcupswitchd/entry/CallAnswer.cpp
+++ b/programs/kingcupswitchd/entry/CallAnswer.cpp
@@ -160,7 +160,7 @@
     std::string load(attempt->head.headers.find(this->gateway.edge.headers.load).value_or(""));
     logLine(LogLevel::Info, "attempt_ended",
         { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name }, { "target", attempt->pick.address },
-            { "instance", attempt->pick.instance }, { "hedge", attempt->hedge }, { "probes", attempt->probes }, { "searchCost", attempt->searchCost }, { "costMs", std::round(reason.costMs) }, { "slowdown", reason.slowdown },
+            { "instance", attempt->pick.instance }, { "hedge", attempt->hedge }, { "probes", attempt->probes }, { "rounds", attempt->searchRounds }, { "searchCost", attempt->searchCost }, { "costMs", std::round(reason.costMs) }, { "slowdown", reason.slowdown },
             { "reportAgeMs", std::round(std::min(reason.reportAgeMs, maxLoggedAgeMs)) }, { "outstanding", reason.outstanding }, { "candidates", reason.candidates },
             { "outcome", nameOf(upstreamOutcomeNames, result.outcome) }, { "status", attempt->head.status }, { "sent", result.maybeSent },
             { "newConnection", result.newConnection }, { "firstByteMs", std::round(result.firstByte.count()) }, { "totalMs", std::round(result.total.count()) }, { "load", load } });
--- a/programs/kingcupswitchd/entry/CallAttempt.h
+++ b/programs/kingcupswitchd/entry/CallAttempt.h
@@ -35,6 +35,7 @@
     std::shared_ptr<CallSearch> search; ///< Set while the target is being searched for.
     double searchCost = 0; ///< Expected time in usual times, by the search; 0: there was none.
     size_t probes = 0; ///< Targets that the search asked.
+    size_t searchRounds = 1; ///< Rounds of the search.
     UpstreamClient::AttemptHandle handle = 0; ///< Names it in the upstream client.
     TimePoint started {}; ///< When it was sent.
     HttpAnswerHead head; ///< Of the answer.
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -12,10 +12,9 @@
 
 constexpr size_t probeBytes = 400; ///< Request and answer with their headers.
 constexpr size_t unprobedTries = 8; ///< Targets whose budget is asked before one is used without a probe.
-constexpr double searchShare = 0.125; ///< Part of the objective that a search may take.
-constexpr Milliseconds longestSearch { 60 };
-constexpr Milliseconds probeSilence { 12 }; ///< Several times what a probe takes on a target with a free slot.
-constexpr uint32_t maxProbes = 8; ///< With a quarter of the targets slow, one search in 4,000 finds only slow ones.
+constexpr double searchShare = 0.125; ///< Part of the objective that a search may take while the usual time of the work is not known.
+constexpr double workShare = 1.25; ///< Usual times of work that must fit between the latest start and the objective.
+constexpr Milliseconds probeTimeout { 100 };
 constexpr double shortestRetryMs = 20; ///< Below this, a caller would come back before anything has changed.
 
 } // namespace
@@ -28,14 +27,14 @@
 
 TargetSearchLimits Call::searchLimits() const
 {
+    const Kind& kind = *this->match.kind;
     TargetSearchLimits limits;
-    limits.maxProbes = maxProbes;
-    limits.silence = probeSilence;
-    limits.duration = std::min(longestSearch, this->match.kind->objective * searchShare);
-    std::optional<Milliseconds> usual = this->match.runtime->usualTime(this->match.kind->name, MillisecondClock::now());
-    Milliseconds left = this->arrived + this->match.kind->objective - MillisecondClock::now();
-    if (usual && usual->count() > 0 && this->match.kind->mayRefuse)
-        limits.usefulCost = std::max(left.count(), 0.0) / usual->count();
+    limits.usualTime = this->match.runtime->usualTime(kind.name, MillisecondClock::now());
+    limits.objectiveEnd = std::min(this->arrived + kind.objective, this->deadline);
+    if (limits.usualTime)
+        limits.latestStart = limits.objectiveEnd - *limits.usualTime * workShare;
+    else
+        limits.latestStart = this->arrived + kind.objective * searchShare;
     return limits;
 }
 
@@ -56,7 +55,7 @@
     search.probes.push_back(0);
     if (!this->match.runtime->takeProbe(pick.address, probeBytes, now)) {
         bool triesOther = search.picks.size() < unprobedTries;
-        search.search.unasked(position);
+        search.search.unasked(position, this->match.runtime->typicalLoad(now));
         this->stepSearch(attempt, triesOther ? search.search.advance(now) : search.search.exhausted(now));
         return;
     }
@@ -66,21 +65,22 @@
     probe.method = "GET";
     probe.target = this->match.service->healthPath;
     probe.repeatable = true;
-    probe.connectTimeout = longestSearch;
-    probe.deadline = now + longestSearch;
+    probe.connectTimeout = probeTimeout;
+    probe.deadline = now + probeTimeout;
     probe.headers.add("Host", pick.address);
-    probe.onHead = [self, attempt, position](const HttpAnswerHead& head) {
+    std::shared_ptr<CallSearch> round = attempt->search;
+    probe.onHead = [self, attempt, round, position](const HttpAnswerHead& head) {
         std::optional<std::string_view> value = head.headers.find(self->gateway.edge.headers.load);
         std::optional<LoadReport> load = value ? self->gateway.edge.parseLoad(*value) : std::nullopt;
         constexpr int statusOk = 200;
         if (head.status != statusOk)
             load.reset();
-        self->serial.post([self, attempt, position, load] { self->targetAnswered(attempt, position, load); });
+        self->serial.post([self, attempt, round, position, load] { self->targetAnswered(attempt, round, position, load); });
     };
     probe.onData = [](std::string_view) { return true; };
-    probe.onEnd = [self, attempt, position](const UpstreamResult& result) {
+    probe.onEnd = [self, attempt, round, position](const UpstreamResult& result) {
         if (result.outcome != UpstreamOutcome::Complete)
-            self->serial.post([self, attempt, position] { self->targetAnswered(attempt, position, std::nullopt); });
+            self->serial.post([self, attempt, round, position] { self->targetAnswered(attempt, round, position, std::nullopt); });
     };
     attempt->probes++;
     this->gateway.metrics.count("kingcup_probes_total", this->match.service->name);
@@ -101,14 +101,17 @@
 }
 
 /** Takes what a target told. @param load Empty when it gave no usable answer. */
-void Call::targetAnswered(const AttemptPointer& attempt, size_t position, const std::optional<LoadReport>& load)
+void Call::targetAnswered(const AttemptPointer& attempt, const std::shared_ptr<CallSearch>& round, size_t position, const std::optional<LoadReport>& load)
 {
-    if (!attempt->search)
-        return;
     TimePoint now = MillisecondClock::now();
-    CallSearch& search = *attempt->search;
-    if (load)
+    CallSearch& search = *round;
+    if (load) {
+        this->match.runtime->recordLoad(*load, now);
         this->match.runtime->router.report(search.picks[position].address, *load, Milliseconds(0), now);
+    }
+    // An answer may come after its round.
+    if (attempt->search != round)
+        return;
     this->stepSearch(attempt, load ? search.search.answered(position, *load, search.picks[position].reason.coldFactor, now) : search.search.failed(position, now));
 }
 
@@ -122,7 +125,7 @@
     search.timer = 0;
     switch (step) {
     case SearchStep::Wait:
-        search.timer = this->gateway.timers.schedule(search.search.nextEvent(), [self = this->shared_from_this(), attempt] {
+        search.timer = this->gateway.timers.schedule(search.search.nextEvent(MillisecondClock::now()), [self = this->shared_from_this(), attempt] {
             self->serial.post([self, attempt] {
                 if (attempt->search)
                     self->stepSearch(attempt, attempt->search->search.advance(MillisecondClock::now()));
@@ -132,6 +135,9 @@
     case SearchStep::Probe:
         this->askNextTarget(attempt);
         return;
+    case SearchStep::Again:
+        this->searchAgain(attempt);
+        return;
     case SearchStep::Send:
         attempt->searchCost = search.search.bestCost();
         this->endSearch(attempt, search.search.best());
@@ -143,19 +149,34 @@
     }
 }
 
+/** Starts another round, in which every target may be asked again. */
+void Call::searchAgain(const AttemptPointer& attempt)
+{
+    this->releasePicks(*attempt->search, std::nullopt);
+    attempt->search = std::make_shared<CallSearch>(this->searchLimits(), MillisecondClock::now());
+    attempt->searchRounds++;
+    this->askNextTarget(attempt);
+}
+
+/** Gives back the targets that were not chosen. */
+void Call::releasePicks(CallSearch& search, std::optional<size_t> chosen)
+{
+    TimePoint now = MillisecondClock::now();
+    for (size_t position = 0; position < search.picks.size(); position++) {
+        if (position == chosen)
+            continue;
+        this->gateway.containment.ended(this->match.service->name, this->fingerprint, search.picks[position].address);
+        this->match.runtime->router.finish(search.picks[position], AttemptOutcome::Cancelled, Milliseconds(0), now);
+    }
+}
+
 /** Ends a search: the targets that were not chosen are given back. @param chosen Position of the target that gets the request; empty: none. */
 void Call::endSearch(const AttemptPointer& attempt, std::optional<size_t> chosen)
 {
     std::shared_ptr<CallSearch> search = std::move(attempt->search);
     attempt->search.reset();
     this->gateway.timers.cancel(search->timer);
-    TimePoint now = MillisecondClock::now();
-    for (size_t position = 0; position < search->picks.size(); position++) {
-        if (position == chosen)
-            continue;
-        this->gateway.containment.ended(this->match.service->name, this->fingerprint, search->picks[position].address);
-        this->match.runtime->router.finish(search->picks[position], AttemptOutcome::Cancelled, Milliseconds(0), now);
-    }
+    this->releasePicks(*search, chosen);
     if (chosen)
         attempt->pick = search->picks[*chosen];
     else
@@ -170,7 +191,7 @@
     Milliseconds left = this->arrived + this->match.kind->objective - now;
     Milliseconds excess = usual * cost - left;
     logLine(LogLevel::Info, "call_refused_for_load",
-        { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name }, { "probes", attempt->probes },
+        { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name }, { "probes", attempt->probes }, { "rounds", attempt->searchRounds },
             { "bestCost", cost }, { "usualMs", std::round(usual.count()) }, { "leftMs", std::round(left.count()) } });
     this->endSearch(attempt, std::nullopt);
     this->overloaded = true;
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -1,6 +1,8 @@
 /** @file ServiceRuntime.cpp Implementation of the runtime state of a service. */
 #include "ServiceRuntime.h"
 
+#include "kingcup/TargetSearch.h"
+
 namespace kingcup {
 
 namespace {
@@ -79,6 +81,18 @@
     return found == this->times.end() ? std::nullopt : found->second->quantile(usualQuantile, fewestTimes, now);
 }
 
+void ServiceRuntime::recordLoad(const LoadReport& load, TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->recentLoad.add(TargetSearch::costOf(load), TargetSearch::isFull(load), now);
+}
+
+std::optional<TypicalLoad> ServiceRuntime::typicalLoad(TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->recentLoad.typical(now);
+}
+
 bool ServiceRuntime::takeProbe(const std::string& address, size_t bytes, TimePoint now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/programs/kingcupswitchd/entry/ServiceRuntime.h
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.h
@@ -7,6 +7,7 @@
 #include "kingcup/LatencySketch.h"
 #include "kingcup/Metrics.h"
 #include "kingcup/ProbeBudget.h"
+#include "kingcup/RecentLoad.h"
 #include "kingcup/RetryPolicy.h"
 #include "kingcup/Router.h"
 
@@ -50,6 +51,12 @@
     /** Returns the time that work of a kind takes on a target that is neither slow nor full; empty while it is not known. */
     std::optional<Milliseconds> usualTime(const std::string& kind, TimePoint now);
 
+    /** Records what a target told when it was asked. */
+    void recordLoad(const LoadReport& load, TimePoint now);
+
+    /** Returns what targets told a moment ago. */
+    std::optional<TypicalLoad> typicalLoad(TimePoint now);
+
     /** Takes one probe from the budget. */
     bool takeProbe(const std::string& address, size_t bytes, TimePoint now);
 
@@ -73,6 +80,7 @@
     std::mutex mutex; ///< Guards all below.
     Admission admission; ///< Queue and limit.
     ProbeBudget probeBudget; ///< Of this VM.
+    RecentLoad recentLoad; ///< Of targets that were asked.
     std::map<std::string, std::unique_ptr<LatencySketch>> times; ///< Of whole answers, by kind.
     std::map<uint64_t, AdmissionHook> waiting; ///< Undecided requests.
     TimerId tickTimer = 0; ///< Pending tick.
