Fix: Manifests with a route without deadline were accepted; Add: Bounded log on standard output

Lines go to standard output; LogLimiter bounds them by event and process, LogOutput never waits for a reader for more than 200 ms, and not at all once lines were lost.

--- a/packages/coordination/include/kingcup/ProbeBudget.h
+++ b/packages/coordination/include/kingcup/ProbeBudget.h
@@ -17,6 +17,9 @@
     /** Changes the budget. */
     void setBudget(const MeasuringBudget& budget);
 
+    /** Sets the part of all VMs that may use one target, when each VM uses a subset of the targets; 1 without subsets. */
+    void setUsingPart(double part) { this->usingPart = part; }
+
     /**
      * Sets the number of live entry VMs; 0: unknown. To be called with every session answer and when the lease lapses.
      * A fall in number takes effect only after a lease term, and so does a number that follows an unknown one:
@@ -40,6 +43,7 @@
     void settle(TimePoint now);
 
     MeasuringBudget budget; ///< From the manifest.
+    double usingPart = 1; ///< Part of the VMs that may use one target.
     uint32_t assumedVms; ///< Divisor when unknown.
     uint32_t liveVms = 0; ///< Divisor in use; 0: unknown.
     Milliseconds leaseTerm { 0 }; ///< Last one heard; 0: none yet.
--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -89,6 +89,9 @@
     /** Records a load report. @param age Age of the report when it arrived. */
     void report(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now);
 
+    /** Returns the part of the targets that take work which this VM uses; 1 without targets. */
+    double subsetPart() const;
+
     /** Returns the calls in flight from this VM. */
     uint32_t outstanding() const;
 
--- a/packages/coordination/src/ProbeBudget.cpp
+++ b/packages/coordination/src/ProbeBudget.cpp
@@ -99,16 +99,16 @@
 /** Returns what a process may spend on a target that it has not probed yet: the burst of its share among the assumed VMs. */
 double ProbeBudget::firstTokens() const
 {
-    return this->budget.burstSeconds * std::max(this->budget.probesPerSecondPerTarget, 0.0) / std::max(this->assumedVms, 1u);
+    return this->budget.burstSeconds * std::max(this->budget.probesPerSecondPerTarget, 0.0) / std::max(1.0, this->assumedVms * this->usingPart);
 }
 
 double ProbeBudget::share() const
 {
     double rate = std::max(this->budget.probesPerSecondPerTarget, 0.0);
     if (this->settled)
-        return rate / this->liveVms;
+        return rate / std::max(1.0, this->liveVms * this->usingPart);
     // Others may not count this VM, so its probes come on top of theirs: at most one a lease term.
-    double unsettled = rate / std::max(this->assumedVms, this->liveVms);
+    double unsettled = rate / std::max(1.0, std::max(this->assumedVms, this->liveVms) * this->usingPart);
     if (this->budget.burstSeconds > 0)
         return unsettled; // The burst allows for what comes on top within a lease term.
     double term = this->leaseTerm.count();
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -171,6 +171,13 @@
     entry->target->reported(load, inMs(now) - std::max(age.count(), 0.0));
 }
 
+double Router::subsetPart() const
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    return table.offeredCount ? static_cast<double>(table.servingCount) / static_cast<double>(table.offeredCount) : 1;
+}
+
 uint32_t Router::outstanding() const
 {
     return static_cast<uint32_t>(std::max<int64_t>(0, this->state->outstanding.sum()));
--- a/packages/coordination/src/RoutingTable.cpp
+++ b/packages/coordination/src/RoutingTable.cpp
@@ -79,6 +79,7 @@
     table->zonePreference = service.zonePreference;
     std::vector<const wire::TargetRecord*> used = chooseSubset(owner, service, targets);
     for (const wire::TargetRecord& record : targets) {
+        table->offeredCount += record.state() == wire::TARGET_SERVING;
         // Targets that no longer take work stay in the table until their last attempt has been counted out.
         if (record.state() != wire::TARGET_SERVING && previous.find(record.address()))
             used.push_back(&record);
--- a/packages/coordination/src/RoutingTable.h
+++ b/packages/coordination/src/RoutingTable.h
@@ -25,7 +25,8 @@
     ZonePreference zonePreference = ZonePreference::Own; ///< From the manifest.
     std::vector<RoutingEntry> entries; ///< All targets in use.
     size_t localCount = 0; ///< Local targets that take work: the first entries.
-    size_t servingCount = 0; ///< All targets that take work.
+    size_t servingCount = 0; ///< All targets in use that take work.
+    size_t offeredCount = 0; ///< Targets of the service that take work, also those that other VMs use.
     absl::flat_hash_map<std::string, uint32_t> byAddress; ///< Index in `entries`.
 
     /** Returns the entry of an address, or null. */
--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -75,7 +75,7 @@
     std::vector<std::string> allowedKeys; ///< CURVE public keys that may connect; role control.
     std::string operatorTokenFile; ///< File with the operators' bearer token.
     std::string targetTokenFile; ///< File with the targets' bearer token.
-    std::string logFile; ///< JSON-lines log; empty: standard error.
+    std::string logFile; ///< JSON-lines log; empty: standard output.
     uint64_t seed = 0; ///< Seed of all random numbers; 0: taken from the machine.
     uint32_t callerThreads = 2; ///< Threads of the caller listener.
     uint32_t upstreamThreads = 2; ///< Threads of the upstream client.
--- a/packages/protocol/src/ManifestParser.cpp
+++ b/packages/protocol/src/ManifestParser.cpp
@@ -5,6 +5,7 @@
 #include "RouteParser.h"
 #include "kingcup/ManifestDigest.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <map>
@@ -293,16 +294,20 @@
     }
 }
 
-/** Reads the routes. Two routes may have one host and prefix: the first by name is used. */
+/** Reads the routes. No two may have one name, or one host and prefix. */
 void readRoutes(JsonReader& reader, Manifest& manifest, DocumentError& error)
 {
     std::set<std::string> names;
+    std::map<std::pair<std::string, std::string>, std::string> selectors;
     const json* routes = reader.array("routes", Presence::Optional, 0, maxRoutes);
     for (size_t i = 0; routes && reader.good() && i < routes->size(); i++) {
         std::string place = pointerTo(reader.pointerOf("routes"), std::to_string(i));
         Route route = readRoute((*routes)[i], place, reader.documentCodes(), error);
         if (reader.good() && !names.insert(route.name).second)
             error = { ResultCode::ManifestOverlap, place + "/name", absl::StrCat("route ", route.name, " is defined twice") };
+        auto [selector, isNew] = selectors.emplace(std::pair(absl::AsciiStrToLower(route.host), route.pathPrefix), route.name);
+        if (reader.good() && !isNew)
+            error = { ResultCode::ManifestOverlap, place + "/pathPrefix", absl::StrCat("route ", selector->second, " has the same host and path prefix") };
         manifest.routes.push_back(std::move(route));
     }
 }
--- a/packages/protocol/src/RouteParser.cpp
+++ b/packages/protocol/src/RouteParser.cpp
@@ -41,7 +41,7 @@
     visitor.text("host", route.host, Presence::Required, routeHostText);
     visitor.text("pathPrefix", route.pathPrefix, Presence::Required, prefixText);
     visitor.choice("kind", route.kind, Presence::Required, routeKindNames);
-    visitor.milliseconds("deadlineMs", route.rules.deadline, Presence::Required, 0, longestDeadlineMs);
+    visitor.milliseconds("deadlineMs", route.rules.deadline, Presence::Required, 1, longestDeadlineMs);
     visitor.milliseconds("objectiveMs", route.rules.objective, Presence::Optional, 0, longestDeadlineMs + objectiveSlackMs);
     visitor.integer("priority", route.rules.priority, Presence::Optional, 0, UINT32_MAX);
     visitor.integer("maxAttempts", route.rules.maxAttempts, Presence::Optional, 0, UINT32_MAX);
@@ -75,6 +75,9 @@
         shares.push_back(only);
     if (shares.empty())
         reader.fail(manifestCodes.missingKey, "service", "or a split is required");
+    auto hasWeight = [](const RouteShare& share) { return share.weight > 0; };
+    if (!shares.empty() && std::none_of(shares.begin(), shares.end(), hasWeight))
+        reader.fail(manifestCodes.outOfRange, "split", "has no weight above 0");
     return shares;
 }
 
--- a/packages/protocol/tests/RouteParserTest.cpp
+++ b/packages/protocol/tests/RouteParserTest.cpp
@@ -80,6 +80,16 @@
         EXPECT_EQ(errorOf("/routes/0/objectiveMs", 61200).pointer, "/routes/0/objectiveMs");
         EXPECT_EQ(errorOf("/routes/0/objectiveMs", 61199).code, ResultCode::Ok);
     });
+    section("a route without a deadline, for pipelines with keys of their own too", [] {
+        EXPECT_EQ(errorOf("/routes/0/deadlineMs", 0, { UnknownKeys::Ignore, true }).pointer, "/routes/0/deadlineMs");
+    });
+    section("a split without any weight", [] { EXPECT_EQ(errorOf("/routes/0/split", { { { "service", "ledger" }, { "weight", 0 } } }).pointer, "/routes/0/split"); });
+    section("two routes with one host and prefix", [] {
+        json twin = { { "name", "twin" }, { "host", "A.example" }, { "pathPrefix", "/x/" }, { "kind", "safe" }, { "deadlineMs", 100 }, { "service", "ledger" } };
+        EXPECT_EQ(errorOf("/routes/2", twin).code, ResultCode::ManifestOverlap);
+        twin["host"] = "c.example";
+        EXPECT_EQ(errorOf("/routes/2", twin).code, ResultCode::Ok);
+    });
     section("an unknown kind", [] { EXPECT_EQ(errorOf("/routes/0/kind", "streaming").pointer, "/routes/0/kind"); });
     section("a service that nothing leads to, unless the pipeline writes keys of its own", [] {
         json unused = { { "name", "unused" } };
--- a/packages/transport/include/kingcup/JsonLog.h
+++ b/packages/transport/include/kingcup/JsonLog.h
@@ -16,13 +16,13 @@
     Error, ///< Something failed and needs an operator.
 };
 
-/** Opens the log. @param file Path; empty: standard error. @param vm Name of this VM, a field of each line. */
+/** Opens the log. @param file Path; empty: standard output. @param vm Name of this VM, a field of each line. */
 void openLog(const std::string& file, const std::string& vm);
 
-/** Writes one line with time, level, VM, event name and fields. @param event Short snake_case name. */
+/** Writes one line with time, level, VM, event name and fields. Never blocks; rates are bounded by event and process. @param event Short snake_case name. */
 void logLine(LogLevel level, std::string_view event, const nlohmann::json& fields = nlohmann::json::object());
 
-/** Closes the log, with everything written. */
+/** Closes the log. What its reader does not take at once is lost. */
 void closeLog();
 
 } // namespace kingcup
--- a/packages/transport/src/JsonLog.cpp
+++ b/packages/transport/src/JsonLog.cpp
@@ -1,20 +1,18 @@
-/** @file JsonLog.cpp One JSON object a line, through an asynchronous Boost.Log sink. */
+/** @file JsonLog.cpp One JSON object a line, through an asynchronous Boost.Log sink with bounded rates. */
 #include "kingcup/JsonLog.h"
 
+#include "LogOutput.h"
 #include "kingcup/EnumNames.h"
+#include "kingcup/LogLimiter.h"
 #include "kingcup/MillisecondClock.h"
 
-#include <fstream>
-#include <iostream>
 #include <mutex>
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/drop_on_overflow.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 
@@ -29,16 +27,16 @@
     { LogLevel::Error, "error" },
 };
 
-constexpr size_t maxQueuedLines = 10000; ///< Further lines are dropped, so that a slow disk never blocks a request.
+constexpr size_t maxQueuedLines = 2000; ///< Further lines are dropped, so that a slow reader never blocks a request.
 
-using Backend = boost::log::sinks::text_ostream_backend;
-using Sink = boost::log::sinks::asynchronous_sink<Backend, boost::log::sinks::bounded_fifo_queue<maxQueuedLines, boost::log::sinks::drop_on_overflow>>;
+using Sink = boost::log::sinks::asynchronous_sink<LogOutput, boost::log::sinks::bounded_fifo_queue<maxQueuedLines, boost::log::sinks::drop_on_overflow>>;
 
 /** The one log of a process. */
 struct LogState {
-    std::mutex mutex; ///< Guards the pointers below.
+    std::mutex mutex; ///< Guards all below.
     boost::shared_ptr<Sink> sink; ///< Open sink, if any.
     std::string vm; ///< Field of each line.
+    LogLimiter limiter; ///< Of the lines of this process.
 };
 
 LogState& logState()
@@ -47,54 +45,69 @@
     return state;
 }
 
+/** Hands a line to the thread of the log. */
+void write(const std::string& vm, LogLevel level, std::string_view event, const nlohmann::json& fields)
+{
+    nlohmann::ordered_json line;
+    line["timeMs"] = MillisecondClock::wallTimeMs();
+    line["level"] = nameOf(logLevelNames, level);
+    line["event"] = event;
+    line["vm"] = vm;
+    for (const auto& [name, value] : fields.items())
+        line[name] = value;
+    boost::log::sources::logger_mt logger;
+    BOOST_LOG(logger) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 } // namespace
 
 void openLog(const std::string& file, const std::string& vm)
 {
-    auto backend = boost::make_shared<Backend>();
-    if (file.empty())
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
-    else
-        backend->add_stream(boost::make_shared<std::ofstream>(file, std::ios::app));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<Sink>(backend);
+    auto sink = boost::make_shared<Sink>(boost::make_shared<LogOutput>(file));
     sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
     boost::log::core::get()->add_sink(sink);
     LogState& state = logState();
     std::lock_guard<std::mutex> lock(state.mutex);
     state.sink = sink;
     state.vm = vm;
+    state.limiter = LogLimiter();
 }
 
 void logLine(LogLevel level, std::string_view event, const nlohmann::json& fields)
 {
     LogState& state = logState();
-    nlohmann::ordered_json line;
-    line["timeMs"] = MillisecondClock::wallTimeMs();
-    line["level"] = nameOf(logLevelNames, level);
-    line["event"] = event;
+    std::vector<SuppressedLines> suppressed;
+    std::string vm;
+    bool allowed = false;
     {
         std::lock_guard<std::mutex> lock(state.mutex);
         if (!state.sink)
             return;
-        line["vm"] = state.vm;
+        vm = state.vm;
+        TimePoint now = MillisecondClock::now();
+        allowed = state.limiter.take(event, now);
+        suppressed = state.limiter.takeSuppressed(now);
     }
-    for (const auto& [name, value] : fields.items())
-        line[name] = value;
-    boost::log::sources::logger_mt logger;
-    BOOST_LOG(logger) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    for (const SuppressedLines& lines : suppressed)
+        write(vm, LogLevel::Warning, "log_lines_suppressed", { { "of", lines.event }, { "count", lines.count } });
+    if (allowed)
+        write(vm, level, event, fields);
 }
 
 void closeLog()
 {
     LogState& state = logState();
-    std::lock_guard<std::mutex> lock(state.mutex);
-    if (!state.sink)
+    boost::shared_ptr<Sink> sink;
+    {
+        std::lock_guard<std::mutex> lock(state.mutex);
+        sink.swap(state.sink);
+    }
+    if (!sink)
         return;
-    boost::log::core::get()->remove_sink(state.sink);
-    state.sink->stop();
-    state.sink->flush();
-    state.sink.reset();
+    boost::log::core::get()->remove_sink(sink);
+    sink->locked_backend()->stopWaiting();
+    sink->stop();
+    sink->flush();
 }
 
 } // namespace kingcup
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr double subsetUnevenness = 2; ///< Rendezvous hashing gives a target to at most about this many times the mean number of VMs.
 constexpr double usualQuantile = 0.4; ///< Below the slower targets, above the shorter half of the work.
 constexpr uint64_t fewestTimes = 10;
 constexpr Milliseconds farAway { 60000 }; ///< Events later than this need no timer.
@@ -104,6 +105,7 @@
     this->retries.setLiveVms(liveVms);
     std::lock_guard<std::mutex> lock(this->mutex);
     this->probeBudget.setLiveVms(liveVms, leaseTerm, now);
+    this->probeBudget.setUsingPart(std::min(1.0, subsetUnevenness * this->router.subsetPart()));
 }
 
 /** Calls the hooks of decided requests without the lock. */
