--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -13,8 +13,17 @@
 constexpr size_t bodyChunkBytes = 64u << 10;
 constexpr size_t heldBodyBytes = 256u << 10; ///< Bodies up to this size are held, so that an attempt can be repeated; larger ones are streamed.
 constexpr Milliseconds defaultRetryAfter { 1000 };
+constexpr Milliseconds stoppingRetryAfter { 10 }; ///< Other VMs serve as usual.
 constexpr Milliseconds isolatedRetryAfter { 250 }; ///< Other VMs may know the configuration, and this one gets it as soon as there is a leader.
 
+/** Returns when a caller should come back that was refused before its request was looked at. */
+Milliseconds retryAfterOf(ResultCode code)
+{
+    if (code == ResultCode::Stopping)
+        return stoppingRetryAfter;
+    return code == ResultCode::Isolated ? isolatedRetryAfter : defaultRetryAfter;
+}
+
 } // namespace
 
 Call::Call(Gateway& gateway, std::shared_ptr<HttpExchange> exchange)
@@ -51,7 +60,7 @@
     this->setExchangeHooks();
     ResultCode code = this->check();
     if (code != ResultCode::Ok) {
-        this->refuse(code, code == ResultCode::Isolated ? isolatedRetryAfter : defaultRetryAfter);
+        this->refuse(code, retryAfterOf(code));
         return;
     }
     this->readBody();
@@ -78,6 +87,8 @@
         return ResultCode::BodyTooLarge;
     Milliseconds allowed = std::min(kind.deadline, this->parameters.deadline.value_or(kind.deadline));
     this->deadline = this->arrived + allowed;
+    if (!this->gateway.endsBeforeStop(this->deadline))
+        return ResultCode::Stopping;
     return allowed.count() > 0 ? ResultCode::Ok : ResultCode::DeadlineBeforeSend;
 }
 
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -37,6 +37,9 @@
     /** First step of a planned stop: readiness off, connections are closed after their answer. Calls are still served. */
     void announceStop();
 
+    /** Between the steps: only calls are taken that end by this time. */
+    void setStopEnd(TimePoint end) { this->gateway.setStopEnd(end); }
+
     /** Second step: no new connections, calls in flight are finished. Returns false when the limit passed first. */
     bool drain(Milliseconds limit);
 
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -14,6 +14,7 @@
 #include "kingcup/UpstreamClient.h"
 
 #include <atomic>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -45,6 +46,12 @@
     /** Returns the time of the log in milliseconds. */
     int64_t logTimeMs() const;
 
+    /** From now on only calls that end by this time are taken: this VM is stopping. */
+    void setStopEnd(TimePoint end) { this->stopEndMs.store(end.time_since_epoch().count()); }
+
+    /** Returns whether a call with a deadline ends before this VM stops. */
+    bool endsBeforeStop(TimePoint deadline) const { return deadline.time_since_epoch().count() <= this->stopEndMs.load(); }
+
     /** Refuses further calls. */
     void stopServing() { this->stopping.store(true); }
 
@@ -89,6 +96,7 @@
     MeasuringBudget routeMeasuringBudget; ///< Of services that only routes lead to.
     mutable std::mutex logClockMutex; ///< Guards the clock.
     LogClock logClock; ///< Time of the log.
+    std::atomic<double> stopEndMs { std::numeric_limits<double>::infinity() }; ///< When this VM stops, on the monotonic clock.
     std::atomic<double> leaseEndMs { 0 }; ///< End of the lease on the monotonic clock.
     mutable std::mutex configureMutex; ///< Serialises configure().
 };
--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -206,6 +206,7 @@
 {
     constexpr Milliseconds step { 100 };
     TimePoint end = MillisecondClock::now() + this->settings.stopLimit;
+    this->entry->setStopEnd(end);
     while (MillisecondClock::now() < end && !aborted.load()) {
         if (this->entry->drain(step))
             return true;
--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -1,5 +1,7 @@
 /** @file GracefulStopTest.cpp Guards against a planned stop of an entry VM, a control leader or a target that cuts or refuses a call. */
 #include "TestDeployment.h"
+#include "testing/HttpStream.h"
+#include "testing/MachineTime.h"
 
 #include <csignal>
 #include <gtest/gtest.h>
@@ -34,6 +36,40 @@
 
 } // namespace
 
+TEST(GracefulStop, refusesAtOnceWhatItCannotFinish)
+{
+    DeploymentOptions options = testOptions(82, 1, { { "matters", 1, 6 } });
+    options.settings = { { "stopNoticeMs", 200 }, { "stopLimitMs", 2500 } };
+    options.targetFaults = { { "latencyMedianMs", 900 } };
+    Deployment deployment(options);
+    ASSERT_EQ(startAll(deployment), "");
+    std::string address = deployment.entryVms()[0].callerAddress;
+    HttpMessage request;
+    request.startLine = "GET /matters/balance HTTP/1.1";
+    request.add("Host", "kingcup");
+    // Calls on two kept connections: one keeps the VM from ending, the other sends again during the stop.
+    HttpStream first(connectTo(address, stopLimit));
+    HttpStream second(connectTo(address, stopLimit));
+    HttpMessage answer;
+    ASSERT_TRUE(second.connection().sendAll(request.encode()));
+    ASSERT_EQ(second.readAnswer(answer), HttpReadResult::Complete);
+    deployment.entryVms()[0].process->signal(SIGTERM);
+    ASSERT_TRUE(first.connection().sendAll(request.encode()));
+    waitUntil(Milliseconds(350), [] { return false; });
+    section("a call whose deadline lies behind the end of the stop is refused as not run", [&] {
+        double sentMs = machineTimeMs();
+        ASSERT_TRUE(second.connection().sendAll(request.encode()));
+        ASSERT_EQ(second.readAnswer(answer), HttpReadResult::Complete);
+        EXPECT_EQ(answer.status(), 503);
+        EXPECT_EQ(answer.find("Kingcup-Run"), "not-run");
+        EXPECT_LT(machineTimeMs() - sentMs, 300) << "at once";
+    });
+    section("the call that was in flight is finished", [&] {
+        ASSERT_EQ(first.readAnswer(answer), HttpReadResult::Complete);
+        EXPECT_EQ(answer.status(), 200);
+    });
+}
+
 TEST(GracefulStop, cutsNoCall)
 {
     DeploymentOptions options = testOptions(81, 3, { { "matters", 3, 6 } });
