--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -58,6 +58,7 @@
     void attemptFailed(const AttemptPointer& attempt, const UpstreamResult& result);
     void noteEnd(const AttemptPointer& attempt, const UpstreamResult& result);
     void reportSuspicion(const AttemptPointer& attempt);
+    void logSuspicion(const wire::CommandResult& result) const;
     void retryOrFail();
     bool retryAllowed(bool sent, AttemptOutcome outcome);
     bool retryAfterStatus(const AttemptPointer& attempt);
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -293,9 +293,13 @@
     suspicion->set_target_incarnation(attempt->pick.incarnation);
     suspicion->set_quarantine_ms(static_cast<uint64_t>(this->match.service->limits.quarantine.count()));
     this->gateway.metrics.count("kingcup_suspicions_total", this->match.service->name);
+    logLine(LogLevel::Warning, "request_suspected",
+        { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name }, { "target", attempt->pick.address },
+            { "incarnation", attempt->pick.incarnation }, { "waits", waits } });
     Milliseconds limit = waits ? this->gateway.suspicionWait : suspicionTimeout;
     this->gateway.leader.command(std::move(command), limit, [self = this->shared_from_this(), waits](const wire::CommandResult& result) {
         self->serial.post([self, result, waits] {
+            self->logSuspicion(result);
             if (!waits)
                 return;
             self->pendingSuspicions--;
@@ -306,6 +310,14 @@
     });
 }
 
+/** Logs what control answered to a suspicion. */
+void Call::logSuspicion(const wire::CommandResult& result) const
+{
+    logLine(LogLevel::Info, "suspicion_answered",
+        { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name },
+            { "result", resultCodeRow(static_cast<ResultCode>(result.result_code())).name }, { "lostTargets", result.suspected_targets() } });
+}
+
 void Call::attemptEnded(const AttemptPointer& attempt, const UpstreamResult& result)
 {
     if (attempt->ended)
--- a/tests/CrashContainmentTest.cpp
+++ b/tests/CrashContainmentTest.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <string>
+
 using namespace kingcup;
 using namespace kingcup::testing;
 
@@ -35,6 +38,19 @@
     return crashed;
 }
 
+/** Returns how many lines of an event all entry VMs have logged. */
+size_t countEvents(Deployment& deployment, const std::string& event)
+{
+    size_t count = 0;
+    std::string field = "\"event\":\"" + event + "\"";
+    for (const Vm& vm : deployment.entryVms()) {
+        std::ifstream log(vm.folder + "/log.jsonl");
+        for (std::string line; std::getline(log, line);)
+            count += line.find(field) != std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
 } // namespace
 
 TEST(CrashContainment, oneRequestCrashesAtMostTwoTargets)
@@ -53,6 +69,10 @@
         sendCrashing(deployment, "POST", 8);
         EXPECT_LE(repairCrashed(deployment), 2u) << deployment.logs();
     });
+    section("the log names both requests as suspects, with what control answered", [&] {
+        EXPECT_GE(countEvents(deployment, "request_suspected"), 2u) << deployment.logs();
+        EXPECT_GE(countEvents(deployment, "suspicion_answered"), 2u) << deployment.logs();
+    });
     section("unrelated reads are answered", [&] {
         EXPECT_EQ(violationsAfter(deployment, load), "");
         LoadSummary summary = summarise(load.records());
