Codechange: [Operators] Keep the confirmation of an announcement by copy

clang-tidy found a use after a move on paths that exclude each other. The hook is now taken by reference and copied where it is kept, so that no reader has to prove that the paths exclude each other.

--- a/programs/kingcupswitchd/operators/TargetAnnouncements.cpp
+++ b/programs/kingcupswitchd/operators/TargetAnnouncements.cpp
@@ -88,7 +88,7 @@
 {
 }
 
-void TargetAnnouncements::add(wire::TargetLoad load, Done done)
+void TargetAnnouncements::add(wire::TargetLoad load, const Done& done)
 {
     TimePoint now = MillisecondClock::now();
     bool isConfirmed = false;
@@ -101,7 +101,7 @@
         isConfirmed = isRepetition && now - this->lastTaken < confirmationLifetime;
         this->urgent = this->urgent || !isConfirmed;
         if (!isConfirmed)
-            this->confirmations.push_back(std::move(done));
+            this->confirmations.push_back(done);
         Waiting& entry = this->waiting[key];
         if (entry.load.target().incarnation() <= load.target().incarnation()) {
             entry.load = std::move(load);
--- a/programs/kingcupswitchd/operators/TargetAnnouncements.h
+++ b/programs/kingcupswitchd/operators/TargetAnnouncements.h
@@ -34,7 +34,7 @@
      * Takes an announcement. One that changes a target's state or incarnation is sent at once; `done` is then called when
      * control has taken it. A repetition is confirmed at once while control answers.
      */
-    void add(wire::TargetLoad load, Done done);
+    void add(wire::TargetLoad load, const Done& done);
 
     /** Has control record that a target drains or goes; `done` is called once that is committed. */
     void addDeparture(wire::TargetRecord target, std::function<void(ResultCode)> done);
