Fix: [Transport] A streamed answer that is aborted at once still shows its header

Cause: abort() reset the connection whether or not libmicrohttpd had already sent the header of the started answer. When the second target answered before libmicrohttpd's thread had run, the caller saw a closed connection without a byte, which looks like a request that was never taken and which HTTP clients may repeat by themselves.

A connection is reset at once only when libmicrohttpd has asked for the body, which it does after the header.

--- a/packages/transport/src/ServedAnswer.cpp
+++ b/packages/transport/src/ServedAnswer.cpp
@@ -97,7 +97,7 @@
         return;
     bool complete = this->streamBytes == this->answerHead.contentLength.value_or(this->streamBytes);
     bool bodyless = this->requestHead.method == "HEAD" || isBodylessStatus(this->answerHead.status);
-    this->answerState = complete || bodyless ? AnswerState::Finished : AnswerState::Aborted;
+    this->answerState = complete || bodyless ? AnswerState::Finished : AnswerState::AbortedAfterHeader;
     this->resume();
 }
 
@@ -106,8 +106,10 @@
     Lock lock(this->mutex);
     if (this->over || this->answerState == AnswerState::Whole || this->answerState == AnswerState::Finished)
         return;
-    this->answerState = AnswerState::Aborted;
-    if (this->queued && this->connection)
+    // Without the header the caller would see a closed connection, which looks like a request that was never taken.
+    bool hasHeader = this->answerState == AnswerState::Streaming || this->answerState == AnswerState::AbortedAfterHeader;
+    this->answerState = hasHeader ? AnswerState::AbortedAfterHeader : AnswerState::Aborted;
+    if (this->headerSent && this->connection)
         this->reset();
     this->resume();
 }
@@ -115,7 +117,9 @@
 ssize_t ServedExchange::onRead(char* buffer, size_t limit)
 {
     Lock lock(this->mutex);
-    if (this->gone || this->answerState == AnswerState::Aborted) {
+    this->headerSent = true;
+    bool aborted = this->answerState == AnswerState::Aborted || this->answerState == AnswerState::AbortedAfterHeader;
+    if (this->gone || aborted) {
         this->reset();
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
--- a/packages/transport/src/ServedExchange.h
+++ b/packages/transport/src/ServedExchange.h
@@ -79,6 +79,7 @@
         Streaming, ///< startAnswer() was called.
         Finished, ///< finish() was called.
         Aborted, ///< abort() was called.
+        AbortedAfterHeader, ///< abort() was called after startAnswer(); the header is still sent.
     };
 
     /** Hooks that are due. */
@@ -144,6 +145,7 @@
     bool refused = false; ///< The listener itself answers.
     bool sentEarly = false; ///< The answer was sent by sendEarlyAnswer().
     bool queued = false; ///< The answer was given to libmicrohttpd.
+    bool headerSent = false; ///< libmicrohttpd has sent the header of a streamed answer: it asks for the body.
 
     ByteQueue body; ///< Received, not yet read.
     uint64_t bodyBytes = 0; ///< Received so far.
--- a/packages/transport/tests/HttpListenerTest.cpp
+++ b/packages/transport/tests/HttpListenerTest.cpp
@@ -168,6 +168,17 @@
     });
     EXPECT_TRUE(noting.wait([&](const Calls& seen) { return seen.lost == seen.requests; }));
     EXPECT_EQ(noting.calls.get().completed, 0);
+    section("and one that is aborted before its header was sent still shows it", [&] {
+        HttpListener listener({ .address = "127.0.0.1:0" }, [](const std::shared_ptr<HttpExchange>& exchange) {
+            exchange->startAnswer(head(200, 100));
+            exchange->abort();
+        });
+        ASSERT_FALSE(listener.start());
+        RawSocket caller = RawSocket::connectTo(listener.port());
+        caller.send(getText);
+        EXPECT_TRUE(caller.takeAll().starts_with("HTTP/1.1 200"));
+        EXPECT_TRUE(caller.reset());
+    });
 }
 
 TEST(HttpListenerTest, answersBeforeTheBodyHasEnded)
