Change: [Control] A leader that restarts is elected again without a wait

A member now notes with its term that it led it. After a restart on the same data folder it asks for votes at once and says which term it led. Nobody else can lead that term and that process has ended (the folder is locked by one process), so a voter of exactly this term owes no lease to anyone. Voters of another term, and candidates that only voted for themselves, are treated as before. The note may be missing after a crash, never wrong.

Ruled out: trusting the vote alone. A voter can have voted for one candidate and then followed another that won the same term.

--- a/packages/coordination/include/kingcup/ReplicatedLogTypes.h
+++ b/packages/coordination/include/kingcup/ReplicatedLogTypes.h
@@ -53,6 +53,7 @@
 struct HardState {
     Term term = 0; ///< Current term.
     VmId votedFor = 0; ///< 0: no vote in this term.
+    bool led = false; ///< This member led this term. May be missing after a crash, but is never wrong.
     bool operator==(const HardState&) const = default;
 };
 
--- a/packages/coordination/src/LogStorage.cpp
+++ b/packages/coordination/src/LogStorage.cpp
@@ -12,7 +12,7 @@
 
 /** Types of journal records; the numbers are part of the file format. */
 enum class LogRecordType : uint32_t {
-    HardState = 1, ///< Term and vote, as two 64-bit numbers.
+    HardState = 1, ///< Term and vote, as two 64-bit numbers; a third one, 1, if this member led the term.
     Entry = 2, ///< A wire::LogEntry.
     Truncate = 3, ///< Index from which entries are dropped, as a 64-bit number.
 };
@@ -42,6 +42,8 @@
 /** Makes the record of a term and vote. */
 JournalRecord hardStateRecord(const HardState& hardState)
 {
+    if (hardState.led)
+        return makeRecord(LogRecordType::HardState, encode({ hardState.term, hardState.votedFor, 1 }));
     return makeRecord(LogRecordType::HardState, encode({ hardState.term, hardState.votedFor }));
 }
 
@@ -115,9 +117,10 @@
 {
     switch (static_cast<LogRecordType>(record.type)) {
     case LogRecordType::HardState:
-        if (record.data.size() != 2 * sizeof(uint64_t))
+        if (record.data.size() != 2 * sizeof(uint64_t) && record.data.size() != 3 * sizeof(uint64_t))
             return false;
-        this->hardState = { decode(record.data, 0), static_cast<VmId>(decode(record.data, 1)) };
+        this->hardState = { decode(record.data, 0), static_cast<VmId>(decode(record.data, 1)), false };
+        this->hardState.led = record.data.size() > 2 * sizeof(uint64_t) && decode(record.data, 2) == 1;
         return true;
     case LogRecordType::Entry: {
         wire::LogEntry entry;
--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -29,12 +29,16 @@
     , snapshotReader(std::move(snapshotReader))
     , log(durable.snapshot, std::move(durable.entries))
     , hardState(durable.hardState)
+    , endedTerm(durable.hardState.led ? durable.hardState.term : 0)
     , commitIndex(durable.snapshot.lastIndex)
     , syncedIndex(log.lastIndex())
     , syncedTerm(durable.hardState.term)
     , lastLeaderContact(now)
 {
     this->resetElectionTimer(now);
+    // Nobody else can lead the term that this member led, so it asks for votes at once.
+    if (this->endedTerm)
+        this->electionDeadline = now;
 }
 
 ReplicatedLog::ReplicatedLog(ReplicatedLogOptions options, DurableLogState durable, RandomSource random, SnapshotReader snapshotReader, TimePoint now)
--- a/packages/coordination/src/ReplicatedLogElection.cpp
+++ b/packages/coordination/src/ReplicatedLogElection.cpp
@@ -13,7 +13,7 @@
 
 void ReplicatedLog::State::setHardState(Term term, VmId votedFor, LogOutput& output)
 {
-    this->hardState = { term, votedFor };
+    this->hardState = { term, votedFor, false };
     output.write.hardState = this->hardState;
 }
 
@@ -52,7 +52,9 @@
     this->role = LogRole::PreCandidate;
     this->leader = 0;
     // A pre-vote disturbs nobody, so one that was asked too early is soon repeated.
-    this->electionDeadline = now + this->options.electionTimeout * (preVoteRepeat * (1 + this->random.fraction()));
+    bool returns = this->endedTerm && this->endedTerm == this->hardState.term;
+    Milliseconds repeat = this->options.electionTimeout * (preVoteRepeat * (1 + this->random.fraction()));
+    this->electionDeadline = now + (returns ? std::min(repeat, this->options.heartbeatInterval) : repeat);
     this->sendVoteRequests(true, false, output);
 }
 
@@ -82,6 +84,7 @@
         request.set_last_index(this->log.lastIndex());
         request.set_last_term(this->log.lastTerm());
         request.set_hand_over(handOver);
+        request.set_ended_term(this->endedTerm);
         this->send({ member.vm_id(), member.incarnation() }, std::move(message), false, output);
     }
 }
@@ -96,6 +99,13 @@
     return this->role == LogRole::Leader || now - this->lastLeaderContact < this->options.electionTimeout;
 }
 
+bool ReplicatedLog::State::supportsOther(const wire::VoteRequest& request, TimePoint now) const
+{
+    // The only leader of this term was a process that has ended. Leases of earlier terms ended before it was elected.
+    bool leaderEnded = request.ended_term() && request.ended_term() == this->hardState.term && this->role != LogRole::Leader;
+    return this->hearsLeader(now) && !request.hand_over() && !leaderEnded;
+}
+
 void ReplicatedLog::State::receiveVoteRequest(const MemberId& from, const wire::VoteRequest& request, TimePoint now, LogOutput& output)
 {
     // A member that no membership lists has no vote. A learner votes, because it may have been promoted without knowing.
@@ -104,7 +114,7 @@
     wire::LogMessage message;
     wire::VoteAnswer& answer = *message.mutable_vote_answer();
     answer.set_pre_vote(request.pre_vote());
-    bool refused = this->hearsLeader(now) && !request.hand_over();
+    bool refused = this->supportsOther(request, now);
     if (request.pre_vote()) {
         answer.set_granted(!refused && request.term() > this->hardState.term && this->logIsUpToDate(request));
         answer.set_term(answer.granted() ? request.term() : this->hardState.term);
@@ -153,6 +163,8 @@
 {
     this->role = LogRole::Leader;
     this->leader = this->options.self;
+    this->hardState.led = true;
+    output.write.hardState = this->hardState;
     this->leaderSince = now;
     this->rounds.clear();
     this->peers.clear();
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -81,6 +81,8 @@
     void resetElectionTimer(TimePoint now);
     bool logIsUpToDate(const wire::VoteRequest& request) const;
     bool hearsLeader(TimePoint now) const;
+    /** Returns whether a leader to which this member may have promised a lease could still serve. */
+    bool supportsOther(const wire::VoteRequest& request, TimePoint now) const;
     void receiveVoteRequest(const MemberId& from, const wire::VoteRequest& request, TimePoint now, LogOutput& output);
     void receiveVoteAnswer(const MemberId& from, const wire::VoteAnswer& answer, TimePoint now, LogOutput& output);
     void receiveTimeoutNow(const MemberId& from, const wire::TimeoutNow& request, TimePoint now, LogOutput& output);
@@ -130,6 +132,7 @@
     SnapshotReader snapshotReader;
     LogEntries log;
     HardState hardState;
+    Term endedTerm = 0; ///< Term that an earlier process of this member led. That process has ended, so nobody leads it any more. 0: none.
     LogRole role = LogRole::Follower;
     VmId leader = 0; ///< Known leader; 0 for none.
     LogIndex commitIndex = 0;
--- a/packages/coordination/tests/ReplicatedLogRulesTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogRulesTest.cpp
@@ -18,7 +18,7 @@
 
 /** VM 1 of a group of voters 1 to 3 and learner 4, after a restart at 1000 ms with the first membership and a term of 5. */
 struct Member {
-    explicit Member(VmId voters = 3)
+    explicit Member(VmId voters = 3, HardState hardState = { 5, 0, false })
     {
         wire::Membership membership;
         for (VmId vm = 1; vm <= voters + 1; ++vm) {
@@ -28,7 +28,7 @@
             member.set_voter(vm <= voters);
         }
         DurableLogState durable;
-        durable.hardState = { 5, 0 };
+        durable.hardState = hardState;
         wire::LogEntry& entry = durable.entries.emplace_back();
         entry.set_index(1);
         entry.set_term(1);
@@ -66,9 +66,10 @@
     }
 
     /** Asks for a vote with a log at least as new as this member's. */
-    LogOutput requestVote(Term lastTerm, double ms, Term term = 6)
+    LogOutput requestVote(Term lastTerm, double ms, Term term = 6, Term endedTerm = 0)
     {
         wire::LogMessage message;
+        message.mutable_vote_request()->set_ended_term(endedTerm);
         message.mutable_vote_request()->set_term(term);
         message.mutable_vote_request()->set_last_index(1);
         message.mutable_vote_request()->set_last_term(lastTerm);
@@ -166,3 +167,43 @@
         EXPECT_FALSE(output.messagesAfterSync.empty());
     });
 }
+
+TEST(ReplicatedLogRulesTest, leaderThatRestarts)
+{
+    section("a member that led its term asks for votes as soon as it runs, and says that the term's leader has ended", [] {
+        Member member(3, { 5, 1, true });
+        LogOutput output = member.log->tick(timeAt(1000));
+        ASSERT_EQ(output.messagesAfterSync.size(), 2u);
+        EXPECT_EQ(output.messagesAfterSync[0].message.vote_request().ended_term(), 5u);
+        EXPECT_TRUE(output.messagesAfterSync[0].message.vote_request().pre_vote());
+    });
+    section("one that only voted for itself waits, since another may have won", [] {
+        Member member(3, { 5, 1, false });
+        EXPECT_TRUE(member.log->tick(timeAt(1000)).messagesAfterSync.empty());
+    });
+    section("a restarted voter of that term grants its vote at once", [] {
+        Member member;
+        LogOutput output = member.requestVote(1, 1001, 6, 5);
+        ASSERT_EQ(output.messagesAfterSync.size(), 1u);
+        EXPECT_TRUE(output.messagesAfterSync[0].message.vote_answer().granted());
+    });
+    section("an end of an earlier term says nothing about the leader of this one", [] {
+        Member member;
+        EXPECT_TRUE(member.requestVote(1, 1001, 6, 4).messagesAfterSync.empty());
+    });
+    section("nor does it count once a later leader was heard", [] {
+        Member member;
+        wire::LogMessage append;
+        append.mutable_append_request()->set_term(6);
+        append.mutable_append_request()->set_previous_index(1);
+        append.mutable_append_request()->set_previous_term(1);
+        member.receive(3, append, 1001);
+        EXPECT_TRUE(member.requestVote(1, 1002, 7, 5).messagesAfterSync.empty());
+    });
+    section("who leads notes it with the term", [] {
+        Member member;
+        member.log->tick(timeAt(3000));
+        member.answerVote(2, true, 3000);
+        EXPECT_EQ(member.answerVote(2, false, 3000).write.hardState, (HardState { 6, 1, true }));
+    });
+}
--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -309,6 +309,23 @@
     EXPECT_THAT(network.violations, ::testing::IsEmpty());
 }
 
+TEST(ReplicatedLogTest, powerLossOfAll)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        Network network(testSeed(seed), smallOptions(), 5);
+        ASSERT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }));
+        network.runFor(500);
+        for (VmId vm = 1; vm <= 5; ++vm)
+            network.crash(vm);
+        network.runFor(1000);
+        for (VmId vm = 1; vm <= 5; ++vm)
+            network.start(vm);
+        // Below one election timeout: the voters need not wait for the end of a lease whose holder says that it has ended.
+        EXPECT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }, 300)) << seed;
+        EXPECT_TRUE(network.violations.empty()) << network.violations.front();
+    }
+}
+
 TEST(ReplicatedLogTest, quorumAndHandOver)
 {
     uint64_t seed = testSeed(11);
