Fix: [Routing] An address that another instance has is neither asked nor used

Under overload a search asks every target, so it came to the address of a lost instance; the probe did not name the instance, so the next user of the address, of another service and idle, answered for it; its load was the lowest, the request went there and met 421 again. The 421 also counted as a quick answer of the target, and was passed to the client without Retry-After when attempts were used up.

Now: a lost instance is never eligible; probes name the instance, and a 421 to a probe takes the target out before a request is sent; a 421 teaches neither latency nor usual times; when attempts are used up the client is told 'not run' with a Retry-After of 20 ms. Each such change of belief is logged as target_instance_gone.

RouterTest (new section) failed before: the lost target was picked.

--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -19,7 +19,6 @@
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr size_t counterStripes = 8;
 constexpr double observationLifetimeMs = 5000;
-constexpr double goneInstancePeriodMs = 3600000; ///< An instance that has lost its address does not come back.
 
 /** Returns a time point as a number of milliseconds. */
 double inMs(TimePoint time)
@@ -159,7 +158,7 @@
     RcuReadGuard guard;
     const RoutingEntry* entry = this->state->table.read(guard).find(pick.address);
     if (entry && entry->target->serial == pick.ticket >> 32)
-        entry->target->ejectFor(goneInstancePeriodMs, inMs(now));
+        entry->target->lose(inMs(now));
 }
 
 void Router::report(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now)
--- a/packages/coordination/src/TargetChooser.cpp
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -177,7 +177,7 @@
 
 bool Choice::eligible(const RoutingEntry& entry) const
 {
-    if (!this->allowEjected && entry.target->ejected(this->nowMs))
+    if (entry.target->lost() || (!this->allowEjected && entry.target->ejected(this->nowMs)))
         return false;
     return std::find(this->excluded.begin(), this->excluded.end(), entry.target->address) == this->excluded.end();
 }
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -99,6 +99,12 @@
     this->coldSinceMs.store(nowMs + periodMs, relaxed);
 }
 
+void TargetEstimate::lose(double nowMs)
+{
+    this->isLost.store(true, relaxed);
+    this->ejectFor(std::numeric_limits<double>::infinity(), nowMs);
+}
+
 double TargetEstimate::ramp(double nowMs) const
 {
     double since = nowMs - this->coldSinceMs.load(relaxed);
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -38,6 +38,12 @@
     /** Ejects the target for a given time. */
     void ejectFor(double periodMs, double nowMs);
 
+    /** Notes that another instance has the address: this one does not come back. */
+    void lose(double nowMs);
+
+    /** Returns whether another instance has the address. */
+    bool lost() const { return this->isLost.load(std::memory_order_relaxed); }
+
     /** Returns whether the target is ejected. */
     bool ejected(double nowMs) const { return nowMs < this->ejectedUntilMs.load(std::memory_order_relaxed); }
 
@@ -94,6 +100,7 @@
     std::atomic<uint32_t> failures { 0 }; ///< In a row.
     std::atomic<uint32_t> ejections { 0 }; ///< In a row.
     std::atomic<double> ejectedUntilMs { neverMs };
+    std::atomic<bool> isLost { false };
     std::atomic<double> coldUntilMs { neverMs };
     std::atomic<double> coldSinceMs;
 };
--- a/packages/coordination/tests/RouterTest.cpp
+++ b/packages/coordination/tests/RouterTest.cpp
@@ -154,6 +154,20 @@
         EXPECT_EQ(story.router.usableSlots(timeAt(story.nowMs)), 12u);
         EXPECT_TRUE(story.router.pick({}, timeAt(story.nowMs)));
     });
+    section("an address that another instance has is not used, not even when all others are excluded", [] {
+        RoutingStory story(3);
+        std::vector<std::string> used;
+        std::optional<Pick> lost = story.router.pick({}, timeAt(1000));
+        ASSERT_TRUE(lost);
+        story.router.instanceGone(*lost, timeAt(1000));
+        for (int i = 0; i < 2; ++i) {
+            std::optional<Pick> pick = story.router.pick(used, timeAt(1001));
+            ASSERT_TRUE(pick);
+            EXPECT_NE(pick->address, lost->address);
+            used.push_back(pick->address);
+        }
+        EXPECT_FALSE(story.router.pick(used, timeAt(1001)));
+    });
     section("a single failure does not keep a target without work for long", [] {
         RoutingStory story(6);
         int failures = 1;
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -77,6 +77,8 @@
     void endSearch(const AttemptPointer& attempt, std::optional<size_t> chosen);
     void refuseForLoad(const AttemptPointer& attempt, double cost);
     TargetSearchLimits searchLimits() const;
+    void instanceGone(const AttemptPointer& attempt, const Pick& pick);
+    void goOnAfterMisdirection();
 
     // The answer (CallAnswer.cpp).
     void streamFrom(const AttemptPointer& attempt);
@@ -123,6 +125,7 @@
     ResultCode lastFailure = ResultCode::NoTarget; ///< Of the last failed attempt.
     AttemptOutcome lastOutcome = AttemptOutcome::ConnectFailed; ///< Of the last failed attempt.
     bool lastSent = false; ///< Whether the last failed attempt may have been run.
+    bool lastMisdirected = false; ///< The attempt that ended last met another instance at the address of its target.
     int pendingSuspicions = 0; ///< Reports to the leader under way.
     bool quarantined = false; ///< The leader said that this request crashed two targets.
     TimerId hedgeTimer = 0; ///< Pending hedge.
--- a/programs/kingcupswitchd/entry/CallAttempt.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempt.cpp
@@ -41,6 +41,8 @@
 
 AttemptOutcome routerOutcome(const UpstreamResult& result, const CallAttempt& attempt)
 {
+    if (attempt.misdirected)
+        return AttemptOutcome::Cancelled;
     if (attempt.stalled)
         return AttemptOutcome::TimedOut;
     bool serverError = result.outcome == UpstreamOutcome::Complete && (attempt.head.status >= firstServerErrorStatus || attempt.head.status == statusTooManyRequests);
--- a/programs/kingcupswitchd/entry/CallAttempt.h
+++ b/programs/kingcupswitchd/entry/CallAttempt.h
@@ -45,6 +45,7 @@
     bool discarded = false; ///< Its answer is of no more interest.
     bool hedge = false; ///< Started beside another attempt.
     bool stalled = false; ///< Cancelled because no bytes came.
+    bool misdirected = false; ///< Another instance has the address; it ran nothing and its answer says nothing about the target.
     std::optional<uint64_t> resumeOffset; ///< Bytes that the caller already has, when this attempt goes on with a download.
     bool rejected = false; ///< Its answer does not continue the download, so its bytes must not reach the caller.
     std::string held; ///< Bytes of an answer that is not yet being sent.
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds maxConnectTimeout { 250 }; ///< A lost first packet is sent again after a second; another target is tried before.
 constexpr Milliseconds suspicionTimeout { 500 }; ///< With control unreachable, the local count of suspicions decides after this time.
 constexpr Milliseconds defaultRetryAfter { 1000 };
+constexpr Milliseconds misdirectedRetryAfter { 20 }; ///< The address is out of use by then, so the next try meets another target.
 
 } // namespace
 
@@ -192,10 +193,16 @@
         if (std::optional<LoadReport> load = this->gateway.edge.parseLoad(*value))
             this->match.runtime->router.report(attempt->pick.address, *load, Milliseconds(0), now);
     }
-    if (this->isRejectedByInstance(head))
-        this->match.runtime->router.instanceGone(attempt->pick, now);
+    attempt->misdirected = this->isRejectedByInstance(head);
+    if (attempt->misdirected)
+        this->instanceGone(attempt, attempt->pick);
     if (this->over || attempt->discarded)
         return;
+    if (attempt->misdirected && !this->winner) {
+        attempt->discarded = true;
+        this->goOnAfterMisdirection();
+        return;
+    }
     if (attempt->resumeOffset) {
         // Bytes that already wait behind this event are dropped, since cancelling takes effect later.
         attempt->rejected = !continuesAt(head, *this->resume, *attempt->resumeOffset);
@@ -210,6 +217,26 @@
         this->streamFrom(attempt);
 }
 
+/** Takes out a target whose address another instance has. */
+void Call::instanceGone(const AttemptPointer& attempt, const Pick& pick)
+{
+    logLine(LogLevel::Info, "target_instance_gone",
+        { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name }, { "target", pick.address },
+            { "instance", pick.instance }, { "incarnation", pick.incarnation }, { "asked", attempt->search != nullptr } });
+    this->match.runtime->router.instanceGone(pick, MillisecondClock::now());
+}
+
+/** Goes on after an answer of an instance that the request was not meant for, which ran nothing. */
+void Call::goOnAfterMisdirection()
+{
+    if (!this->anySent)
+        this->lastFailure = ResultCode::ConnectFailed;
+    this->lastOutcome = AttemptOutcome::ConnectFailed;
+    this->lastSent = false;
+    this->lastMisdirected = true;
+    this->retryOrFail();
+}
+
 /** Tries another target when this one says that it is overloaded and the request may run again. Returns whether the answer is discarded. */
 bool Call::retryAfterStatus(const AttemptPointer& attempt)
 {
@@ -261,7 +288,7 @@
     this->logAttempt(attempt, result);
     this->match.runtime->router.finish(attempt->pick, outcome, result.firstByte, now);
     const std::string& service = this->match.service->name;
-    if (result.outcome == UpstreamOutcome::Complete) {
+    if (result.outcome == UpstreamOutcome::Complete && !attempt->misdirected) {
         this->match.runtime->retries.latency(result.total, now);
         if (outcome == AttemptOutcome::Answered)
             this->match.runtime->recordTime(this->match.kind->name, result.firstByte / std::max(attempt->searchCost, 1.0), now);
@@ -348,6 +375,7 @@
         this->lastFailure = failureCode(result);
     this->lastOutcome = routerOutcome(result, *attempt);
     this->lastSent = result.maybeSent;
+    this->lastMisdirected = false;
     this->anySent = this->anySent || result.maybeSent;
     this->overloaded = this->overloaded || result.outcome == UpstreamOutcome::TimedOut;
     this->retryOrFail();
@@ -363,7 +391,7 @@
     // A target's promise that it did not run the request says nothing about an attempt that was sent elsewhere.
     bool staleNotRun = this->fallback && this->anySent && this->promisedNotRun(this->fallback->head);
     if (!this->fallback || staleNotRun) {
-        this->refuse(this->lastFailure, defaultRetryAfter);
+        this->refuse(this->lastFailure, this->lastMisdirected ? misdirectedRetryAfter : defaultRetryAfter);
         return;
     }
     AttemptPointer answer = this->fallback;
--- a/programs/kingcupswitchd/entry/CallHeaders.cpp
+++ b/programs/kingcupswitchd/entry/CallHeaders.cpp
@@ -69,6 +69,15 @@
     return parameters;
 }
 
+HttpHeaders probeHeaders(const HeaderNames& names, const std::string& address, const std::string& instance)
+{
+    HttpHeaders headers;
+    headers.add("Host", address);
+    if (!instance.empty())
+        addNamed(headers, names.expectedInstance, instance);
+    return headers;
+}
+
 HttpHeaders targetHeaders(const HttpRequestHead& head, const HeaderNames& names, Milliseconds remaining, uint32_t depth, const std::string& instance)
 {
     HttpHeaders headers;
--- a/programs/kingcupswitchd/entry/CallHeaders.h
+++ b/programs/kingcupswitchd/entry/CallHeaders.h
@@ -27,6 +27,9 @@
 /** Returns the fields for the target: end-to-end fields of the caller, remaining deadline, the next depth and the expected instance. */
 HttpHeaders targetHeaders(const HttpRequestHead& head, const HeaderNames& names, Milliseconds remaining, uint32_t depth, const std::string& instance);
 
+/** Returns the fields of a question for a target's load. It names the instance, since the next user of the address must not answer for it. */
+HttpHeaders probeHeaders(const HeaderNames& names, const std::string& address, const std::string& instance);
+
 /** Returns the answer's head for the caller: end-to-end fields of the target and the result. */
 HttpAnswerHead callerHead(const HttpAnswerHead& targetHead, const HeaderNames& names, ResultCode result, RunState run);
 
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -67,7 +67,7 @@
     probe.repeatable = true;
     probe.connectTimeout = probeTimeout;
     probe.deadline = now + probeTimeout;
-    probe.headers.add("Host", pick.address);
+    probe.headers = probeHeaders(this->gateway.edge.headers, pick.address, pick.instance);
     std::shared_ptr<CallSearch> round = attempt->search;
     probe.onHead = [self, attempt, round, position](const HttpAnswerHead& head) {
         std::optional<std::string_view> value = head.headers.find(self->gateway.edge.headers.load);
@@ -75,7 +75,12 @@
         constexpr int statusOk = 200;
         if (head.status != statusOk)
             load.reset();
-        self->serial.post([self, attempt, round, position, load] { self->targetAnswered(attempt, round, position, load); });
+        bool misdirected = self->isRejectedByInstance(head);
+        self->serial.post([self, attempt, round, position, load, misdirected] {
+            if (misdirected)
+                self->instanceGone(attempt, round->picks[position]);
+            self->targetAnswered(attempt, round, position, load);
+        });
     };
     probe.onData = [](std::string_view) { return true; };
     probe.onEnd = [self, attempt, round, position](const UpstreamResult& result) {
@@ -187,8 +192,9 @@
 void Call::refuseForLoad(const AttemptPointer& attempt, double cost)
 {
     TimePoint now = MillisecondClock::now();
-    Milliseconds usual = this->match.runtime->usualTime(this->match.kind->name, now).value_or(Milliseconds(0));
-    Milliseconds left = this->arrived + this->match.kind->objective - now;
+    TargetSearchLimits limits = this->searchLimits();
+    Milliseconds usual = limits.usualTime.value_or(Milliseconds(0));
+    Milliseconds left = limits.objectiveEnd - now;
     Milliseconds excess = usual * cost - left;
     logLine(LogLevel::Info, "call_refused_for_load",
         { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name }, { "probes", attempt->probes }, { "rounds", attempt->searchRounds },
