Fix: [Control] Requests that search for the leader no longer lead each other astray

From 4.1 to 17.0 s every announcement of a target was refused after 0.9 s on all control VMs, while departures were committed at the same time. Targets that had replaced others stayed unknown for 13 s, so one service had half of its targets.

Cause: all requests of a process share one idea of the leader. A refused announcement named no leader; each refusal, and each repetition after it, dropped the leader that other requests had just learned of and moved on.

Ruled out: the leader itself (committed all the time, sound since 1.5 s); the order of instances without 'born' (no announcement was ignored as late or refused by a check); answers 421 (only their number was high).

Now LeaderSearch (no I/O) decides: a VM's word counts only while it is the one to ask, a repetition after a refusal asks whoever is known by then, and the answer to announcements names the leader.

--- /dev/null
+++ b/packages/coordination/src/LeaderSearch.cpp
@@ -0,0 +1,45 @@
+/** @file LeaderSearch.cpp Implementation of the search for the leader. */
+#include "kingcup/LeaderSearch.h"
+
+#include <utility>
+
+namespace kingcup {
+
+LeaderSearch::LeaderSearch(std::vector<VmId> vms)
+    : controlVms(std::move(vms))
+{
+}
+
+bool LeaderSearch::setVms(std::vector<VmId> vms)
+{
+    if (vms.empty() || vms == this->controlVms)
+        return false;
+    this->controlVms = std::move(vms);
+    return true;
+}
+
+VmId LeaderSearch::preferred() const
+{
+    if (this->knownLeader || this->controlVms.empty())
+        return this->knownLeader;
+    return this->controlVms[this->position % this->controlVms.size()];
+}
+
+bool LeaderSearch::learned(VmId vm)
+{
+    return std::exchange(this->knownLeader, vm) != vm;
+}
+
+bool LeaderSearch::failed(VmId vm)
+{
+    if (vm != this->preferred())
+        return false;
+    this->knownLeader = 0;
+    this->position++;
+    // The VM that has just failed may also be the next in turn.
+    if (this->preferred() == vm)
+        this->position++;
+    return true;
+}
+
+} // namespace kingcup
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -157,6 +157,9 @@
         failPoint("leader.finish_applied");
     if (command.has_change_target()) {
         const wire::TargetRecord& target = command.change_target().target();
+        logLine(LogLevel::Info, "target_changed",
+            { { "service", target.service() }, { "target", target.address() }, { "instance", target.instance() }, { "incarnation", target.incarnation() },
+                { "state", nameOf(targetStateNames, target.state()) }, { "index", index }, { "result", resultCodeRow(static_cast<ResultCode>(result.result_code())).name } });
         this->pendingTargets.erase({ target.service(), target.address() });
         if (target.state() == wire::TARGET_GONE)
             this->forgetHeartbeat(target);
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -3,6 +3,7 @@
 
 #include "kingcup/ApplyManifest.h"
 #include "kingcup/FailPoint.h"
+#include "kingcup/JsonLog.h"
 #include "kingcup/ManifestParser.h"
 #include "kingcup/TargetStates.h"
 
@@ -161,14 +162,18 @@
     if (code == ResultCode::Ok && !this->soundLeader)
         code = ResultCode::NoQuorum;
     body->set_result_code(static_cast<int>(code));
+    body->set_leader_vm(this->driver->log().leader());
     if (code == ResultCode::Ok) {
         TimePoint now = MillisecondClock::now();
         for (wire::TargetLoad load : envelope.heartbeat_batch().targets()) {
-            if (!this->machine.assignIncarnation(*load.mutable_target()))
-                continue;
             const wire::TargetRecord* known = this->machine.findTarget(load.target().service(), load.target().address());
-            if (known && known->incarnation() > load.target().incarnation())
+            bool isFormer = !this->machine.assignIncarnation(*load.mutable_target());
+            if (isFormer || (known && known->incarnation() > load.target().incarnation())) {
+                logLine(LogLevel::Info, "late_announcement_ignored",
+                    { { "service", load.target().service() }, { "target", load.target().address() }, { "instance", load.target().instance() }, { "ageMs", load.age_ms() },
+                        { "knownInstance", known ? known->instance() : "" } });
                 continue;
+            }
             if (load.cold_left_ms())
                 load.mutable_target()->set_cold_until_log_ms(this->driver->logTimeMs(now) + load.cold_left_ms());
             this->sessions->heartbeat(load, now);
@@ -207,8 +212,12 @@
 {
     wire::Command command;
     *command.mutable_change_target()->mutable_target() = target;
-    if (this->machine.check(command).result_code() != 0)
+    if (wire::CommandResult checked = this->machine.check(command); checked.result_code() != 0) {
+        logLine(LogLevel::Info, "announcement_not_recorded",
+            { { "service", target.service() }, { "target", target.address() }, { "instance", target.instance() }, { "state", nameOf(targetStateNames, target.state()) },
+                { "result", resultCodeRow(static_cast<ResultCode>(checked.result_code())).name }, { "detail", checked.detail() } });
         return;
+    }
     std::pair<std::string, std::string> key(target.service(), target.address());
     this->pendingTargets.insert(key);
     this->driver->propose(std::move(command), [this, key](const wire::CommandResult&) { this->pendingTargets.erase(key); });
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -87,7 +87,7 @@
         return;
     }
     if (!leaderVm)
-        this->leader.tryNextVm();
+        this->leader.failed(sender);
     this->nextSession = now + electionPause;
 }
 
@@ -107,7 +107,7 @@
     if (now < this->nextSession)
         return;
     if (this->awaitingAnswer)
-        this->leader.tryNextVm();
+        this->leader.failed(this->sessionSentTo);
     this->sendSessionRequest(now);
 }
 
@@ -121,7 +121,8 @@
     *envelope.mutable_session_request() = this->configuration.sessionRequest(id, now);
     envelope.mutable_session_request()->set_incarnation(this->claims.currentIncarnation());
     envelope.mutable_session_request()->set_leaving(this->leaving.load());
-    this->hub.send(this->leader.preferredVm(), std::move(envelope));
+    this->sessionSentTo = this->leader.preferredVm();
+    this->hub.send(this->sessionSentTo, std::move(envelope));
 }
 
 void EntryNode::announceStop()
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -74,6 +74,7 @@
     HttpListener listener; ///< For callers.
     TimePoint nextSession {}; ///< Next session request.
     bool awaitingAnswer = false; ///< The last session request is not answered yet.
+    uint32_t sessionSentTo = 0; ///< Control VM that the session request was sent to.
     std::atomic<bool> hasManifest { false }; ///< Whether a manifest was ever in force.
     std::atomic<bool> servesIsolated { false }; ///< Whether routes are served without a lease.
     std::atomic<bool> leaving { false }; ///< A planned stop has begun.
--- a/programs/kingcupswitchd/operators/TargetAnnouncements.cpp
+++ b/programs/kingcupswitchd/operators/TargetAnnouncements.cpp
@@ -1,9 +1,11 @@
 /** @file TargetAnnouncements.cpp Implementation of the collection of announcements. */
 #include "TargetAnnouncements.h"
 
+#include "kingcup/JsonLog.h"
 #include "kingcup/TargetStates.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -100,8 +102,16 @@
         bool isRepetition = known != this->sent.end() && known->second == state;
         isConfirmed = isRepetition && now - this->lastTaken < confirmationLifetime;
         this->urgent = this->urgent || !isConfirmed;
-        if (!isConfirmed)
-            this->confirmations.push_back(done);
+        if (!isConfirmed) {
+            nlohmann::json fields { { "service", load.target().service() }, { "target", load.target().address() }, { "instance", load.target().instance() },
+                { "incarnation", load.target().incarnation() }, { "state", nameOf(targetStateNames, load.target().state()) }, { "repetition", isRepetition } };
+            this->confirmations.push_back([done, now, fields = std::move(fields)](bool taken) mutable {
+                fields["taken"] = taken;
+                fields["waitedMs"] = std::round((MillisecondClock::now() - now).count());
+                logLine(LogLevel::Info, "announcement_answered", fields);
+                done(taken);
+            });
+        }
         Waiting& entry = this->waiting[key];
         if (entry.load.target().incarnation() <= load.target().incarnation()) {
             entry.load = std::move(load);
--- a/programs/kingcupswitchd/process/LeaderClient.cpp
+++ b/programs/kingcupswitchd/process/LeaderClient.cpp
@@ -29,7 +29,7 @@
     case wire::Envelope::kAdminAnswer:
         return LeaderHint { answer.admin_answer().result_code(), answer.admin_answer().leader_vm() };
     case wire::Envelope::kHeartbeatAnswer:
-        return LeaderHint { answer.heartbeat_answer().result_code(), 0 };
+        return LeaderHint { answer.heartbeat_answer().result_code(), answer.heartbeat_answer().leader_vm() };
     default:
         return std::nullopt;
     }
@@ -40,18 +40,17 @@
 LeaderClient::LeaderClient(LinkHub& hub, const ControlDirectory& directory, uint64_t firstRequestId)
     : hub(hub)
     , directory(directory)
-    , controlVms(directory.firstVms())
+    , search(directory.firstVms())
     , lastRequestId(firstRequestId)
 {
 }
 
 void LeaderClient::setControlVms(std::vector<VmId> vms)
 {
-    if (vms.empty() || vms == this->controlVms)
+    if (!this->search.setVms(std::move(vms)))
         return;
-    this->controlVms = std::move(vms);
     nlohmann::json names = nlohmann::json::array();
-    for (VmId vm : this->controlVms)
+    for (VmId vm : this->search.vms())
         names.push_back(vm);
     logLine(LogLevel::Info, "control_vms_changed", { { "controlVms", names } });
 }
@@ -96,29 +95,27 @@
 void LeaderClient::send(Pending& pending, TimePoint now)
 {
     pending.repeatAt = now + repeatInterval;
-    this->hub.send(this->preferredVm(), pending.envelope);
-}
-
-uint32_t LeaderClient::preferredVm() const
-{
-    uint32_t leader = this->knownLeader.load();
-    return leader ? leader : this->controlVms[this->position % this->controlVms.size()];
+    pending.sentTo = this->preferredVm();
+    pending.refused = false;
+    this->hub.send(pending.sentTo, pending.envelope);
 }
 
 void LeaderClient::setLeader(uint32_t vm)
 {
-    if (this->knownLeader.exchange(vm) == vm)
+    if (!this->search.learned(vm))
         return;
+    this->knownLeader = vm;
     if (vm)
         this->connect(vm);
     logLine(LogLevel::Info, "leader_known", { { "leader", vm } });
 }
 
-void LeaderClient::tryNextVm()
+void LeaderClient::failed(uint32_t vm)
 {
+    if (!this->search.failed(vm))
+        return;
     if (uint32_t lost = this->knownLeader.exchange(0))
         logLine(LogLevel::Warning, "leader_lost", { { "leader", lost } });
-    this->position++;
     this->connect(this->preferredVm());
 }
 
@@ -143,7 +140,8 @@
     if (isLeaderItself)
         this->setLeader(hint->leader);
     else
-        this->tryNextVm();
+        this->failed(answer.sender_vm());
+    pending.refused = true;
     pending.repeatAt = now + redirectPause;
     return true;
 }
@@ -165,7 +163,6 @@
 
 void LeaderClient::tick(TimePoint now)
 {
-    bool unanswered = false;
     std::vector<Done> expired;
     for (auto entry = this->pending.begin(); entry != this->pending.end();) {
         Pending& pending = entry->second;
@@ -175,9 +172,8 @@
             continue;
         }
         if (now >= pending.repeatAt) {
-            if (!unanswered)
-                this->tryNextVm();
-            unanswered = true;
+            if (!pending.refused)
+                this->failed(pending.sentTo);
             this->send(pending, now);
         }
         ++entry;
--- a/programs/kingcupswitchd/process/LeaderClient.h
+++ b/programs/kingcupswitchd/process/LeaderClient.h
@@ -3,6 +3,7 @@
 
 #include "ControlDirectory.h"
 
+#include "kingcup/LeaderSearch.h"
 #include "kingcup/Link.h"
 #include "kingcup/MillisecondClock.h"
 #include "kingcup/ResultCode.h"
@@ -47,11 +48,11 @@
     /** Takes a hint about the leader from another message. Thread of the hub only. */
     void setLeader(uint32_t vm);
 
-    /** Forgets the leader and turns to the next control VM. Thread of the hub only. */
-    void tryNextVm();
+    /** Turns to another control VM, if the one that failed is the one to ask. Thread of the hub only. */
+    void failed(uint32_t vm);
 
     /** Returns the control VM to send the next request to. Thread of the hub only. */
-    uint32_t preferredVm() const;
+    uint32_t preferredVm() const { return this->search.preferred(); }
 
     /** Returns a new request id. Thread-safe. */
     uint64_t nextRequestId() { return ++this->lastRequestId; }
@@ -62,6 +63,8 @@
         Done done; ///< Called once.
         TimePoint deadline {}; ///< Given up then.
         TimePoint repeatAt {}; ///< Sent again then.
+        uint32_t sentTo = 0; ///< Control VM asked last.
+        bool refused = false; ///< It answered that it cannot take the request.
     };
     void send(Pending& pending, TimePoint now);
     bool redirect(const wire::Envelope& answer, Pending& pending);
@@ -70,9 +73,8 @@
 
     LinkHub& hub; ///< Sends.
     const ControlDirectory& directory; ///< Addresses.
-    std::vector<VmId> controlVms; ///< Ids to try.
-    size_t position = 0; ///< Next id to try without a known leader.
-    std::atomic<uint32_t> knownLeader { 0 }; ///< Last leader heard of.
+    LeaderSearch search; ///< Whom to ask.
+    std::atomic<uint32_t> knownLeader { 0 }; ///< Of the search, for other threads.
     std::atomic<uint64_t> lastRequestId; ///< Last id given.
     std::map<uint64_t, Pending> pending; ///< By request id.
 };
