Add: [Soak] Seeded faults from outside against real processes

soak/ draws overlapping faults from a seed (kill, stop, pause, wipe, one-way cuts, silence, delay, reset, truncated answers; of entry VMs, control VMs, the leader, targets, and a loss of power of all), repairs them, and checks the promises from what callers, targets and operators saw: nothing twice, nothing run though refused, no wrong or damaged answer, no configuration that goes back, no acknowledged manifest lost, no process that ends by itself, service again after the last repair.

The daemon now blocks signals before all else; the soak allows the end by signal within 300 ms of a start, when nobody was served. The series had also slipped by 8 s, because the injector asked a paused VM who leads; it now asks only VMs without a fault.

--- a/programs/kingcupswitchd/process/DaemonMain.cpp
+++ b/programs/kingcupswitchd/process/DaemonMain.cpp
@@ -87,6 +87,8 @@
 
 int daemonMain(int argumentCount, char** arguments, Edge edge)
 {
+    // First of all: a stop that comes right after the start must not end the process by the signal.
+    sigset_t signals = blockStopSignals();
     absl::SetProgramUsageMessage("kingcupswitchd --settings FILE\n\nExit codes: 0 stopped cleanly, 2 wrong settings, 3 start failed, 4 calls were cut off.");
     absl::ParseCommandLine(argumentCount, arguments);
     SettingsFile file(absl::GetFlag(FLAGS_settings));
@@ -98,7 +100,6 @@
     if (absl::GetFlag(FLAGS_check))
         return exitOk;
     const Settings& settings = std::get<Settings>(read);
-    sigset_t signals = blockStopSignals();
     openLog(settings.logFile, settings.vm);
     int exitCode = exitStartFailed;
     {
--- /dev/null
+++ b/soak/FaultInjector.cpp
@@ -0,0 +1,278 @@
+/** @file FaultInjector.cpp Signals, proxies and lost folders. */
+#include "FaultInjector.h"
+
+#include <csignal>
+#include <filesystem>
+
+namespace kingcup::testing {
+
+namespace {
+
+constexpr Milliseconds stopLimit { 20000 }; ///< Far above the longest patience of a caller.
+constexpr Milliseconds linkDelay { 150 }; ///< Above a heartbeat interval, below an election timeout.
+constexpr Milliseconds targetDelay { 300 };
+constexpr uint64_t truncateWithin = 600; ///< Bytes; about two answers.
+constexpr Milliseconds startLimit { 300 }; ///< A process that handles signals later than this after its start is a finding.
+constexpr int statusTerminated = 128 + SIGTERM;
+constexpr int statusCutOff = 4; ///< Of a daemon that could not wait for its last calls.
+
+/** Returns how a fault of a link towards a server holds its bytes back. @param towards Whether the subject is the server. */
+ProxyMode modeOf(FaultKind kind, bool towards)
+{
+    if (kind == FaultKind::Silence)
+        return ProxyMode::DropBoth;
+    return (kind == FaultKind::CutIn) == towards ? ProxyMode::DropToServer : ProxyMode::DropToClient;
+}
+
+} // namespace
+
+FaultInjector::FaultInjector(Deployment& deployment)
+    : deployment(deployment)
+{
+}
+
+std::function<void()> FaultInjector::strike(const Fault& fault)
+{
+    if (fault.subject == FaultSubject::Everything)
+        return this->strikeEverything();
+    if (fault.subject == FaultSubject::Target) {
+        size_t target = fault.choice % this->deployment.targets().size();
+        std::string name = this->deployment.targets()[target].address;
+        return this->hold(name) ? this->released(name, this->strikeTarget(target, fault)) : nullptr;
+    }
+    Vm* vm = this->chooseVm(fault);
+    bool losesData = fault.kind == FaultKind::Wipe;
+    if (!vm || (losesData && this->wipedBefore) || !this->hold(vm->name))
+        return nullptr;
+    return this->released(vm->name, this->strikeVm(*vm, fault));
+}
+
+Vm* FaultInjector::chooseVm(const Fault& fault)
+{
+    if (fault.subject == FaultSubject::Leader)
+        return this->freeLeader();
+    std::vector<Vm>& vms = fault.subject == FaultSubject::Entry ? this->deployment.entryVms() : this->deployment.controlVms();
+    return &vms[fault.choice % vms.size()];
+}
+
+/** Returns the control VM that leads by its own word. Only VMs without a fault are asked, since others may not answer. */
+Vm* FaultInjector::freeLeader()
+{
+    for (Vm& vm : this->deployment.controlVms()) {
+        if (this->held.contains(vm.name) || !vm.process->running())
+            continue;
+        nlohmann::json dump = this->deployment.query(vm, "/v1/dump");
+        bool tells = dump.is_object() && dump.contains("control");
+        if (tells && dump.at("control").value("role", "") == "leader")
+            return &vm;
+    }
+    return nullptr;
+}
+
+/** Takes a subject for one fault. Returns whether it was free. */
+bool FaultInjector::hold(const std::string& name)
+{
+    if (!this->held.insert(name).second)
+        return false;
+    this->names.push_back(name);
+    return true;
+}
+
+/** Returns a repair that gives the subject free afterwards. */
+std::function<void()> FaultInjector::released(const std::string& name, std::function<void()> repair)
+{
+    return [this, name, repair = std::move(repair)] {
+        repair();
+        this->held.erase(name);
+    };
+}
+
+std::function<void()> FaultInjector::strikeVm(Vm& vm, const Fault& fault)
+{
+    this->noteEnd(vm.name, *vm.process);
+    auto restart = [this, &vm] {
+        this->deployment.restart(vm);
+        this->down.erase(vm.name);
+        this->started[vm.name] = MillisecondClock::now();
+    };
+    switch (fault.kind) {
+    case FaultKind::Kill:
+        this->down.insert(vm.name);
+        vm.process->kill();
+        return restart;
+    case FaultKind::Wipe:
+        this->down.insert(vm.name);
+        this->wiped = vm.controlId;
+        this->wipedBefore = true;
+        vm.process->kill();
+        std::filesystem::remove_all(vm.dataFolder());
+        return restart;
+    case FaultKind::Stop:
+        return this->stop(vm, restart);
+    case FaultKind::Pause:
+        vm.process->freeze();
+        return [&vm] { vm.process->thaw(); };
+    default:
+        return this->cut(vm, fault.kind);
+    }
+}
+
+/** Tells a process to stop. */
+std::function<void()> FaultInjector::stop(Vm& vm, const std::function<void()>& restart)
+{
+    this->down.insert(vm.name);
+    // Until a process handles the signal, it dies of it; it has served nobody then.
+    bool starts = MillisecondClock::now() - this->started[vm.name] < startLimit;
+    vm.process->signal(SIGTERM);
+    return [this, &vm, starts, restart] {
+        this->stopped(vm, starts);
+        restart();
+    };
+}
+
+/** Waits for the end of a process that was told to stop, and notes when it does not end as promised. */
+void FaultInjector::stopped(Vm& vm, bool starts)
+{
+    std::optional<int> status = vm.process->wait(stopLimit);
+    if (!status)
+        this->ends += vm.name + " does not stop\n";
+    else if (*status != 0 && *status != statusCutOff && !(starts && *status == statusTerminated))
+        this->ends += vm.name + " ended with " + std::to_string(*status) + " when told to stop\n";
+    if (!status)
+        vm.process->kill();
+}
+
+/** Disturbs the links between a VM and control VMs. */
+std::function<void()> FaultInjector::cut(Vm& vm, FaultKind kind)
+{
+    // The proxies of a VM lead to control VMs; those of others lead to it.
+    std::vector<FaultProxy*> outward;
+    std::vector<FaultProxy*> inward;
+    for (auto& [peer, proxy] : vm.links)
+        outward.push_back(proxy.get());
+    for (std::vector<Vm>* group : { &this->deployment.controlVms(), &this->deployment.entryVms() }) {
+        for (Vm& other : *group) {
+            auto link = other.links.find(vm.controlId);
+            if (vm.controlId && &other != &vm && link != other.links.end())
+                inward.push_back(link->second.get());
+        }
+    }
+    auto set = [outward, inward](FaultKind wanted, bool begins) {
+        for (const std::vector<FaultProxy*>* links : { &outward, &inward }) {
+            for (FaultProxy* proxy : *links) {
+                if (wanted == FaultKind::Reset)
+                    proxy->closeConnections();
+                else if (wanted == FaultKind::Delay)
+                    proxy->setDelay(begins ? linkDelay : Milliseconds(0));
+                else
+                    proxy->setMode(begins ? modeOf(wanted, links == &inward) : ProxyMode::Pass);
+            }
+        }
+    };
+    set(kind, true);
+    return [set, kind] { set(kind, false); };
+}
+
+std::function<void()> FaultInjector::strikeTarget(size_t target, const Fault& fault)
+{
+    Process& process = this->deployment.targetProcess(target);
+    FaultProxy& proxy = *this->deployment.targets()[target].proxy;
+    std::string name = this->deployment.targets()[target].address;
+    switch (fault.kind) {
+    case FaultKind::Kill:
+        this->down.insert(name);
+        process.kill();
+        return [this, &process, name] {
+            process.start();
+            this->down.erase(name);
+        };
+    case FaultKind::Pause:
+        process.freeze();
+        return [&process] { process.thaw(); };
+    case FaultKind::Delay:
+        proxy.setDelay(targetDelay);
+        return [&proxy] { proxy.setDelay(Milliseconds(0)); };
+    case FaultKind::Reset:
+        proxy.closeConnections();
+        return [] {};
+    case FaultKind::Truncate:
+        proxy.cutAfter(static_cast<int64_t>(fault.choice % truncateWithin));
+        return [&proxy] { proxy.cutAfter(-1); };
+    default:
+        proxy.setMode(modeOf(fault.kind, true));
+        // What was held back is lost with its connection: an answer that arrives late belongs to a caller that has left.
+        return [&proxy] {
+            proxy.closeConnections();
+            proxy.setMode(ProxyMode::Pass);
+        };
+    }
+}
+
+/** Ends all processes of ours that no other fault holds, as a loss of power does. */
+std::function<void()> FaultInjector::strikeEverything()
+{
+    std::vector<std::function<void()>> repairs;
+    Fault kill { FaultSubject::Everything, FaultKind::Kill, 0, {}, {} };
+    for (std::vector<Vm>* group : { &this->deployment.controlVms(), &this->deployment.entryVms() }) {
+        for (Vm& vm : *group) {
+            if (this->hold(vm.name))
+                repairs.push_back(this->released(vm.name, this->strikeVm(vm, kill)));
+        }
+    }
+    return [repairs] {
+        for (const std::function<void()>& repair : repairs)
+            repair();
+    };
+}
+
+/** Asks for the replacement of a control VM that lost its data. Returns whether it is done. */
+bool FaultInjector::finishReplacement(const Vm& vm)
+{
+    Vm* leader = this->deployment.leader();
+    if (!leader)
+        return false;
+    std::string body = nlohmann::json { { "id", vm.controlId } }.dump();
+    this->deployment.ask(leader->operatorAddress, "POST", "/v1/replace-control", body);
+    nlohmann::json status = this->deployment.query(*leader, "/v1/status");
+    nlohmann::json own = this->deployment.query(vm, "/v1/status");
+    if (!status.is_object() || !own.is_object() || !status.contains("members"))
+        return false;
+    size_t listed = 0;
+    bool votes = false;
+    for (const nlohmann::json& member : status.at("members")) {
+        bool same = member.at("id") == vm.controlId;
+        listed += same;
+        votes = votes || (same && member.value("voter", false));
+    }
+    // While a replacement runs, both incarnations are listed.
+    bool follows = own.value("leader", 0u) == leader->controlId || own.contains("members");
+    return listed == 1 && votes && follows;
+}
+
+std::string FaultInjector::heal(Milliseconds limit)
+{
+    for (std::vector<Vm>* group : { &this->deployment.controlVms(), &this->deployment.entryVms() }) {
+        for (Vm& vm : *group)
+            this->noteEnd(vm.name, *vm.process);
+    }
+    if (!this->wiped)
+        return "";
+    const Vm& vm = this->deployment.controlVms()[*this->wiped - 1];
+    return waitUntil(limit, [&] { return this->finishReplacement(vm); }) ? "" : vm.name + " was not replaced\n";
+}
+
+/** Notes the end of a process that should run. */
+void FaultInjector::noteEnd(const std::string& name, Process& process)
+{
+    if (process.running() || this->down.contains(name))
+        return;
+    std::optional<int> status = process.wait(Milliseconds(0));
+    this->ends += name + " ended by itself with " + std::to_string(status.value_or(-1)) + "\n";
+}
+
+std::string FaultInjector::unexplainedEnds()
+{
+    return this->ends;
+}
+
+} // namespace kingcup::testing
--- /dev/null
+++ b/soak/FaultInjector.h
@@ -0,0 +1,57 @@
+/** @file FaultInjector.h Carries out faults on a deployment and repairs them. */
+#pragma once
+
+#include "FaultSeries.h"
+
+#include "testing/Deployment.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kingcup::testing {
+
+/** Strikes the processes and links of a deployment. At most one fault at a time holds a subject. */
+class FaultInjector {
+public:
+    explicit FaultInjector(Deployment& deployment);
+
+    /** Begins a fault. Returns the step that repairs it; empty when its subject is held by another fault or not there. */
+    std::function<void()> strike(const Fault& fault);
+
+    /** Starts or continues everything that does not run, and finishes replacements. Returns what could not be done; empty: nothing. */
+    std::string heal(Milliseconds limit);
+
+    /** Returns ends of processes that no fault explains, one per line. Called at any time between steps. */
+    std::string unexplainedEnds();
+
+    const std::vector<std::string>& struck() const { return this->names; } ///< Subjects in the order of the faults that held one.
+
+private:
+    std::function<void()> strikeVm(Vm& vm, const Fault& fault);
+    std::function<void()> strikeTarget(size_t target, const Fault& fault);
+    std::function<void()> strikeEverything();
+    std::function<void()> cut(Vm& vm, FaultKind kind);
+    std::function<void()> stop(Vm& vm, const std::function<void()>& restart);
+    void stopped(Vm& vm, bool starts);
+    Vm* freeLeader();
+    Vm* chooseVm(const Fault& fault);
+    bool hold(const std::string& name);
+    std::function<void()> released(const std::string& name, std::function<void()> repair);
+    bool finishReplacement(const Vm& vm);
+    void noteEnd(const std::string& name, Process& process);
+
+    Deployment& deployment; ///< What is struck.
+    std::set<std::string> held; ///< Subjects of faults that are not repaired.
+    std::set<std::string> down; ///< Processes that a fault has ended.
+    std::map<std::string, TimePoint> started; ///< When processes were started again.
+    std::optional<uint32_t> wiped; ///< Control VM whose loss of data is not repaired.
+    bool wipedBefore = false; ///< One loss of data a run: a second one may lose what was accepted, by design.
+    std::vector<std::string> names; ///< Subjects struck.
+    std::string ends; ///< Unexplained ends so far.
+};
+
+} // namespace kingcup::testing
--- /dev/null
+++ b/soak/SoakRun.cpp
@@ -0,0 +1,187 @@
+/** @file SoakRun.cpp Implementation of one run of the soak. */
+#include "SoakRun.h"
+
+#include "FaultInjector.h"
+
+#include "testing/Scenario.h"
+
+#include <functional>
+#include <map>
+
+namespace kingcup::testing {
+
+namespace {
+
+constexpr Milliseconds manifestInterval { 700 };
+constexpr Milliseconds recoveryLimit { 20000 }; ///< After the last repair; far above elections, leases and ejections.
+constexpr Milliseconds checkDuration { 1000 }; ///< Of the calls that must all be answered afterwards.
+constexpr uint32_t resends = 6;
+constexpr Milliseconds resendDelay { 250 };
+constexpr double postWeight = 2; ///< Keyed posts for each read.
+
+/** Applies manifests with growing numbers and remembers which were acknowledged. */
+class ManifestWriter {
+public:
+    explicit ManifestWriter(const Deployment& deployment, std::vector<Vm>& vms)
+        : deployment(deployment)
+        , vms(vms)
+        , thread([this] { this->write(); })
+    {
+    }
+    ~ManifestWriter() { this->stop(); }
+
+    /** Ends the writing. */
+    void stop()
+    {
+        this->stopping = true;
+        if (this->thread.joinable())
+            this->thread.join();
+    }
+
+    uint64_t acknowledged() const { return this->highest; } ///< Highest number that was acknowledged.
+
+private:
+    void write()
+    {
+        constexpr uint64_t firstNumber = 2; // The deployment starts with 1.
+        for (uint64_t number = firstNumber; !this->stopping; ++number) {
+            const Vm& vm = this->vms[number % this->vms.size()];
+            if (this->deployment.applyManifest(vm, makeManifest(number, this->deployment.plan().services)).code() == 0)
+                this->highest = number;
+            waitUntil(manifestInterval, [this] { return this->stopping.load(); });
+        }
+    }
+
+    const Deployment& deployment; ///< Where manifests go.
+    std::vector<Vm>& vms; ///< VMs that are asked in turn.
+    std::atomic<bool> stopping = false; ///< Whether to stop.
+    std::atomic<uint64_t> highest = 1; ///< Acknowledged.
+    std::thread thread; ///< Writes.
+};
+
+/** Returns the deployment of a plan. */
+DeploymentOptions deploymentOptions(const SoakPlan& plan)
+{
+    DeploymentOptions options;
+    options.daemon = plan.daemon;
+    options.controlTool = plan.controlTool;
+    options.name = "soak";
+    options.controlVms = plan.controlVms;
+    options.entryVms = plan.entryVms;
+    options.services = { { "ledger", plan.targets, 6 } };
+    options.proxyLinks = true;
+    options.proxyTargets = true;
+    options.seed = plan.seed;
+    return options;
+}
+
+/** Returns calls of which a keyed one without a final answer is sent again. */
+LoadOptions soakLoad(const Deployment& deployment, const SoakPlan& plan)
+{
+    LoadOptions options = loadOn(deployment, plan.callsPerSecond, plan.duration, postWeight);
+    options.resends = resends;
+    options.resendDelay = resendDelay;
+    options.threads = 64;
+    return options;
+}
+
+/** Begins and repairs all faults of a series at their times. */
+void runSeries(const std::vector<Fault>& series, FaultInjector& injector, SoakResult& result)
+{
+    TimePoint start = MillisecondClock::now();
+    auto sleepUntil = [&](Milliseconds time) { waitUntil(time - (MillisecondClock::now() - start), [] { return false; }); };
+    std::multimap<Milliseconds, std::function<void()>> repairs;
+    auto repairUntil = [&](Milliseconds time) {
+        while (!repairs.empty() && repairs.begin()->first <= time) {
+            Milliseconds due = repairs.begin()->first;
+            sleepUntil(due);
+            std::function<void()> repair = repairs.begin()->second;
+            repairs.erase(repairs.begin());
+            repair();
+            result.story += std::to_string(static_cast<int64_t>((MillisecondClock::now() - start).count())) + ": repair due at " + std::to_string(static_cast<int64_t>(due.count())) + "\n";
+        }
+    };
+    for (const Fault& fault : series) {
+        repairUntil(fault.start);
+        sleepUntil(fault.start);
+        size_t before = injector.struck().size();
+        Milliseconds begun = MillisecondClock::now() - start;
+        std::function<void()> repair = injector.strike(fault);
+        if (!repair)
+            continue;
+        repairs.emplace(fault.start + fault.length, std::move(repair));
+        result.story += std::to_string(static_cast<int64_t>(begun.count())) + ":";
+        result.faults++;
+        result.story += describeFault(fault);
+        for (size_t i = before; i < injector.struck().size(); ++i)
+            result.story += " " + injector.struck()[i];
+        result.story += "\n";
+    }
+    repairUntil(Milliseconds::max());
+}
+
+/** Returns whether a short load is answered without exception. */
+bool servesAll(const Deployment& deployment, const SoakPlan& plan, uint32_t number)
+{
+    LoadOptions options = loadOn(deployment, plan.callsPerSecond, checkDuration, postWeight);
+    options.idPrefix = "check-" + std::to_string(number);
+    LoadGenerator load(options);
+    load.start();
+    load.join();
+    LoadSummary summary = summarise(load.records());
+    return summary.calls > 0 && summary.answered == summary.calls;
+}
+
+/** Returns what does not work again after the last repair, one per line. */
+std::string brokenAfterwards(Deployment& deployment, const SoakPlan& plan, uint64_t acknowledged)
+{
+    if (!waitUntil(recoveryLimit, [&] { return deployment.leader() && deployment.allTargetsKnown(); }))
+        return "no leader, or targets stay unknown, after the last repair\n";
+    auto holdsAll = [&] {
+        for (const Vm& vm : deployment.entryVms()) {
+            if (!deployment.ready(vm) || deployment.manifestInForce(vm) < acknowledged)
+                return false;
+        }
+        return true;
+    };
+    if (!waitUntil(recoveryLimit, holdsAll))
+        return "an entry VM is not ready, or lacks manifest " + std::to_string(acknowledged) + " that was acknowledged\n";
+    uint32_t number = 0;
+    if (!waitUntil(recoveryLimit, [&] { return servesAll(deployment, plan, ++number); }))
+        return "calls fail long after the last repair\n";
+    return "";
+}
+
+} // namespace
+
+SoakResult runSoak(const SoakPlan& plan)
+{
+    SoakResult result;
+    Deployment deployment(deploymentOptions(plan));
+    result.broken = startAll(deployment);
+    if (!result.broken.empty())
+        return result;
+    ConfigurationObserver observer(deployment, deployment.entryVms());
+    FaultInjector injector(deployment);
+    LoadGenerator load(soakLoad(deployment, plan));
+    {
+        PlatformBalancer balancer(deployment, deployment.entryVms(), load);
+        ManifestWriter writer(deployment, deployment.entryVms());
+        load.start();
+        runSeries(drawFaults(plan.seed, plan.duration, plan.faultsPerSecond), injector, result);
+        load.join();
+        writer.stop();
+        result.manifest = writer.acknowledged();
+    }
+    result.broken += injector.heal(recoveryLimit);
+    result.broken += brokenAfterwards(deployment, plan, result.manifest);
+    observer.stop();
+    result.broken += violationsAfter(deployment, load, &observer);
+    result.broken += injector.unexplainedEnds();
+    result.calls = summarise(load.records());
+    if (!result.broken.empty())
+        result.logs = deployment.logs();
+    return result;
+}
+
+} // namespace kingcup::testing
