Add: [Tool] kingcupctl explain gathers the log lines of one request

It joins lines by request id and by call, adds changes of a target up to 5 s before its attempt, orders by time and counts lines that were left out or are not readable.

--- a/programs/kingcupctl/Commands.cpp
+++ b/programs/kingcupctl/Commands.cpp
@@ -1,6 +1,7 @@
 /** @file Commands.cpp Runs the commands and prints their results. */
 #include "Commands.h"
 
+#include "LogLines.h"
 #include "OperatorClient.h"
 #include "TextTable.h"
 #include "kingcup/ManifestParser.h"
@@ -237,6 +238,34 @@
     return ask(options, "/v1/replace-control", json { { "id", id } }.dump(), ResendRule::UntilDecided, viewOutcome);
 }
 
+/** Runs `explain`. Needs no VM. */
+ExitCode explain(const CommandOptions& options, const std::string& id)
+{
+    if (options.logFiles.empty()) {
+        std::cerr << "kingcupctl: this command needs --logs\n";
+        return ExitCode::Usage;
+    }
+    std::vector<std::string> files;
+    for (const std::string& path : options.logFiles) {
+        std::optional<std::string> text = readFile(path);
+        if (!text)
+            return ExitCode::Usage;
+        files.push_back(std::move(*text));
+    }
+    RequestLines found = requestLines(id, files);
+    if (options.json)
+        viewJson({ { "lines", found.lines }, { "unreadable", found.unreadable }, { "leftOut", found.leftOut } });
+    else
+        for (const json& line : found.lines)
+            std::cout << describeLine(line) << "\n";
+    if (found.unreadable || found.leftOut)
+        std::cerr << "kingcupctl: " << found.leftOut << " lines were left out by the processes, " << found.unreadable << " are not readable\n";
+    if (!found.lines.empty())
+        return ExitCode::Success;
+    std::cerr << "kingcupctl: no line of " << id << "\n";
+    return ExitCode::Refused;
+}
+
 constexpr CommandRow commands[] = {
     { "bootstrap", "", "forms the control group once", bootstrap },
     { "manifest check", "FILE", "checks a manifest without any VM", manifestCheck },
@@ -245,6 +274,7 @@
     { "status", "", "shows leader, members and entry VMs", status },
     { "targets", "", "lists the targets", targets },
     { "dump", "", "prints the state of one process as JSON", dump },
+    { "explain", "ID", "gathers from --logs what happened to a request, by its id or by VM/CALL", explain },
     { "replace-control", "ID", "makes the repaired control VM a voter in place of its old incarnation", replaceControl },
 };
 
--- a/programs/kingcupctl/Commands.h
+++ b/programs/kingcupctl/Commands.h
@@ -15,6 +15,7 @@
 struct CommandOptions {
     std::vector<std::string> vms; ///< host:port of operator listeners.
     std::string tokenFile; ///< File with the operators' token.
+    std::vector<std::string> logFiles; ///< explain: log files of the VMs.
     bool json = false; ///< Print the JSON answer.
     bool wait = false; ///< manifest apply: wait until in force everywhere.
     Milliseconds timeout { 10000 }; ///< Bound of the whole command.
--- /dev/null
+++ b/programs/kingcupctl/LogLines.cpp
@@ -0,0 +1,109 @@
+/** @file LogLines.cpp Implementation of the search in log files. */
+#include "LogLines.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <initializer_list>
+#include <set>
+#include <utility>
+
+namespace kingcup {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr uint64_t beliefWindowMs = 5000; ///< Changes of a target this long before its attempt are shown; longer than a target's lease.
+
+/** Returns a text field; empty when there is none. */
+std::string textOf(const json& line, const char* name)
+{
+    auto field = line.find(name);
+    return field != line.end() && field->is_string() ? field->get<std::string>() : std::string();
+}
+
+/** Returns a number field; 0 when there is none. */
+uint64_t numberOf(const json& line, const char* name)
+{
+    auto field = line.find(name);
+    return field != line.end() && field->is_number() ? field->get<uint64_t>() : 0;
+}
+
+/** Returns VM and number of the call that a line is about, as VM/CALL; empty for other lines. */
+std::string callOf(const json& line)
+{
+    return line.contains("call") ? absl::StrCat(textOf(line, "vm"), "/", numberOf(line, "call")) : std::string();
+}
+
+/** Returns all lines of the files that can be read. */
+std::vector<json> readLines(const std::vector<std::string>& files, RequestLines& result)
+{
+    std::vector<json> lines;
+    for (const std::string& file : files) {
+        for (absl::string_view text : absl::StrSplit(file, '\n', absl::SkipEmpty())) {
+            json line = json::parse(text.begin(), text.end(), nullptr, false);
+            if (!line.is_object() || !line.contains("event")) {
+                result.unreadable++;
+                continue;
+            }
+            std::string event = textOf(line, "event");
+            if (event == "log_lines_suppressed" || event == "log_lines_lost")
+                result.leftOut += numberOf(line, "count");
+            lines.push_back(std::move(line));
+        }
+    }
+    return lines;
+}
+
+/** Returns the calls of a request: a request may reach several entry VMs, and some lines name only the call. */
+std::set<std::string> callsOf(const std::string& id, const std::vector<json>& lines)
+{
+    std::set<std::string> calls { id };
+    for (const json& line : lines) {
+        if (textOf(line, "request") == id && !callOf(line).empty())
+            calls.insert(callOf(line));
+    }
+    return calls;
+}
+
+} // namespace
+
+RequestLines requestLines(const std::string& id, const std::vector<std::string>& files)
+{
+    RequestLines result;
+    std::vector<json> lines = readLines(files, result);
+    std::set<std::string> calls = callsOf(id, lines);
+    std::vector<std::pair<std::string, uint64_t>> attempts; // Target and time.
+    auto isOwn = [&](const json& line) { return textOf(line, "request") == id || calls.contains(callOf(line)); };
+    for (const json& line : lines) {
+        if (isOwn(line) && line.contains("target"))
+            attempts.emplace_back(textOf(line, "target"), numberOf(line, "timeMs"));
+    }
+    auto explains = [&](const json& line) {
+        bool isBelief = textOf(line, "event").starts_with("target_") && !line.contains("call");
+        return isBelief && std::any_of(attempts.begin(), attempts.end(), [&](const auto& attempt) {
+            uint64_t time = numberOf(line, "timeMs");
+            return attempt.first == textOf(line, "target") && time <= attempt.second && time + beliefWindowMs >= attempt.second;
+        });
+    };
+    for (json& line : lines) {
+        if (isOwn(line) || explains(line))
+            result.lines.push_back(std::move(line));
+    }
+    std::stable_sort(result.lines.begin(), result.lines.end(), [](const json& a, const json& b) { return numberOf(a, "timeMs") < numberOf(b, "timeMs"); });
+    return result;
+}
+
+std::string describeLine(const json& line)
+{
+    std::string text = absl::StrCat(numberOf(line, "timeMs"), " ", textOf(line, "vm"), " ", textOf(line, "event"));
+    for (const auto& [name, value] : line.items()) {
+        bool isShown = name == "timeMs" || name == "vm" || name == "event" || name == "level";
+        if (!isShown)
+            absl::StrAppend(&text, " ", name, "=", value.is_string() ? value.get<std::string>() : value.dump());
+    }
+    return text;
+}
+
+} // namespace kingcup
--- a/programs/kingcupctl/main.cpp
+++ b/programs/kingcupctl/main.cpp
@@ -10,6 +10,7 @@
 
 ABSL_FLAG(std::vector<std::string>, vm, {}, "operator listeners as host:port[,host:port...]; the next one is tried when one does not answer");
 ABSL_FLAG(std::string, token_file, "", "file with the operators' bearer token");
+ABSL_FLAG(std::vector<std::string>, logs, {}, "explain: log files of the VMs, as FILE[,FILE...]");
 ABSL_FLAG(bool, json, false, "print the JSON answer in place of tables");
 ABSL_FLAG(bool, wait, false, "manifest apply: wait until the manifest is in force on every entry VM or the timeout ends");
 ABSL_FLAG(double, timeout_ms, 10000, "bound of the whole command in milliseconds");
@@ -22,7 +23,7 @@
 int printHelp()
 {
     std::cout << usageText() << "\nflags:\n";
-    for (const char* name : { "vm", "token_file", "json", "wait", "timeout_ms" }) {
+    for (const char* name : { "vm", "token_file", "logs", "json", "wait", "timeout_ms" }) {
         const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
         std::cout << "--" << name << "  " << flag->Help() << " (default: \"" << flag->DefaultValue() << "\")\n";
     }
@@ -43,6 +44,7 @@
     CommandOptions options;
     options.vms = absl::GetFlag(FLAGS_vm);
     options.tokenFile = absl::GetFlag(FLAGS_token_file);
+    options.logFiles = absl::GetFlag(FLAGS_logs);
     options.json = absl::GetFlag(FLAGS_json);
     options.wait = absl::GetFlag(FLAGS_wait);
     options.timeout = Milliseconds(absl::GetFlag(FLAGS_timeout_ms));
