--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 PACKAGES := $(shell cat .ci/packages.txt)
 
-.PHONY: packages build check demo bench format lint layers proto
+.PHONY: packages build check demo bench soak format lint layers proto
 
 packages:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
@@ -26,6 +26,14 @@
 format:
 	git ls-files '*.cpp' '*.h' | grep -v '\.pb\.' | xargs clang-format -i
 
+# SEED=0 takes a fresh seed; RUNS and SECONDS bound the soak.
+SEED ?= 0
+RUNS ?= 20
+SECONDS ?= 10
+soak: build
+	$(BUILD)/soak/kingcup_soak --regressions soak/regressions.txt
+	$(BUILD)/soak/kingcup_soak --seed $(SEED) --runs $(RUNS) --seconds $(SECONDS)
+
 lint: build
 	.ci/lint $(BUILD)
 
