--- a/programs/kingcupswitchd/operators/TargetAnnouncements.cpp
+++ b/programs/kingcupswitchd/operators/TargetAnnouncements.cpp
@@ -48,6 +48,19 @@
     return hostOk && portOk;
 }
 
+/** Returns an answer that is logged with its waiting time before it is given. */
+TargetAnnouncements::Done logged(const wire::TargetRecord& target, bool isRepetition, TargetAnnouncements::Done done)
+{
+    nlohmann::json fields { { "service", target.service() }, { "target", target.address() }, { "instance", target.instance() },
+        { "incarnation", target.incarnation() }, { "state", nameOf(targetStateNames, target.state()) }, { "repetition", isRepetition } };
+    return [fields = std::move(fields), done = std::move(done), received = MillisecondClock::now()](bool taken) mutable {
+        fields["taken"] = taken;
+        fields["waitedMs"] = std::round((MillisecondClock::now() - received).count());
+        logLine(LogLevel::Info, "announcement_answered", fields);
+        done(taken);
+    };
+}
+
 } // namespace
 
 std::variant<wire::TargetLoad, std::string> parseAnnouncement(std::string_view json)
@@ -102,16 +115,8 @@
         bool isRepetition = known != this->sent.end() && known->second == state;
         isConfirmed = isRepetition && now - this->lastTaken < confirmationLifetime;
         this->urgent = this->urgent || !isConfirmed;
-        if (!isConfirmed) {
-            nlohmann::json fields { { "service", load.target().service() }, { "target", load.target().address() }, { "instance", load.target().instance() },
-                { "incarnation", load.target().incarnation() }, { "state", nameOf(targetStateNames, load.target().state()) }, { "repetition", isRepetition } };
-            this->confirmations.push_back([done, now, fields = std::move(fields)](bool taken) mutable {
-                fields["taken"] = taken;
-                fields["waitedMs"] = std::round((MillisecondClock::now() - now).count());
-                logLine(LogLevel::Info, "announcement_answered", fields);
-                done(taken);
-            });
-        }
+        if (!isConfirmed)
+            this->confirmations.push_back(logged(load.target(), isRepetition, done));
         Waiting& entry = this->waiting[key];
         if (entry.load.target().incarnation() <= load.target().incarnation()) {
             entry.load = std::move(load);
--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -249,7 +249,7 @@
     return listed == 1 && votes && follows;
 }
 
-std::string FaultInjector::heal(Milliseconds limit)
+std::string FaultInjector::finish(Milliseconds limit)
 {
     for (std::vector<Vm>* group : { &this->deployment.controlVms(), &this->deployment.entryVms() }) {
         for (Vm& vm : *group)
--- a/soak/FaultInjector.h
+++ b/soak/FaultInjector.h
@@ -22,10 +22,10 @@
     /** Begins a fault. Returns the step that repairs it; empty when its subject is held by another fault or not there. */
     std::function<void()> strike(const Fault& fault);
 
-    /** Starts or continues everything that does not run, and finishes replacements. Returns what could not be done; empty: nothing. */
-    std::string heal(Milliseconds limit);
+    /** After the last repair: notes which processes do not run, and has a VM that lost its data replaced. Returns what failed; empty: nothing. */
+    std::string finish(Milliseconds limit);
 
-    /** Returns ends of processes that no fault explains, one per line. Called at any time between steps. */
+    /** Returns ends of processes that no fault explains, one per line. */
     std::string unexplainedEnds();
 
     const std::vector<std::string>& struck() const { return this->names; } ///< Subjects in the order of the faults that held one.
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -85,10 +85,17 @@
     return options;
 }
 
+/** Returns a time as a text. */
+std::string wholeMs(Milliseconds time)
+{
+    return std::to_string(static_cast<int64_t>(time.count()));
+}
+
 /** Begins and repairs all faults of a series at their times. */
 void runSeries(const std::vector<Fault>& series, FaultInjector& injector, SoakResult& result)
 {
     TimePoint start = MillisecondClock::now();
+    auto elapsed = [&] { return wholeMs(MillisecondClock::now() - start); };
     auto sleepUntil = [&](Milliseconds time) { waitUntil(time - (MillisecondClock::now() - start), [] { return false; }); };
     std::multimap<Milliseconds, std::function<void()>> repairs;
     auto repairUntil = [&](Milliseconds time) {
@@ -98,21 +105,20 @@
             std::function<void()> repair = repairs.begin()->second;
             repairs.erase(repairs.begin());
             repair();
-            result.story += std::to_string(static_cast<int64_t>((MillisecondClock::now() - start).count())) + ": repair due at " + std::to_string(static_cast<int64_t>(due.count())) + "\n";
+            result.story += elapsed() + ": repair due at " + wholeMs(due) + "\n";
         }
     };
     for (const Fault& fault : series) {
         repairUntil(fault.start);
         sleepUntil(fault.start);
         size_t before = injector.struck().size();
-        Milliseconds begun = MillisecondClock::now() - start;
+        std::string begun = elapsed();
         std::function<void()> repair = injector.strike(fault);
         if (!repair)
             continue;
         repairs.emplace(fault.start + fault.length, std::move(repair));
-        result.story += std::to_string(static_cast<int64_t>(begun.count())) + ":";
         result.faults++;
-        result.story += describeFault(fault);
+        result.story += begun + ": " + describeFault(fault);
         for (size_t i = before; i < injector.struck().size(); ++i)
             result.story += " " + injector.struck()[i];
         result.story += "\n";
@@ -173,7 +179,7 @@
         writer.stop();
         result.manifest = writer.acknowledged();
     }
-    result.broken += injector.heal(recoveryLimit);
+    result.broken += injector.finish(recoveryLimit);
     result.broken += brokenAfterwards(deployment, plan, result.manifest);
     observer.stop();
     result.broken += violationsAfter(deployment, load, &observer);
