Fix: [Control] A VM without a place asks the leader for one, also when that is no founder

First trace: at 8 s the leader's VM was wiped. It came back empty and announced itself to the founders only; the new leader (pasila-2) was no founder, and founders keep announcements to themselves. So it stayed outside for 37 s.

Ruled out: the new rule for restarted leaders (its claim was refused by the two voters that remained, as it should be); the search for the leader (there was none).

Now a member answers an announcement with the leader it knows, and a VM without a place also asks the leader that it has heard of. MembershipPlannerTest.asksWhoCanGiveAPlace guards whom it asks; the message between processes has no test of its own yet.

--- a/packages/coordination/include/kingcup/MembershipPlanner.h
+++ b/packages/coordination/include/kingcup/MembershipPlanner.h
@@ -68,4 +68,10 @@
     std::map<Incarnation, TimePoint> lastHeard; ///< Last message of each member.
 };
 
+/**
+ * Returns whom a VM without a place in the group asks for one. Only the leader can give it, and it need not be a founder.
+ * @param leader Leader that this VM has heard of; 0: none.
+ */
+std::vector<VmId> placesToAsk(const std::vector<VmId>& founders, VmId self, VmId leader);
+
 } // namespace kingcup
--- a/packages/coordination/src/MembershipPlanner.cpp
+++ b/packages/coordination/src/MembershipPlanner.cpp
@@ -166,4 +166,16 @@
     return std::nullopt;
 }
 
+std::vector<VmId> placesToAsk(const std::vector<VmId>& founders, VmId self, VmId leader)
+{
+    std::vector<VmId> vms;
+    for (VmId vm : founders) {
+        if (vm != self)
+            vms.push_back(vm);
+    }
+    if (leader && leader != self && std::find(vms.begin(), vms.end(), leader) == vms.end())
+        vms.push_back(leader);
+    return vms;
+}
+
 } // namespace kingcup
--- a/packages/coordination/tests/MembershipPlannerTest.cpp
+++ b/packages/coordination/tests/MembershipPlannerTest.cpp
@@ -181,3 +181,14 @@
         EXPECT_EQ(group.membership.members_size(), 5);
     });
 }
+
+TEST(MembershipPlannerTest, asksWhoCanGiveAPlace)
+{
+    const std::vector<VmId> founders { 1, 2, 3 };
+    section("a VM without a place asks the founders", [&] { EXPECT_EQ(placesToAsk(founders, 4, 0), founders); });
+    section("and the leader, which need not be one: founders do not admit", [&] { EXPECT_EQ(placesToAsk(founders, 2, 5), (std::vector<VmId> { 1, 3, 5 })); });
+    section("but not twice, and never itself", [&] {
+        EXPECT_EQ(placesToAsk(founders, 4, 3), founders);
+        EXPECT_EQ(placesToAsk(founders, 1, 1), (std::vector<VmId> { 2, 3 }));
+    });
+}
--- a/programs/kingcupswitchd/control/MembershipManager.cpp
+++ b/programs/kingcupswitchd/control/MembershipManager.cpp
@@ -225,9 +225,8 @@
     bool leadsFoundation = this->options.formsGroup && !this->bootstrapped && !this->options.founders.empty() && this->options.founders.front() == this->options.self;
     if (leadsFoundation && !this->pendingBootstrap)
         this->bootstrap([](ResultCode, const std::string&) {});
-    for (VmId vm : this->contacts) {
-        if (vm == this->options.self)
-            continue;
+    VmId heardOf = this->driver.log().leader() ? this->driver.log().leader() : this->namedLeader;
+    for (VmId vm : placesToAsk(this->contacts, this->options.self, heardOf)) {
         this->connect(vm);
         wire::Envelope envelope;
         wire::IdentityAnswer* identity = envelope.mutable_identity_answer();
@@ -256,13 +255,36 @@
     const wire::IdentityAnswer& identity = envelope.identity_answer();
     if (identity.vm_id() != envelope.sender_vm() || !this->directory.peer(identity.vm_id()))
         return;
+    if (identity.leader_vm()) {
+        this->namedLeader = identity.leader_vm();
+        return;
+    }
     if (this->pendingBootstrap && envelope.request_id()) {
         this->pendingBootstrap->identities[identity.vm_id()] = identity;
         this->pendingBootstrap->repeatAt = {};
     }
     bool asksToJoin = !identity.bootstrapped() || !findMember(this->driver.log().membership(), identity.vm_id(), identity.incarnation());
-    if (asksToJoin)
-        this->planner.announced(identity.vm_id(), identity.incarnation(), MillisecondClock::now());
+    if (!asksToJoin)
+        return;
+    this->planner.announced(identity.vm_id(), identity.incarnation(), MillisecondClock::now());
+    this->nameLeader(identity.vm_id());
+}
+
+/** Tells a VM that asks for a place who can give it. */
+void MembershipManager::nameLeader(VmId vm)
+{
+    VmId leader = this->driver.log().leader();
+    if (!leader || leader == this->options.self || leader == vm)
+        return;
+    this->connect(vm);
+    wire::Envelope envelope;
+    wire::IdentityAnswer* identity = envelope.mutable_identity_answer();
+    identity->set_vm_id(this->options.self);
+    identity->set_incarnation(this->options.incarnation);
+    identity->set_deployment_id(this->options.deployment);
+    identity->set_bootstrapped(this->bootstrapped);
+    identity->set_leader_vm(leader);
+    this->hub.send(vm, std::move(envelope));
 }
 
 /** Takes the next step of the plan once the one before is committed. */
--- a/programs/kingcupswitchd/control/MembershipManager.h
+++ b/programs/kingcupswitchd/control/MembershipManager.h
@@ -66,6 +66,7 @@
     };
     void noteMembership();
     void announceSelf();
+    void nameLeader(VmId vm);
     void answerIdentity(const LinkOrigin& origin, const wire::Envelope& envelope);
     void receiveIdentity(const wire::Envelope& envelope);
     void receiveBootstrap(const LinkOrigin& origin, const wire::Envelope& envelope);
@@ -89,6 +90,7 @@
     std::optional<Bootstrap> pendingBootstrap; ///< Running bootstrap.
     MembershipPlanner planner; ///< Decides on changes.
     std::vector<VmId> contacts; ///< VMs to which this VM announces itself.
+    VmId namedLeader = 0; ///< Leader that one of them named; 0: none.
     TimePoint leaderKnown {}; ///< When a leader was last known.
     TimePoint nextAnnouncement {}; ///< Of this VM, while it has no place in a group.
     std::string connectedMembership; ///< Encoded membership to which links were opened.
