--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -84,7 +84,7 @@
     void finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now);
 
     /** Takes a target out of use because another instance has its address, until the table names that one. */
-    void instanceGone(const Pick& pick, TimePoint now);
+    void instanceGone(const Pick& pick);
 
     /** Records a load report. @param age Age of the report when it arrived. */
     void report(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now);
--- a/packages/coordination/include/kingcup/TargetSearch.h
+++ b/packages/coordination/include/kingcup/TargetSearch.h
@@ -19,7 +19,6 @@
     Milliseconds roundPause { 20 }; ///< Between two rounds. Slots become free and machines change their speed meanwhile.
     TimePoint latestStart = TimePoint::max(); ///< No round begins after this time; the best known target is taken then.
     TimePoint objectiveEnd = TimePoint::max(); ///< An answer has its full value up to this time.
-    uint32_t unaskedRounds = 0; ///< Earlier rounds of the request in which nobody could be asked.
     std::optional<Milliseconds> usualTime; ///< Of the work on a free target of usual speed, if it is known.
 };
 
@@ -40,7 +39,8 @@
  */
 class TargetSearch {
 public:
-    TargetSearch(const TargetSearchLimits& limits, TimePoint now);
+    /** @param unaskedBefore Earlier rounds of the request in which nobody could be asked. */
+    explicit TargetSearch(const TargetSearchLimits& limits, uint32_t unaskedBefore = 0);
 
     /** Notes that a target is being asked. Returns its position. */
     size_t probing(TimePoint now);
@@ -97,7 +97,7 @@
     bool endsUnasked(TimePoint now) const;
 
     TargetSearchLimits limits; ///< Bounds.
-    TimePoint started; ///< Start of the search.
+    uint32_t unaskedBefore; ///< Earlier rounds in which nobody could be asked.
     bool noneLeft = false; ///< There is no further target.
     std::optional<TimePoint> roundEnd; ///< When the last target of the round was asked or had answered.
     std::vector<Asked> targets; ///< In the order in which they were asked.
--- a/packages/coordination/src/LogStorage.cpp
+++ b/packages/coordination/src/LogStorage.cpp
@@ -12,7 +12,7 @@
 
 /** Types of journal records; the numbers are part of the file format. */
 enum class LogRecordType : uint32_t {
-    HardState = 1, ///< Term and vote, as two 64-bit numbers; a third one, 1, if this member led the term.
+    HardState = 1, ///< Term and vote, as two 64-bit numbers; a third one follows if this member led the term.
     Entry = 2, ///< A wire::LogEntry.
     Truncate = 3, ///< Index from which entries are dropped, as a 64-bit number.
 };
@@ -119,8 +119,7 @@
     case LogRecordType::HardState:
         if (record.data.size() != 2 * sizeof(uint64_t) && record.data.size() != 3 * sizeof(uint64_t))
             return false;
-        this->hardState = { decode(record.data, 0), static_cast<VmId>(decode(record.data, 1)), false };
-        this->hardState.led = record.data.size() > 2 * sizeof(uint64_t) && decode(record.data, 2) == 1;
+        this->hardState = { decode(record.data, 0), static_cast<VmId>(decode(record.data, 1)), record.data.size() == 3 * sizeof(uint64_t) };
         return true;
     case LogRecordType::Entry: {
         wire::LogEntry entry;
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -153,12 +153,12 @@
         this->state->tryEject(table, *entry->target, inMs(now));
 }
 
-void Router::instanceGone(const Pick& pick, TimePoint now)
+void Router::instanceGone(const Pick& pick)
 {
     RcuReadGuard guard;
     const RoutingEntry* entry = this->state->table.read(guard).find(pick.address);
     if (entry && entry->target->serial == pick.ticket >> 32)
-        entry->target->lose(inMs(now));
+        entry->target->lose();
 }
 
 void Router::report(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now)
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -90,19 +90,18 @@
 {
     uint32_t before = this->ejections.fetch_add(1, relaxed);
     double period = shortestEjectionMs * std::exp2(std::min(before, 10u));
-    this->ejectFor(std::min(period, longestEjectionMs), nowMs);
+    this->ejectUntil(nowMs + std::min(period, longestEjectionMs));
 }
 
-void TargetEstimate::ejectFor(double periodMs, double nowMs)
+void TargetEstimate::ejectUntil(double untilMs)
 {
-    this->ejectedUntilMs.store(nowMs + periodMs, relaxed);
-    this->coldSinceMs.store(nowMs + periodMs, relaxed);
+    this->ejectedUntilMs.store(untilMs, relaxed);
+    this->coldSinceMs.store(untilMs, relaxed);
 }
 
-void TargetEstimate::lose(double nowMs)
+void TargetEstimate::lose()
 {
-    this->isLost.store(true, relaxed);
-    this->ejectFor(std::numeric_limits<double>::infinity(), nowMs);
+    this->ejectUntil(forEverMs);
 }
 
 double TargetEstimate::ramp(double nowMs) const
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -35,14 +35,11 @@
     /** Ejects the target; each ejection in a row lasts twice as long. */
     void eject(double nowMs);
 
-    /** Ejects the target for a given time. */
-    void ejectFor(double periodMs, double nowMs);
-
     /** Notes that another instance has the address: this one does not come back. */
-    void lose(double nowMs);
+    void lose();
 
     /** Returns whether another instance has the address. */
-    bool lost() const { return this->isLost.load(std::memory_order_relaxed); }
+    bool lost() const { return this->ejectedUntilMs.load(std::memory_order_relaxed) == forEverMs; }
 
     /** Returns whether the target is ejected. */
     bool ejected(double nowMs) const { return nowMs < this->ejectedUntilMs.load(std::memory_order_relaxed); }
@@ -88,6 +85,9 @@
     std::atomic<uint32_t> picksSinceReport { 0 }; ///< Own attempts started after it arrived.
 
 private:
+    static constexpr double forEverMs = std::numeric_limits<double>::infinity(); ///< End of an ejection that does not end.
+
+    void ejectUntil(double untilMs);
     void learnLatency(double latencyMs, double nowMs);
     void learnFailure(bool failed, double nowMs);
 
@@ -100,7 +100,6 @@
     std::atomic<uint32_t> failures { 0 }; ///< In a row.
     std::atomic<uint32_t> ejections { 0 }; ///< In a row.
     std::atomic<double> ejectedUntilMs { neverMs };
-    std::atomic<bool> isLost { false };
     std::atomic<double> coldUntilMs { neverMs };
     std::atomic<double> coldSinceMs;
 };
--- a/packages/coordination/src/TargetSearch.cpp
+++ b/packages/coordination/src/TargetSearch.cpp
@@ -11,7 +11,7 @@
 constexpr double tolerableCost = 2.2; ///< A target whose requests take at most this much longer is taken after a few answers.
 constexpr size_t answersBeforeTolerance = 3;
 constexpr double queueFactor = 2.5; ///< What a full target works on takes longer than usual, and so does the wait for it.
-constexpr uint32_t maxUnaskedRounds = 1; ///< Rounds in which nobody could be asked; best of 0, 1, 2 in OverloadReplayTest.
+constexpr uint32_t maxUnaskedRounds = 1; ///< Rounds in which nobody could be asked. With none the budget's next question is missed; OverloadReplayTest bounds what waiting may cost.
 constexpr double unknownCost = 3; ///< Of a target that did not answer: worse than a busy one, better than a slow one.
 constexpr double unaskedCost = 2; ///< Of a target that was not asked: as a mean one.
 constexpr double failedCost = 1000; ///< Of a target that could not be reached.
@@ -20,9 +20,9 @@
 
 } // namespace
 
-TargetSearch::TargetSearch(const TargetSearchLimits& limits, TimePoint now)
+TargetSearch::TargetSearch(const TargetSearchLimits& limits, uint32_t unaskedBefore)
     : limits(limits)
-    , started(now)
+    , unaskedBefore(unaskedBefore)
 {
 }
 
@@ -95,7 +95,7 @@
 uint32_t TargetSearch::unaskedRounds() const
 {
     bool noneAsked = !this->targets.empty() && std::all_of(this->targets.begin(), this->targets.end(), [](const Asked& target) { return target.unasked; });
-    return this->limits.unaskedRounds + (noneAsked ? 1 : 0);
+    return this->unaskedBefore + (noneAsked ? 1 : 0);
 }
 
 /** Returns whether the budget for measuring ends the search: a target that answered will do, or waiting for the budget took long enough. */
--- a/packages/coordination/tests/LogStorageTest.cpp
+++ b/packages/coordination/tests/LogStorageTest.cpp
@@ -74,6 +74,16 @@
         EXPECT_EQ(store.range(), Range(1, 12));
         EXPECT_EQ(store.state.entries[8].term(), 3u);
     });
+    section("that this member led its term survives too, also a new journal, and ends with the term", [&] {
+        HardState led { 4, 1, true };
+        ASSERT_FALSE(store.storage->write({ led, 0, {} }));
+        ASSERT_FALSE(store.storage->storeSnapshot({ 1, 2, {} }, "state at 1"));
+        ASSERT_FALSE(store.reopen());
+        EXPECT_EQ(store.state.hardState, led);
+        ASSERT_FALSE(store.storage->write({ HardState { 3, 2 }, 0, {} }));
+        ASSERT_FALSE(store.reopen());
+        EXPECT_EQ(store.state.hardState, (HardState { 3, 2 }));
+    });
     section("a snapshot drops what it covers and nothing after it", [&] {
         uint64_t before = store.storage->journalBytes();
         ASSERT_FALSE(store.storage->storeSnapshot({ 8, 2, {} }, "state at 8"));
--- a/packages/coordination/tests/OverloadReplayTest.cpp
+++ b/packages/coordination/tests/OverloadReplayTest.cpp
@@ -114,10 +114,9 @@
     {
         TargetSearchLimits limits;
         limits.usualTime = Milliseconds(workMs);
-        limits.unaskedRounds = unaskedRounds;
         limits.objectiveEnd = timeAt(this->policy == Policy::Search ? arrivedMs + objectiveMs : 1e12);
         limits.latestStart = timeAt(this->policy == Policy::Search ? arrivedMs + objectiveMs - 1.25 * workMs : arrivedMs + probeMs * (limits.maxProbes - 1));
-        auto search = std::make_shared<TargetSearch>(limits, timeAt(this->nowMs));
+        auto search = std::make_shared<TargetSearch>(limits, unaskedRounds);
         auto asked = std::make_shared<std::vector<size_t>>();
         this->step(search, asked, SearchStep::Probe, arrivedMs);
     }
--- a/packages/coordination/tests/RouterTest.cpp
+++ b/packages/coordination/tests/RouterTest.cpp
@@ -159,7 +159,7 @@
         std::vector<std::string> used;
         std::optional<Pick> lost = story.router.pick({}, timeAt(1000));
         ASSERT_TRUE(lost);
-        story.router.instanceGone(*lost, timeAt(1000));
+        story.router.instanceGone(*lost);
         for (int i = 0; i < 2; ++i) {
             std::optional<Pick> pick = story.router.pick(used, timeAt(1001));
             ASSERT_TRUE(pick);
--- a/packages/coordination/tests/TargetSearchTest.cpp
+++ b/packages/coordination/tests/TargetSearchTest.cpp
@@ -25,7 +25,7 @@
 {
     double nowMs = 0;
     asked = 0;
-    TargetSearch search(limits, timeAt(0));
+    TargetSearch search(limits);
     SearchStep step = SearchStep::Probe;
     while (step == SearchStep::Probe) {
         if (asked == reports.size()) {
@@ -112,7 +112,7 @@
         EXPECT_EQ(asked, 3u);
     });
     section("a target that has just started is passed over", [] {
-        TargetSearch search({}, timeAt(0));
+        TargetSearch search({});
         EXPECT_EQ(search.answered(search.probing(timeAt(0)), reportOf(0, 0, 1), 2, timeAt(1)), SearchStep::Probe);
         EXPECT_EQ(search.answered(search.probing(timeAt(1)), reportOf(2, 0, 1), 1, timeAt(2)), SearchStep::Send);
         EXPECT_EQ(search.best(), 1u);
@@ -131,57 +131,57 @@
         return search.answered(search.probing(timeAt(nowMs + 1)), load, 1, timeAt(nowMs + 2));
     };
     section("while the work can still be done in time, a search that found nothing is repeated after a pause", [&] {
-        TargetSearch search(limits, timeAt(0));
+        TargetSearch search(limits);
         EXPECT_EQ(askBoth(search, reportOf(0, 0, 5), 0), SearchStep::Wait);
         EXPECT_EQ(search.nextEvent(timeAt(2)), timeAt(22));
         EXPECT_EQ(search.advance(timeAt(22)), SearchStep::Again);
     });
     section("at the latest start, a request for full targets is refused when its answer would come too late", [&] {
-        TargetSearch search(limits, timeAt(190));
+        TargetSearch search(limits);
         EXPECT_EQ(askBoth(search, reportOf(6, 9, 1), 190), SearchStep::Refuse);
     });
     section("it is sent when it fits, or when the targets are slow but have free slots", [&] {
-        TargetSearch fits({ 2, Milliseconds(12), Milliseconds(20), timeAt(200), timeAt(700), 0, Milliseconds(150) }, timeAt(190));
+        TargetSearch fits({ 2, Milliseconds(12), Milliseconds(20), timeAt(200), timeAt(700), Milliseconds(150) });
         EXPECT_EQ(askBoth(fits, reportOf(6, 1, 1), 190), SearchStep::Send);
-        TargetSearch slow(limits, timeAt(190));
+        TargetSearch slow(limits);
         EXPECT_EQ(askBoth(slow, reportOf(0, 0, 5), 190), SearchStep::Send);
     });
     section("targets that cannot be asked count as the others were a moment ago", [&] {
         RecentLoad recent;
         for (int answer = 0; answer < 5; answer++)
             recent.add(6, true, timeAt(100 + answer));
-        TargetSearch search(limits, timeAt(199));
+        TargetSearch search(limits);
         search.unasked(search.probing(timeAt(199)), recent.typical(timeAt(199)));
         EXPECT_EQ(search.exhausted(timeAt(199)), SearchStep::Refuse);
         EXPECT_EQ(recent.typical(timeAt(500)), std::nullopt);
     });
     section("a request that may ask no further target takes the best one it knows, and does not wait", [&] {
-        TargetSearch search(limits, timeAt(0));
+        TargetSearch search(limits);
         EXPECT_EQ(search.answered(search.probing(timeAt(0)), reportOf(5, 0, 1), 1, timeAt(2)), SearchStep::Probe);
         search.unasked(search.probing(timeAt(2)), std::nullopt);
         EXPECT_EQ(search.exhausted(timeAt(2)), SearchStep::Send);
         EXPECT_EQ(search.best(), 0u) << "nearly full, but known";
     });
     section("one that may ask nobody waits for one round and then goes to its first pick", [&] {
-        TargetSearchLimits again = limits;
+        uint32_t unaskedBefore = 0;
         for (SearchStep expected : { SearchStep::Wait, SearchStep::Send }) {
-            TargetSearch blind(again, timeAt(0));
+            TargetSearch blind(limits, unaskedBefore);
             for (int target = 0; target < 2; target++)
                 blind.unasked(blind.probing(timeAt(0)), std::nullopt);
             EXPECT_EQ(blind.exhausted(timeAt(0)), expected);
             EXPECT_EQ(blind.best(), 0u) << "picked by what is known; the others are second choices";
-            again.unaskedRounds = blind.unaskedRounds();
+            unaskedBefore = blind.unaskedRounds();
         }
     });
     section("a slow target is not taken while others, not asked, are likely better", [&] {
-        TargetSearch search(limits, timeAt(199));
+        TargetSearch search(limits);
         search.answered(search.probing(timeAt(199)), reportOf(0, 0, 5), 1, timeAt(199));
         search.unasked(search.probing(timeAt(199)), std::nullopt);
         EXPECT_EQ(search.exhausted(timeAt(199)), SearchStep::Send);
         EXPECT_EQ(search.best(), 1u);
     });
     section("without any target the request is refused", [&] {
-        TargetSearch search(limits, timeAt(0));
+        TargetSearch search(limits);
         EXPECT_EQ(search.exhausted(timeAt(0)), SearchStep::Refuse);
     });
 }
@@ -189,7 +189,7 @@
 TEST(TargetSearchTest, isBounded)
 {
     section("a silent target is passed over after its time, and the request goes on", [] {
-        TargetSearch search({}, timeAt(0));
+        TargetSearch search({});
         search.probing(timeAt(0));
         EXPECT_EQ(search.advance(timeAt(5)), SearchStep::Wait);
         EXPECT_EQ(search.nextEvent(timeAt(5)), timeAt(12));
@@ -200,7 +200,7 @@
     section("a target that cannot be reached is never preferred", [] {
         TargetSearchLimits limits;
         limits.latestStart = timeAt(2);
-        TargetSearch search(limits, timeAt(0));
+        TargetSearch search(limits);
         EXPECT_EQ(search.failed(search.probing(timeAt(0)), timeAt(1)), SearchStep::Probe);
         EXPECT_EQ(search.answered(search.probing(timeAt(1)), reportOf(6, 5, 5), 1, timeAt(2)), SearchStep::Send);
         EXPECT_EQ(search.best(), 1u);
@@ -209,11 +209,11 @@
         TargetSearchLimits limits;
         limits.maxProbes = 3;
         limits.latestStart = timeAt(20);
-        TargetSearch search(limits, timeAt(0));
+        TargetSearch search(limits);
         for (int probe = 0; probe < 2; probe++)
             EXPECT_EQ(search.answered(search.probing(timeAt(probe)), reportOf(0, 0, 5), 1, timeAt(probe)), SearchStep::Probe);
         EXPECT_EQ(search.answered(search.probing(timeAt(2)), reportOf(0, 0, 5), 1, timeAt(2)), SearchStep::Send);
-        TargetSearch late(limits, timeAt(0));
+        TargetSearch late(limits);
         EXPECT_EQ(late.answered(late.probing(timeAt(0)), reportOf(0, 0, 5), 1, timeAt(40)), SearchStep::Send);
     });
 }
--- a/packages/protocol/include/kingcup/TargetStates.h
+++ b/packages/protocol/include/kingcup/TargetStates.h
@@ -1,10 +1,12 @@
-/** @file TargetStates.h Names of the states of targets. */
+/** @file TargetStates.h How targets appear in JSON and logs. */
 #pragma once
 
 #include "kingcup/EnumNames.h"
 
 #include "kingcup.pb.h"
 
+#include <nlohmann/json.hpp>
+
 namespace kingcup {
 
 constexpr EnumName<wire::TargetState> targetStateNames[] = {
@@ -14,4 +16,11 @@
     { wire::TARGET_GONE, "gone" },
 };
 
+/** Returns the fields that name a target and its state in log lines. */
+inline nlohmann::json targetFields(const wire::TargetRecord& target)
+{
+    return { { "service", target.service() }, { "target", target.address() }, { "instance", target.instance() }, { "incarnation", target.incarnation() },
+        { "state", nameOf(targetStateNames, target.state()) } };
+}
+
 } // namespace kingcup
--- a/programs/kingcupctl/LogLines.cpp
+++ b/programs/kingcupctl/LogLines.cpp
@@ -1,10 +1,11 @@
 /** @file LogLines.cpp Implementation of the search in log files. */
 #include "LogLines.h"
 
+#include "kingcup/JsonFields.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
-#include <initializer_list>
 #include <set>
 #include <utility>
 
@@ -16,24 +17,10 @@
 
 constexpr uint64_t beliefWindowMs = 5000; ///< Changes of a target this long before its attempt are shown; longer than a target's lease.
 
-/** Returns a text field; empty when there is none. */
-std::string textOf(const json& line, const char* name)
-{
-    auto field = line.find(name);
-    return field != line.end() && field->is_string() ? field->get<std::string>() : std::string();
-}
-
-/** Returns a number field; 0 when there is none. */
-uint64_t numberOf(const json& line, const char* name)
-{
-    auto field = line.find(name);
-    return field != line.end() && field->is_number() ? field->get<uint64_t>() : 0;
-}
-
 /** Returns VM and number of the call that a line is about, as VM/CALL; empty for other lines. */
 std::string callOf(const json& line)
 {
-    return line.contains("call") ? absl::StrCat(textOf(line, "vm"), "/", numberOf(line, "call")) : std::string();
+    return line.contains("call") ? absl::StrCat(textField(line, "vm"), "/", numberField(line, "call")) : std::string();
 }
 
 /** Returns all lines of the files that can be read. */
@@ -47,9 +34,9 @@
                 result.unreadable++;
                 continue;
             }
-            std::string event = textOf(line, "event");
+            std::string event = textField(line, "event");
             if (event == "log_lines_suppressed" || event == "log_lines_lost")
-                result.leftOut += numberOf(line, "count");
+                result.leftOut += numberField(line, "count");
             lines.push_back(std::move(line));
         }
     }
@@ -61,7 +48,7 @@
 {
     std::set<std::string> calls { id };
     for (const json& line : lines) {
-        if (textOf(line, "request") == id && !callOf(line).empty())
+        if (textField(line, "request") == id && !callOf(line).empty())
             calls.insert(callOf(line));
     }
     return calls;
@@ -75,29 +62,29 @@
     std::vector<json> lines = readLines(files, result);
     std::set<std::string> calls = callsOf(id, lines);
     std::vector<std::pair<std::string, uint64_t>> attempts; // Target and time.
-    auto isOwn = [&](const json& line) { return textOf(line, "request") == id || calls.contains(callOf(line)); };
+    auto isOwn = [&](const json& line) { return textField(line, "request") == id || calls.contains(callOf(line)); };
     for (const json& line : lines) {
         if (isOwn(line) && line.contains("target"))
-            attempts.emplace_back(textOf(line, "target"), numberOf(line, "timeMs"));
+            attempts.emplace_back(textField(line, "target"), numberField(line, "timeMs"));
     }
     auto explains = [&](const json& line) {
-        bool isBelief = textOf(line, "event").starts_with("target_") && !line.contains("call");
+        bool isBelief = textField(line, "event").starts_with("target_") && !line.contains("call");
         return isBelief && std::any_of(attempts.begin(), attempts.end(), [&](const auto& attempt) {
-            uint64_t time = numberOf(line, "timeMs");
-            return attempt.first == textOf(line, "target") && time <= attempt.second && time + beliefWindowMs >= attempt.second;
+            uint64_t time = numberField(line, "timeMs");
+            return attempt.first == textField(line, "target") && time <= attempt.second && time + beliefWindowMs >= attempt.second;
         });
     };
     for (json& line : lines) {
         if (isOwn(line) || explains(line))
             result.lines.push_back(std::move(line));
     }
-    std::stable_sort(result.lines.begin(), result.lines.end(), [](const json& a, const json& b) { return numberOf(a, "timeMs") < numberOf(b, "timeMs"); });
+    std::stable_sort(result.lines.begin(), result.lines.end(), [](const json& a, const json& b) { return numberField(a, "timeMs") < numberField(b, "timeMs"); });
     return result;
 }
 
 std::string describeLine(const json& line)
 {
-    std::string text = absl::StrCat(numberOf(line, "timeMs"), " ", textOf(line, "vm"), " ", textOf(line, "event"));
+    std::string text = absl::StrCat(numberField(line, "timeMs"), " ", textField(line, "vm"), " ", textField(line, "event"));
     for (const auto& [name, value] : line.items()) {
         bool isShown = name == "timeMs" || name == "vm" || name == "event" || name == "level";
         if (!isShown)
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -157,9 +157,10 @@
         failPoint("leader.finish_applied");
     if (command.has_change_target()) {
         const wire::TargetRecord& target = command.change_target().target();
-        logLine(LogLevel::Info, "target_changed",
-            { { "service", target.service() }, { "target", target.address() }, { "instance", target.instance() }, { "incarnation", target.incarnation() },
-                { "state", nameOf(targetStateNames, target.state()) }, { "index", index }, { "result", resultCodeRow(static_cast<ResultCode>(result.result_code())).name } });
+        nlohmann::json fields = targetFields(target);
+        fields["index"] = index;
+        fields["result"] = resultCodeRow(static_cast<ResultCode>(result.result_code())).name;
+        logLine(LogLevel::Info, "target_changed", fields);
         this->pendingTargets.erase({ target.service(), target.address() });
         if (target.state() == wire::TARGET_GONE)
             this->forgetHeartbeat(target);
@@ -216,6 +217,13 @@
     return this->driver->log().hasQuorum(MillisecondClock::now()) ? ResultCode::Ok : ResultCode::NoQuorum;
 }
 
+/** Returns leaderCode(), and NoQuorum until the soft state of a new leader is set up. */
+ResultCode ControlNode::softStateCode() const
+{
+    ResultCode code = this->leaderCode();
+    return code == ResultCode::Ok && !this->soundLeader ? ResultCode::NoQuorum : code;
+}
+
 /** Refuses new commands while the disk is nearly full. */
 void ControlNode::checkDisk(TimePoint now)
 {
--- a/programs/kingcupswitchd/control/ControlNode.h
+++ b/programs/kingcupswitchd/control/ControlNode.h
@@ -86,6 +86,7 @@
     void receiveReplacement(const LinkOrigin& origin, const wire::Envelope& envelope);
     void answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result);
     void proposeManifest(const std::string& text, int attempt, LogDriver::Done done);
+    void takeAnnouncement(wire::TargetLoad load, TimePoint now);
     void considerTarget(const wire::TargetRecord& target);
     bool resolveDeparture(wire::ChangeTarget& change);
     void proposeReplacedGone(const wire::TargetRecord& target);
@@ -99,6 +100,7 @@
     void answerConfirmed(TimePoint now);
     void checkDisk(TimePoint now);
     ResultCode leaderCode() const;
+    ResultCode softStateCode() const;
     nlohmann::json answerQuery(const std::string& subject) const;
     nlohmann::json manifestInForce() const;
     nlohmann::json manifestStatus(uint64_t number) const;
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -33,9 +33,7 @@
     wire::Envelope answer;
     answer.set_request_id(envelope.request_id());
     wire::SessionAnswer* body = answer.mutable_session_answer();
-    ResultCode code = this->leaderCode();
-    if (code == ResultCode::Ok && !this->soundLeader)
-        code = ResultCode::NoQuorum;
+    ResultCode code = this->softStateCode();
     body->set_result_code(static_cast<int>(code));
     body->set_leader_vm(this->driver->log().leader());
     if (code == ResultCode::Ok) {
@@ -158,33 +156,37 @@
     wire::Envelope answer;
     answer.set_request_id(envelope.request_id());
     wire::HeartbeatAnswer* body = answer.mutable_heartbeat_answer();
-    ResultCode code = this->leaderCode();
-    if (code == ResultCode::Ok && !this->soundLeader)
-        code = ResultCode::NoQuorum;
+    ResultCode code = this->softStateCode();
     body->set_result_code(static_cast<int>(code));
     body->set_leader_vm(this->driver->log().leader());
     if (code == ResultCode::Ok) {
         TimePoint now = MillisecondClock::now();
-        for (wire::TargetLoad load : envelope.heartbeat_batch().targets()) {
-            const wire::TargetRecord* known = this->machine.findTarget(load.target().service(), load.target().address());
-            bool isFormer = !this->machine.assignIncarnation(*load.mutable_target());
-            if (isFormer || (known && known->incarnation() > load.target().incarnation())) {
-                logLine(LogLevel::Info, "late_announcement_ignored",
-                    { { "service", load.target().service() }, { "target", load.target().address() }, { "instance", load.target().instance() }, { "ageMs", load.age_ms() },
-                        { "knownInstance", known ? known->instance() : "" } });
-                continue;
-            }
-            if (load.cold_left_ms())
-                load.mutable_target()->set_cold_until_log_ms(this->driver->logTimeMs(now) + load.cold_left_ms());
-            this->sessions->heartbeat(load, now);
-            this->considerTarget(load.target());
-        }
+        for (const wire::TargetLoad& load : envelope.heartbeat_batch().targets())
+            this->takeAnnouncement(load, now);
         for (const wire::TargetLoad& load : this->sessions->loadDigest(loadDigestBytes, now))
             *body->add_digest() = load;
     }
     this->hub->reply(origin, std::move(answer));
 }
 
+/** Takes what a target announces of itself, unless a newer instance has its address. */
+void ControlNode::takeAnnouncement(wire::TargetLoad load, TimePoint now)
+{
+    const wire::TargetRecord* known = this->machine.findTarget(load.target().service(), load.target().address());
+    bool isFormer = !this->machine.assignIncarnation(*load.mutable_target());
+    if (isFormer || (known && known->incarnation() > load.target().incarnation())) {
+        nlohmann::json fields = targetFields(load.target());
+        fields["ageMs"] = load.age_ms();
+        fields["knownInstance"] = known ? known->instance() : "";
+        logLine(LogLevel::Info, "late_announcement_ignored", fields);
+        return;
+    }
+    if (load.cold_left_ms())
+        load.mutable_target()->set_cold_until_log_ms(this->driver->logTimeMs(now) + load.cold_left_ms());
+    this->sessions->heartbeat(load, now);
+    this->considerTarget(load.target());
+}
+
 /** Proposes a change of a target when its announcement says something new. */
 void ControlNode::considerTarget(const wire::TargetRecord& target)
 {
@@ -213,9 +215,10 @@
     wire::Command command;
     *command.mutable_change_target()->mutable_target() = target;
     if (wire::CommandResult checked = this->machine.check(command); checked.result_code() != 0) {
-        logLine(LogLevel::Info, "announcement_not_recorded",
-            { { "service", target.service() }, { "target", target.address() }, { "instance", target.instance() }, { "state", nameOf(targetStateNames, target.state()) },
-                { "result", resultCodeRow(static_cast<ResultCode>(checked.result_code())).name }, { "detail", checked.detail() } });
+        nlohmann::json fields = targetFields(target);
+        fields["result"] = resultCodeRow(static_cast<ResultCode>(checked.result_code())).name;
+        fields["detail"] = checked.detail();
+        logLine(LogLevel::Info, "announcement_not_recorded", fields);
         return;
     }
     std::pair<std::string, std::string> key(target.service(), target.address());
--- a/programs/kingcupswitchd/control/MembershipManager.cpp
+++ b/programs/kingcupswitchd/control/MembershipManager.cpp
@@ -229,23 +229,27 @@
     for (VmId vm : placesToAsk(this->contacts, this->options.self, heardOf)) {
         this->connect(vm);
         wire::Envelope envelope;
-        wire::IdentityAnswer* identity = envelope.mutable_identity_answer();
-        identity->set_vm_id(this->options.self);
-        identity->set_incarnation(this->options.incarnation);
-        identity->set_deployment_id(this->options.deployment);
+        *envelope.mutable_identity_answer() = this->ownIdentity();
+        envelope.mutable_identity_answer()->set_bootstrapped(false); // Asks for a place, whatever this VM once had.
         this->hub.send(vm, std::move(envelope));
     }
 }
 
+wire::IdentityAnswer MembershipManager::ownIdentity() const
+{
+    wire::IdentityAnswer identity;
+    identity.set_vm_id(this->options.self);
+    identity.set_incarnation(this->options.incarnation);
+    identity.set_deployment_id(this->options.deployment);
+    identity.set_bootstrapped(this->bootstrapped);
+    return identity;
+}
+
 void MembershipManager::answerIdentity(const LinkOrigin& origin, const wire::Envelope& envelope)
 {
     wire::Envelope answer;
     answer.set_request_id(envelope.request_id());
-    wire::IdentityAnswer* identity = answer.mutable_identity_answer();
-    identity->set_vm_id(this->options.self);
-    identity->set_incarnation(this->options.incarnation);
-    identity->set_deployment_id(this->options.deployment);
-    identity->set_bootstrapped(this->bootstrapped);
+    *answer.mutable_identity_answer() = this->ownIdentity();
     this->hub.reply(origin, std::move(answer));
 }
 
@@ -278,12 +282,8 @@
         return;
     this->connect(vm);
     wire::Envelope envelope;
-    wire::IdentityAnswer* identity = envelope.mutable_identity_answer();
-    identity->set_vm_id(this->options.self);
-    identity->set_incarnation(this->options.incarnation);
-    identity->set_deployment_id(this->options.deployment);
-    identity->set_bootstrapped(this->bootstrapped);
-    identity->set_leader_vm(leader);
+    *envelope.mutable_identity_answer() = this->ownIdentity();
+    envelope.mutable_identity_answer()->set_leader_vm(leader);
     this->hub.send(vm, std::move(envelope));
 }
 
--- a/programs/kingcupswitchd/control/MembershipManager.h
+++ b/programs/kingcupswitchd/control/MembershipManager.h
@@ -67,6 +67,7 @@
     void noteMembership();
     void announceSelf();
     void nameLeader(VmId vm);
+    wire::IdentityAnswer ownIdentity() const;
     void answerIdentity(const LinkOrigin& origin, const wire::Envelope& envelope);
     void receiveIdentity(const wire::Envelope& envelope);
     void receiveBootstrap(const LinkOrigin& origin, const wire::Envelope& envelope);
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -78,7 +78,7 @@
     void refuseForLoad(const AttemptPointer& attempt, double cost);
     TargetSearchLimits searchLimits() const;
     void instanceGone(const AttemptPointer& attempt, const Pick& pick);
-    void goOnAfterMisdirection();
+    void goOnAfter(const AttemptFailure& failure);
 
     // The answer (CallAnswer.cpp).
     void streamFrom(const AttemptPointer& attempt);
@@ -122,10 +122,7 @@
     Milliseconds targetTime { 0 }; ///< Time that the winner took.
     bool anySent = false; ///< Some attempt may have reached its target.
     bool overloaded = false; ///< A target shed the call or it timed out.
-    ResultCode lastFailure = ResultCode::NoTarget; ///< Of the last failed attempt.
-    AttemptOutcome lastOutcome = AttemptOutcome::ConnectFailed; ///< Of the last failed attempt.
-    bool lastSent = false; ///< Whether the last failed attempt may have been run.
-    bool lastMisdirected = false; ///< The attempt that ended last met another instance at the address of its target.
+    AttemptFailure lastFailure; ///< Of the last attempt that failed.
     int pendingSuspicions = 0; ///< Reports to the leader under way.
     bool quarantined = false; ///< The leader said that this request crashed two targets.
     TimerId hedgeTimer = 0; ///< Pending hedge.
--- a/programs/kingcupswitchd/entry/CallAttempt.h
+++ b/programs/kingcupswitchd/entry/CallAttempt.h
@@ -18,8 +18,8 @@
 
 /** Search for the target of an attempt. */
 struct CallSearch {
-    explicit CallSearch(const TargetSearchLimits& limits, TimePoint now)
-        : search(limits, now)
+    explicit CallSearch(const TargetSearchLimits& limits, uint32_t unaskedBefore = 0)
+        : search(limits, unaskedBefore)
     {
     }
 
@@ -51,6 +51,14 @@
     std::string held; ///< Bytes of an answer that is not yet being sent.
 };
 
+/** How an attempt failed, for the decision whether another one follows and what the caller is told otherwise. */
+struct AttemptFailure {
+    ResultCode code = ResultCode::NoTarget; ///< For the caller. That an attempt was sent outlasts later ones that were not.
+    AttemptOutcome outcome = AttemptOutcome::ConnectFailed; ///< For the retry policy.
+    bool sent = false; ///< Whether the target may have run it.
+    Milliseconds retryAfter { 1000 }; ///< When the caller should come back; by default once a lost target is out of use.
+};
+
 /** Returns how the router sees an end. */
 AttemptOutcome routerOutcome(const UpstreamResult& result, const CallAttempt& attempt);
 
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -13,7 +13,6 @@
 
 constexpr Milliseconds maxConnectTimeout { 250 }; ///< A lost first packet is sent again after a second; another target is tried before.
 constexpr Milliseconds suspicionTimeout { 500 }; ///< With control unreachable, the local count of suspicions decides after this time.
-constexpr Milliseconds defaultRetryAfter { 1000 };
 constexpr Milliseconds misdirectedRetryAfter { 20 }; ///< The address is out of use by then, so the next try meets another target.
 
 } // namespace
@@ -200,7 +199,7 @@
         return;
     if (attempt->misdirected && !this->winner) {
         attempt->discarded = true;
-        this->goOnAfterMisdirection();
+        this->goOnAfter({ ResultCode::ConnectFailed, AttemptOutcome::ConnectFailed, false, misdirectedRetryAfter });
         return;
     }
     if (attempt->resumeOffset) {
@@ -223,18 +222,7 @@
     logLine(LogLevel::Info, "target_instance_gone",
         { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name }, { "target", pick.address },
             { "instance", pick.instance }, { "incarnation", pick.incarnation }, { "asked", attempt->search != nullptr } });
-    this->match.runtime->router.instanceGone(pick, MillisecondClock::now());
-}
-
-/** Goes on after an answer of an instance that the request was not meant for, which ran nothing. */
-void Call::goOnAfterMisdirection()
-{
-    if (!this->anySent)
-        this->lastFailure = ResultCode::ConnectFailed;
-    this->lastOutcome = AttemptOutcome::ConnectFailed;
-    this->lastSent = false;
-    this->lastMisdirected = true;
-    this->retryOrFail();
+    this->match.runtime->router.instanceGone(pick);
 }
 
 /** Tries another target when this one says that it is overloaded and the request may run again. Returns whether the answer is discarded. */
@@ -370,14 +358,23 @@
 
 void Call::attemptFailed(const AttemptPointer& attempt, const UpstreamResult& result)
 {
-    // "Not run" of a later attempt must not hide that an earlier one may have run.
-    if (result.maybeSent || !this->anySent)
-        this->lastFailure = failureCode(result);
-    this->lastOutcome = routerOutcome(result, *attempt);
-    this->lastSent = result.maybeSent;
-    this->lastMisdirected = false;
-    this->anySent = this->anySent || result.maybeSent;
     this->overloaded = this->overloaded || result.outcome == UpstreamOutcome::TimedOut;
+    AttemptFailure failure;
+    failure.code = failureCode(result);
+    failure.outcome = routerOutcome(result, *attempt);
+    failure.sent = result.maybeSent;
+    this->goOnAfter(failure);
+}
+
+/** Notes a failure and goes on: with another attempt, or with the answer that there is none. */
+void Call::goOnAfter(const AttemptFailure& failure)
+{
+    ResultCode before = this->lastFailure.code;
+    this->lastFailure = failure;
+    // "Not run" of a later attempt must not hide that an earlier one may have run.
+    if (this->anySent && !failure.sent)
+        this->lastFailure.code = before;
+    this->anySent = this->anySent || failure.sent;
     this->retryOrFail();
 }
 
@@ -386,12 +383,12 @@
 {
     if (this->anyActive() || this->pendingSuspicions > 0)
         return;
-    if (this->retryAllowed(this->lastSent, this->lastOutcome) && this->startAttempt(false))
+    if (this->retryAllowed(this->lastFailure.sent, this->lastFailure.outcome) && this->startAttempt(false))
         return;
     // A target's promise that it did not run the request says nothing about an attempt that was sent elsewhere.
     bool staleNotRun = this->fallback && this->anySent && this->promisedNotRun(this->fallback->head);
     if (!this->fallback || staleNotRun) {
-        this->refuse(this->lastFailure, this->lastMisdirected ? misdirectedRetryAfter : defaultRetryAfter);
+        this->refuse(this->lastFailure.code, this->lastFailure.retryAfter);
         return;
     }
     AttemptPointer answer = this->fallback;
@@ -400,7 +397,7 @@
     if (answer->complete)
         this->answerWhole(answer);
     else if (answer->ended)
-        this->refuse(ResultCode::ConnectionLost, defaultRetryAfter);
+        this->refuse(ResultCode::ConnectionLost, this->lastFailure.retryAfter);
 }
 
 /** Asks policy, budget and containment whether the request may run on another target. */
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -41,7 +41,7 @@
 /** Starts the search with the target that was picked by what is known. */
 void Call::beginSearch(const AttemptPointer& attempt)
 {
-    attempt->search = std::make_shared<CallSearch>(this->searchLimits(), attempt->started);
+    attempt->search = std::make_shared<CallSearch>(this->searchLimits());
     this->askTarget(attempt, attempt->pick);
 }
 
@@ -158,9 +158,7 @@
 void Call::searchAgain(const AttemptPointer& attempt)
 {
     this->releasePicks(*attempt->search, std::nullopt);
-    TargetSearchLimits limits = this->searchLimits();
-    limits.unaskedRounds = attempt->search->search.unaskedRounds();
-    attempt->search = std::make_shared<CallSearch>(limits, MillisecondClock::now());
+    attempt->search = std::make_shared<CallSearch>(this->searchLimits(), attempt->search->search.unaskedRounds());
     attempt->searchRounds++;
     this->askNextTarget(attempt);
 }
@@ -203,11 +201,11 @@
             { "bestCost", cost }, { "usualMs", std::round(usual.count()) }, { "leftMs", std::round(left.count()) } });
     this->endSearch(attempt, std::nullopt);
     this->overloaded = true;
-    this->lastFailure = ResultCode::QueueFull;
+    this->lastFailure.code = ResultCode::QueueFull;
     if (this->anyActive())
         return;
     if (this->anySent) {
-        this->refuse(this->match.kind->repeatable ? ResultCode::ConnectionLost : this->lastFailure, Milliseconds(0));
+        this->refuse(this->match.kind->repeatable ? ResultCode::ConnectionLost : this->lastFailure.code, Milliseconds(0));
         return;
     }
     this->refuse(ResultCode::QueueFull, Milliseconds(std::max(excess.count(), shortestRetryMs)));
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -62,7 +62,7 @@
     if (!envelope.has_session_answer())
         return false;
     const wire::SessionAnswer& answer = envelope.session_answer();
-    this->awaitingAnswer = false;
+    this->askedVm = 0;
     if (answer.result_code() != 0) {
         this->followHint(envelope.sender_vm(), answer.leader_vm(), now);
         return true;
@@ -106,14 +106,13 @@
     this->metrics.gauge("kingcup_lease_valid", this->gateway.leaseValid() ? 1 : 0);
     if (now < this->nextSession)
         return;
-    if (this->awaitingAnswer)
-        this->leader.failed(this->sessionSentTo);
+    if (this->askedVm)
+        this->leader.failed(this->askedVm);
     this->sendSessionRequest(now);
 }
 
 void EntryNode::sendSessionRequest(TimePoint now)
 {
-    this->awaitingAnswer = true;
     this->nextSession = now + sessionRetryInterval;
     wire::Envelope envelope;
     uint64_t id = this->leader.nextRequestId();
@@ -121,8 +120,8 @@
     *envelope.mutable_session_request() = this->configuration.sessionRequest(id, now);
     envelope.mutable_session_request()->set_incarnation(this->claims.currentIncarnation());
     envelope.mutable_session_request()->set_leaving(this->leaving.load());
-    this->sessionSentTo = this->leader.preferredVm();
-    this->hub.send(this->sessionSentTo, std::move(envelope));
+    this->askedVm = this->leader.preferredVm();
+    this->hub.send(this->askedVm, std::move(envelope));
 }
 
 void EntryNode::announceStop()
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -73,8 +73,7 @@
     EntryConfiguration configuration; ///< Thread of the hub only.
     HttpListener listener; ///< For callers.
     TimePoint nextSession {}; ///< Next session request.
-    bool awaitingAnswer = false; ///< The last session request is not answered yet.
-    uint32_t sessionSentTo = 0; ///< Control VM that the session request was sent to.
+    uint32_t askedVm = 0; ///< Control VM that has not answered the last session request; 0: none.
     std::atomic<bool> hasManifest { false }; ///< Whether a manifest was ever in force.
     std::atomic<bool> servesIsolated { false }; ///< Whether routes are served without a lease.
     std::atomic<bool> leaving { false }; ///< A planned stop has begun.
--- a/programs/kingcupswitchd/operators/TargetAnnouncements.cpp
+++ b/programs/kingcupswitchd/operators/TargetAnnouncements.cpp
@@ -1,6 +1,7 @@
 /** @file TargetAnnouncements.cpp Implementation of the collection of announcements. */
 #include "TargetAnnouncements.h"
 
+#include "kingcup/JsonFields.h"
 #include "kingcup/JsonLog.h"
 #include "kingcup/TargetStates.h"
 
@@ -21,20 +22,11 @@
 constexpr uint32_t maxSlots = 100000;
 constexpr uint64_t maxColdMs = 3600000;
 
-/** Returns a string field; empty when it is missing, too long or no string. */
-std::string stringField(const nlohmann::json& object, const char* name)
+/** Returns a name; empty when it is missing, too long or no text. */
+std::string nameField(const nlohmann::json& object, const char* name)
 {
-    auto field = object.find(name);
-    if (field == object.end() || !field->is_string() || field->get_ref<const std::string&>().size() > maxNameBytes)
-        return {};
-    return field->get<std::string>();
-}
-
-/** Returns an unsigned field; `fallback` when it is missing or no unsigned number. */
-uint64_t numberField(const nlohmann::json& object, const char* name, uint64_t fallback)
-{
-    auto field = object.find(name);
-    return field != object.end() && field->is_number_unsigned() ? field->get<uint64_t>() : fallback;
+    std::string text = textField(object, name);
+    return text.size() <= maxNameBytes ? text : std::string();
 }
 
 /** Returns whether a text is host:port with an IPv4 host. */
@@ -51,8 +43,8 @@
 /** Returns an answer that is logged with its waiting time before it is given. */
 TargetAnnouncements::Done logged(const wire::TargetRecord& target, bool isRepetition, TargetAnnouncements::Done done)
 {
-    nlohmann::json fields { { "service", target.service() }, { "target", target.address() }, { "instance", target.instance() },
-        { "incarnation", target.incarnation() }, { "state", nameOf(targetStateNames, target.state()) }, { "repetition", isRepetition } };
+    nlohmann::json fields = targetFields(target);
+    fields["repetition"] = isRepetition;
     return [fields = std::move(fields), done = std::move(done), received = MillisecondClock::now()](bool taken) mutable {
         fields["taken"] = taken;
         fields["waitedMs"] = std::round((MillisecondClock::now() - received).count());
@@ -70,27 +62,27 @@
         return std::string("not a JSON object");
     wire::TargetLoad load;
     wire::TargetRecord* target = load.mutable_target();
-    target->set_service(stringField(object, "service"));
-    target->set_address(stringField(object, "address"));
-    target->set_availability_zone(stringField(object, "availabilityZone"));
+    target->set_service(nameField(object, "service"));
+    target->set_address(nameField(object, "address"));
+    target->set_availability_zone(nameField(object, "availabilityZone"));
     if (target->service().empty())
         return std::string("/service: missing or malformed");
     if (!isHostAndPort(target->address()))
         return std::string("/address: must be IP:port");
-    std::optional<wire::TargetState> state = valueOf(targetStateNames, stringField(object, "state"));
+    std::optional<wire::TargetState> state = valueOf(targetStateNames, nameField(object, "state"));
     if (!state)
         return std::string("/state: must be starting, serving, draining or gone");
     target->set_state(*state);
-    uint64_t slots = numberField(object, "slots", 0);
-    uint64_t incarnation = numberField(object, "incarnation", 0);
+    uint64_t slots = numberField(object, "slots");
+    uint64_t incarnation = numberField(object, "incarnation");
     if (slots == 0 || slots > maxSlots)
         return std::string("/slots: must be a whole number from 1 to 100000");
     if (incarnation == 0)
         return std::string("/incarnation: must be a whole number above 0");
     target->set_slots(static_cast<uint32_t>(slots));
     target->set_incarnation(incarnation);
-    load.set_cold_left_ms(static_cast<uint32_t>(std::min<uint64_t>(numberField(object, "coldLeftMs", 0), maxColdMs)));
-    load.set_in_flight(static_cast<uint32_t>(std::min<uint64_t>(numberField(object, "inFlight", 0), maxSlots)));
+    load.set_cold_left_ms(static_cast<uint32_t>(std::min<uint64_t>(numberField(object, "coldLeftMs"), maxColdMs)));
+    load.set_in_flight(static_cast<uint32_t>(std::min<uint64_t>(numberField(object, "inFlight"), maxSlots)));
     auto latency = object.find("latencyMs");
     if (latency != object.end() && latency->is_number())
         load.set_latency_ms(latency->get<double>());
--- a/programs/kingcupswitchd/process/LeaderClient.h
+++ b/programs/kingcupswitchd/process/LeaderClient.h
@@ -42,7 +42,7 @@
     /** Repeats and gives up requests. Thread of the hub only. */
     void tick(TimePoint now);
 
-    /** Returns the control VM that last answered as leader; 0 for none. */
+    /** Returns the control VM that last answered as leader; 0 for none. Thread-safe. */
     uint32_t leader() const { return this->knownLeader.load(); }
 
     /** Takes a hint about the leader from another message. Thread of the hub only. */
@@ -74,7 +74,7 @@
     LinkHub& hub; ///< Sends.
     const ControlDirectory& directory; ///< Addresses.
     LeaderSearch search; ///< Whom to ask.
-    std::atomic<uint32_t> knownLeader { 0 }; ///< Of the search, for other threads.
+    std::atomic<uint32_t> knownLeader { 0 }; ///< Its leader, for other threads.
     std::atomic<uint64_t> lastRequestId; ///< Last id given.
     std::map<uint64_t, Pending> pending; ///< By request id.
 };
--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <sstream>
 
 namespace kingcup::testing {
 
@@ -42,7 +43,7 @@
     }
     Vm* vm = this->chooseVm(fault);
     bool losesData = fault.kind == FaultKind::Wipe;
-    if (!vm || (losesData && this->wipedBefore) || !this->hold(vm->name))
+    if (!vm || (losesData && this->wiped) || !this->hold(vm->name))
         return nullptr;
     return this->released(vm->name, this->strikeVm(*vm, fault));
 }
@@ -61,9 +62,7 @@
     for (Vm& vm : this->deployment.controlVms()) {
         if (this->held.contains(vm.name) || !vm.process->running())
             continue;
-        nlohmann::json dump = this->deployment.query(vm, "/v1/dump");
-        bool tells = dump.is_object() && dump.contains("control");
-        if (tells && dump.at("control").value("role", "") == "leader")
+        if (this->deployment.ownStatus(vm).value("role", "") == "leader")
             return &vm;
     }
     return nullptr;
@@ -89,7 +88,7 @@
 
 std::function<void()> FaultInjector::strikeVm(Vm& vm, const Fault& fault)
 {
-    this->noteEnd(vm.name, *vm.process);
+    this->noteEnd(vm);
     auto restart = [this, &vm] {
         this->deployment.restart(vm);
         this->down.erase(vm.name);
@@ -103,7 +102,7 @@
     case FaultKind::Wipe:
         this->down.insert(vm.name);
         this->wiped = vm.controlId;
-        this->wipedBefore = true;
+        this->lostIncarnation = this->incarnationOf(vm);
         vm.process->kill();
         std::filesystem::remove_all(vm.dataFolder());
         return restart;
@@ -117,7 +116,20 @@
     }
 }
 
-/** Tells a process to stop. */
+/** Returns the incarnation under which a control VM joined the group, by its own log. */
+uint64_t FaultInjector::incarnationOf(const Vm& vm)
+{
+    uint64_t incarnation = 0;
+    std::istringstream lines(readFile(vm.folder + "/log.jsonl"));
+    for (std::string text; std::getline(lines, text);) {
+        nlohmann::json line = nlohmann::json::parse(text, nullptr, false);
+        if (line.is_object() && line.value("event", "") == "joined_group")
+            incarnation = line.at("incarnation").get<uint64_t>();
+    }
+    return incarnation;
+}
+
+/** Has a process stop by itself; the repair checks that it did, and how. */
 std::function<void()> FaultInjector::stop(Vm& vm, const std::function<void()>& restart)
 {
     this->down.insert(vm.name);
@@ -145,27 +157,15 @@
 /** Disturbs the links between a VM and control VMs. */
 std::function<void()> FaultInjector::cut(Vm& vm, FaultKind kind)
 {
-    // The proxies of a VM lead to control VMs; those of others lead to it.
-    std::vector<FaultProxy*> outward;
-    std::vector<FaultProxy*> inward;
-    for (auto& [peer, proxy] : vm.links)
-        outward.push_back(proxy.get());
-    for (std::vector<Vm>* group : { &this->deployment.controlVms(), &this->deployment.entryVms() }) {
-        for (Vm& other : *group) {
-            auto link = other.links.find(vm.controlId);
-            if (vm.controlId && &other != &vm && link != other.links.end())
-                inward.push_back(link->second.get());
-        }
-    }
-    auto set = [outward, inward](FaultKind wanted, bool begins) {
-        for (const std::vector<FaultProxy*>* links : { &outward, &inward }) {
-            for (FaultProxy* proxy : *links) {
+    auto set = [links = this->deployment.linksOf(vm)](FaultKind wanted, bool begins) {
+        for (const std::vector<FaultProxy*>* direction : { &links.outward, &links.inward }) {
+            for (FaultProxy* proxy : *direction) {
                 if (wanted == FaultKind::Reset)
                     proxy->closeConnections();
                 else if (wanted == FaultKind::Delay)
                     proxy->setDelay(begins ? linkDelay : Milliseconds(0));
                 else
-                    proxy->setMode(begins ? modeOf(wanted, links == &inward) : ProxyMode::Pass);
+                    proxy->setMode(begins ? modeOf(wanted, direction == &links.inward) : ProxyMode::Pass);
             }
         }
     };
@@ -177,15 +177,10 @@
 {
     Process& process = this->deployment.targetProcess(target);
     FaultProxy& proxy = *this->deployment.targets()[target].proxy;
-    std::string name = this->deployment.targets()[target].address;
     switch (fault.kind) {
     case FaultKind::Kill:
-        this->down.insert(name);
         process.kill();
-        return [this, &process, name] {
-            process.start();
-            this->down.erase(name);
-        };
+        return [&process] { process.start(); };
     case FaultKind::Pause:
         process.freeze();
         return [&process] { process.thaw(); };
@@ -234,26 +229,24 @@
     std::string body = nlohmann::json { { "id", vm.controlId } }.dump();
     this->deployment.ask(leader->operatorAddress, "POST", "/v1/replace-control", body);
     nlohmann::json status = this->deployment.query(*leader, "/v1/status");
-    nlohmann::json own = this->deployment.query(vm, "/v1/status");
-    if (!status.is_object() || !own.is_object() || !status.contains("members"))
+    if (!status.is_object() || !status.contains("members"))
         return false;
-    size_t listed = 0;
-    bool votes = false;
+    bool oldListed = false;
+    bool newVotes = false;
     for (const nlohmann::json& member : status.at("members")) {
         bool same = member.at("id") == vm.controlId;
-        listed += same;
-        votes = votes || (same && member.value("voter", false));
+        bool isOld = member.at("incarnation") == this->lostIncarnation;
+        oldListed = oldListed || (same && isOld);
+        newVotes = newVotes || (same && !isOld && member.value("voter", false));
     }
-    // While a replacement runs, both incarnations are listed.
-    bool follows = own.value("leader", 0u) == leader->controlId || own.contains("members");
-    return listed == 1 && votes && follows;
+    return newVotes && !oldListed && this->deployment.ownStatus(vm).value("leader", 0u) == leader->controlId;
 }
 
 std::string FaultInjector::finish(Milliseconds limit)
 {
     for (std::vector<Vm>* group : { &this->deployment.controlVms(), &this->deployment.entryVms() }) {
         for (Vm& vm : *group)
-            this->noteEnd(vm.name, *vm.process);
+            this->noteEnd(vm);
     }
     if (!this->wiped)
         return "";
@@ -262,17 +255,12 @@
 }
 
 /** Notes the end of a process that should run. */
-void FaultInjector::noteEnd(const std::string& name, Process& process)
+void FaultInjector::noteEnd(Vm& vm)
 {
-    if (process.running() || this->down.contains(name))
+    if (vm.process->running() || !this->down.insert(vm.name).second)
         return;
-    std::optional<int> status = process.wait(Milliseconds(0));
-    this->ends += name + " ended by itself with " + std::to_string(status.value_or(-1)) + "\n";
-}
-
-std::string FaultInjector::unexplainedEnds()
-{
-    return this->ends;
+    std::optional<int> status = vm.process->wait(Milliseconds(0));
+    this->ends += vm.name + " ended by itself with " + std::to_string(status.value_or(-1)) + "\n";
 }
 
 } // namespace kingcup::testing
--- a/soak/FaultInjector.h
+++ b/soak/FaultInjector.h
@@ -26,7 +26,7 @@
     std::string finish(Milliseconds limit);
 
     /** Returns ends of processes that no fault explains, one per line. */
-    std::string unexplainedEnds();
+    const std::string& unexplainedEnds() const { return this->ends; }
 
     const std::vector<std::string>& struck() const { return this->names; } ///< Subjects in the order of the faults that held one.
 
@@ -41,15 +41,16 @@
     Vm* chooseVm(const Fault& fault);
     bool hold(const std::string& name);
     std::function<void()> released(const std::string& name, std::function<void()> repair);
+    static uint64_t incarnationOf(const Vm& vm);
     bool finishReplacement(const Vm& vm);
-    void noteEnd(const std::string& name, Process& process);
+    void noteEnd(Vm& vm);
 
     Deployment& deployment; ///< What is struck.
     std::set<std::string> held; ///< Subjects of faults that are not repaired.
-    std::set<std::string> down; ///< Processes that a fault has ended.
+    std::set<std::string> down; ///< VMs whose process a fault has ended, or whose end was noted.
     std::map<std::string, TimePoint> started; ///< When processes were started again.
-    std::optional<uint32_t> wiped; ///< Control VM whose loss of data is not repaired.
-    bool wipedBefore = false; ///< One loss of data a run: a second one may lose what was accepted, by design.
+    std::optional<uint32_t> wiped; ///< Control VM that lost its data. One a run: a second loss may lose what was accepted, by design.
+    uint64_t lostIncarnation = 0; ///< Its incarnation until then.
     std::vector<std::string> names; ///< Subjects struck.
     std::string ends; ///< Unexplained ends so far.
 };
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -30,7 +30,7 @@
     }
     ~ManifestWriter() { this->stop(); }
 
-    /** Ends the writing. */
+    /** Ends the writing; an application under way is finished first. */
     void stop()
     {
         this->stopping = true;
@@ -85,7 +85,7 @@
     return options;
 }
 
-/** Returns a time as a text. */
+/** Returns a time in whole milliseconds, for the story. */
 std::string wholeMs(Milliseconds time)
 {
     return std::to_string(static_cast<int64_t>(time.count()));
--- a/testing/Deployment.cpp
+++ b/testing/Deployment.cpp
@@ -363,17 +363,34 @@
     return result;
 }
 
-void Deployment::partition(Vm& vm, ProxyMode mode)
+Deployment::VmLinks Deployment::linksOf(Vm& vm)
 {
+    VmLinks links;
     for (const auto& [peer, proxy] : vm.links)
-        proxy->setMode(mode);
+        links.outward.push_back(proxy.get());
     for (auto* group : { &this->controls, &this->entries }) {
         for (Vm& other : *group) {
             auto link = other.links.find(vm.controlId);
             if (vm.controlId && link != other.links.end())
-                link->second->setMode(mode);
+                links.inward.push_back(link->second.get());
         }
     }
+    return links;
+}
+
+nlohmann::json Deployment::ownStatus(const Vm& vm) const
+{
+    nlohmann::json dump = this->query(vm, "/v1/dump");
+    return dump.is_object() ? dump.value("control", nlohmann::json::object()) : nlohmann::json::object();
+}
+
+void Deployment::partition(Vm& vm, ProxyMode mode)
+{
+    VmLinks links = this->linksOf(vm);
+    for (const std::vector<FaultProxy*>* direction : { &links.outward, &links.inward }) {
+        for (FaultProxy* proxy : *direction)
+            proxy->setMode(mode);
+    }
 }
 
 std::string Deployment::logs() const
--- a/testing/Deployment.h
+++ b/testing/Deployment.h
@@ -119,6 +119,14 @@
     const std::string& targetToken() const { return this->tokenOfTargets; } ///< Token of targets.
     const DeploymentOptions& plan() const { return this->options; } ///< Options.
 
+    /** Proxies of the links of a VM. */
+    struct VmLinks {
+        std::vector<FaultProxy*> outward; ///< From this VM to control VMs.
+        std::vector<FaultProxy*> inward; ///< From other VMs to this one; none for entry VMs.
+    };
+
+    VmLinks linksOf(Vm& vm); ///< Returns the proxies of all links of a VM; needs proxyLinks.
+    nlohmann::json ownStatus(const Vm& vm) const; ///< Returns what a control VM says of itself, without asking the leader; an empty object when it does not answer.
     void partition(Vm& vm, ProxyMode mode); ///< Sets the mode of all links from and to a VM; needs proxyLinks.
     bool restart(Vm& vm); ///< Starts a process that has ended, with its present settings.
     void writeSettings(const Vm& vm) const; ///< Writes the settings file again.
--- a/tests/PartitionTest.cpp
+++ b/tests/PartitionTest.cpp
@@ -25,13 +25,6 @@
     return leader ? deployment.query(*leader, "/v1/status").value("term", uint64_t { 0 }) : 0;
 }
 
-/** Returns the status that a VM gives of itself. */
-nlohmann::json ownStatus(Deployment& deployment, const Vm& vm)
-{
-    nlohmann::json dump = deployment.query(vm, "/v1/dump");
-    return dump.is_object() ? dump.value("control", nlohmann::json::object()) : nlohmann::json::object();
-}
-
 } // namespace
 
 TEST(Partition, aLeaderCutOffAcceptsNothingAndCallersGoOn)
@@ -49,7 +42,7 @@
     deployment.partition(*cutOff, ProxyMode::DropBoth);
 
     section("it steps down and accepts no manifest", [&] {
-        EXPECT_TRUE(waitUntil(limit, [&] { return ownStatus(deployment, *cutOff).value("role", "") != "leader"; }));
+        EXPECT_TRUE(waitUntil(limit, [&] { return deployment.ownStatus(*cutOff).value("role", "") != "leader"; }));
         EXPECT_NE(deployment.applyManifest(*cutOff, makeManifest(7, deployment.plan().services)).code(), 0);
     });
     section("the others elect a leader that accepts changes", [&] {
@@ -59,7 +52,7 @@
     section("after the partition it follows", [&] {
         uint64_t term = termOf(deployment);
         deployment.partition(*cutOff, ProxyMode::Pass);
-        auto caughtUp = [&] { return ownStatus(deployment, *cutOff).value("manifest", nlohmann::json::object()).value("number", 0) == 8; };
+        auto caughtUp = [&] { return deployment.ownStatus(*cutOff).value("manifest", nlohmann::json::object()).value("number", 0) == 8; };
         EXPECT_TRUE(waitUntil(limit, caughtUp)) << deployment.logs();
         EXPECT_EQ(termOf(deployment), term) << "the return of a VM caused an election";
     });
@@ -78,10 +71,10 @@
     Vm& follower = deployment.controlVms()[leader->controlId % 3];
     uint64_t term = termOf(deployment);
     deployment.partition(follower, ProxyMode::DropBoth);
-    EXPECT_TRUE(waitUntil(limit, [&] { return ownStatus(deployment, follower).value("role", "") == "pre-candidate"; }));
+    EXPECT_TRUE(waitUntil(limit, [&] { return deployment.ownStatus(follower).value("role", "") == "pre-candidate"; }));
     ASSERT_TRUE(waitUntil(limit, [&] { return deployment.applyManifest(*leader, makeManifest(9, deployment.plan().services)).code() == 0; }));
     deployment.partition(follower, ProxyMode::Pass);
-    auto caughtUp = [&] { return ownStatus(deployment, follower).value("manifest", nlohmann::json::object()).value("number", 0) == 9; };
+    auto caughtUp = [&] { return deployment.ownStatus(follower).value("manifest", nlohmann::json::object()).value("number", 0) == 9; };
     EXPECT_TRUE(waitUntil(limit, caughtUp)) << deployment.logs();
     EXPECT_EQ(termOf(deployment), term);
 }
