Fix: [Log] Two types were named LogOutput

The struct of work that a replicated log hands to its owner and the class that writes log lines had one name in one namespace. The linker kept one destructor for both, so the control VM ran the class's destructor on the struct: what was not moved out of it was never freed. The struct is ReplicatedLogOutput now, and has its own destructor.

--- a/bench/LogBench.cpp
+++ b/bench/LogBench.cpp
@@ -61,7 +61,7 @@
         self.set_vm_id(1);
         self.set_incarnation(1);
         self.set_voter(true);
-        LogOutput output;
+        ReplicatedLogOutput output;
         this->log->bootstrap(membership, MillisecondClock::now(), output);
         this->store(output);
         this->store(this->log->tick(MillisecondClock::now() + 2 * ReplicatedLogOptions().electionTimeout));
@@ -72,7 +72,7 @@
     {
         ReplicatedLog::Proposal proposal;
         std::vector<std::string> payloads(batch, std::string(commandBytes, 'c'));
-        LogOutput output = this->log->propose(payloads, MillisecondClock::now(), proposal);
+        ReplicatedLogOutput output = this->log->propose(payloads, MillisecondClock::now(), proposal);
         require(proposal.code);
         this->store(output);
     }
@@ -95,7 +95,7 @@
     uint64_t journalBytes() const { return this->storage->journalBytes(); }
 
 private:
-    void store(const LogOutput& output)
+    void store(const ReplicatedLogOutput& output)
     {
         require(this->storage->write(output.write));
         require(this->storage->sync());
--- a/packages/coordination/include/kingcup/ReplicatedLog.h
+++ b/packages/coordination/include/kingcup/ReplicatedLog.h
@@ -36,25 +36,25 @@
      * Forms the group by writing the first membership entry.
      * Errors: AlreadyBootstrapped if there is a term or an entry, CommandMalformed, UnknownVm if the membership lacks this member.
      */
-    ResultCode bootstrap(const wire::Membership& membership, TimePoint now, LogOutput& output);
+    ResultCode bootstrap(const wire::Membership& membership, TimePoint now, ReplicatedLogOutput& output);
 
     /** Handles elapsed timers. Must be called at least once per heartbeat interval. */
-    LogOutput tick(TimePoint now);
+    ReplicatedLogOutput tick(TimePoint now);
 
     /** Handles a message from another member. */
-    LogOutput receive(VmId from, uint64_t fromIncarnation, const wire::LogMessage& message, TimePoint now);
+    ReplicatedLogOutput receive(VmId from, uint64_t fromIncarnation, const wire::LogMessage& message, TimePoint now);
 
     /** Proposes commands as one batch, which takes one sync. Sets `proposal` to the result code and the index of the first entry. */
-    LogOutput propose(const std::vector<std::string>& payloads, TimePoint now, Proposal& proposal);
+    ReplicatedLogOutput propose(const std::vector<std::string>& payloads, TimePoint now, Proposal& proposal);
 
     /** Proposes a membership that differs in one member: added as a learner, promoted to a voter, or removed. A learner is promoted only after its old incarnation was removed. */
-    LogOutput proposeMembership(const wire::Membership& next, TimePoint now, Proposal& proposal);
+    ReplicatedLogOutput proposeMembership(const wire::Membership& next, TimePoint now, Proposal& proposal);
 
     /**
      * Reports that all entries up to an index and the last hard state are synced.
      * @param term Term of the entry at that index. On a leader its current term is valid as well.
      */
-    LogOutput recordSync(LogIndex index, Term term, TimePoint now);
+    ReplicatedLogOutput recordSync(LogIndex index, Term term, TimePoint now);
 
     /** Reports that the hard state of a term is synced. Until then heartbeats of that term are answered only after a sync. */
     void recordHardStateSync(Term term);
@@ -69,7 +69,7 @@
     void setDiskFull(bool isFull);
 
     /** Starts a leadership transfer to the most up-to-date voter. Does nothing unless this member is the leader. */
-    LogOutput transferLeadership(TimePoint now);
+    ReplicatedLogOutput transferLeadership(TimePoint now);
 
     /**
      * Returns whether this member is the leader, has committed an entry of its term and got answers from a quorum to
--- a/packages/coordination/include/kingcup/ReplicatedLogTypes.h
+++ b/packages/coordination/include/kingcup/ReplicatedLogTypes.h
@@ -93,7 +93,7 @@
 };
 
 /** Work for the owner of a replicated log after an event, in this order: store the snapshot, write and sync, send, apply. */
-struct LogOutput {
+struct ReplicatedLogOutput {
     LogWrite write; ///< Changes to the journal.
     std::optional<ReceivedSnapshot> receivedSnapshot; ///< Snapshot to store before `write`.
     std::vector<OutgoingLogMessage> messagesBeforeSync; ///< Messages that may be sent at once, such as appends of a leader.
--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -11,11 +11,11 @@
 
 /** Runs a step on a member. Returns its output, in which it sets whether the role or the known leader changed. */
 template <typename Member, typename Step>
-LogOutput runStep(Member& member, Step step)
+ReplicatedLogOutput runStep(Member& member, Step step)
 {
     LogRole role = member.role;
     VmId leader = member.leader;
-    LogOutput output;
+    ReplicatedLogOutput output;
     step(output);
     output.hasRoleChanged = role != member.role || leader != member.leader;
     return output;
@@ -50,7 +50,7 @@
 ReplicatedLog::ReplicatedLog(ReplicatedLog&&) noexcept = default;
 ReplicatedLog& ReplicatedLog::operator=(ReplicatedLog&&) noexcept = default;
 
-ResultCode ReplicatedLog::bootstrap(const wire::Membership& membership, TimePoint now, LogOutput& output)
+ResultCode ReplicatedLog::bootstrap(const wire::Membership& membership, TimePoint now, ReplicatedLogOutput& output)
 {
     State& member = *this->state;
     if (member.hardState.term || member.log.lastIndex())
@@ -64,10 +64,10 @@
     return ResultCode::Ok;
 }
 
-LogOutput ReplicatedLog::tick(TimePoint now)
+ReplicatedLogOutput ReplicatedLog::tick(TimePoint now)
 {
     State& member = *this->state;
-    return runStep(member, [&](LogOutput& output) {
+    return runStep(member, [&](ReplicatedLogOutput& output) {
         if (member.role == LogRole::Leader)
             member.tickLeader(now, output);
         else if (now >= member.electionDeadline && member.selfIsVoter())
@@ -75,17 +75,17 @@
     });
 }
 
-LogOutput ReplicatedLog::receive(VmId from, uint64_t fromIncarnation, const wire::LogMessage& message, TimePoint now)
+ReplicatedLogOutput ReplicatedLog::receive(VmId from, uint64_t fromIncarnation, const wire::LogMessage& message, TimePoint now)
 {
     State& member = *this->state;
-    return runStep(member, [&](LogOutput& output) {
+    return runStep(member, [&](ReplicatedLogOutput& output) {
         if (member.role == LogRole::Leader && member.hasLostQuorum(now))
             member.becomeFollower(member.hardState.term, 0, now, output);
         member.dispatch({ from, fromIncarnation }, message, now, output);
     });
 }
 
-void ReplicatedLog::State::dispatch(const MemberId& from, const wire::LogMessage& message, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::dispatch(const MemberId& from, const wire::LogMessage& message, TimePoint now, ReplicatedLogOutput& output)
 {
     switch (message.body_case()) {
     case wire::LogMessage::kVoteRequest:
@@ -107,10 +107,10 @@
     }
 }
 
-LogOutput ReplicatedLog::propose(const std::vector<std::string>& payloads, TimePoint now, Proposal& proposal)
+ReplicatedLogOutput ReplicatedLog::propose(const std::vector<std::string>& payloads, TimePoint now, Proposal& proposal)
 {
     State& member = *this->state;
-    LogOutput output;
+    ReplicatedLogOutput output;
     proposal = {};
     size_t totalBytes = 0;
     size_t largestPayloadBytes = 0;
@@ -135,10 +135,10 @@
     return output;
 }
 
-LogOutput ReplicatedLog::proposeMembership(const wire::Membership& next, TimePoint now, Proposal& proposal)
+ReplicatedLogOutput ReplicatedLog::proposeMembership(const wire::Membership& next, TimePoint now, Proposal& proposal)
 {
     State& member = *this->state;
-    LogOutput output;
+    ReplicatedLogOutput output;
     proposal = {};
     proposal.code = member.checkMembershipChange(next, now);
     if (proposal.code != ResultCode::Ok)
@@ -150,10 +150,10 @@
     return output;
 }
 
-LogOutput ReplicatedLog::recordSync(LogIndex index, Term term, TimePoint now)
+ReplicatedLogOutput ReplicatedLog::recordSync(LogIndex index, Term term, TimePoint now)
 {
     State& member = *this->state;
-    return runStep(member, [&](LogOutput& output) {
+    return runStep(member, [&](ReplicatedLogOutput& output) {
         bool isLeaderOfTerm = member.role == LogRole::Leader && term == member.hardState.term;
         member.isTermSynced = member.isTermSynced || isLeaderOfTerm;
         if (isLeaderOfTerm || member.log.termAt(index) == term)
@@ -180,9 +180,9 @@
     this->state->isDiskFull = isFull;
 }
 
-LogOutput ReplicatedLog::transferLeadership(TimePoint now)
+ReplicatedLogOutput ReplicatedLog::transferLeadership(TimePoint now)
 {
-    LogOutput output;
+    ReplicatedLogOutput output;
     this->state->startLeadershipTransfer(now, output);
     return output;
 }
--- a/packages/coordination/src/ReplicatedLogElection.cpp
+++ b/packages/coordination/src/ReplicatedLogElection.cpp
@@ -11,13 +11,13 @@
 
 } // namespace
 
-void ReplicatedLog::State::setHardState(Term term, VmId votedFor, LogOutput& output)
+void ReplicatedLog::State::setHardState(Term term, VmId votedFor, ReplicatedLogOutput& output)
 {
     this->hardState = { term, votedFor, false };
     output.write.hardState = this->hardState;
 }
 
-void ReplicatedLog::State::send(const MemberId& to, wire::LogMessage message, bool mayPrecedeSync, LogOutput& output) const
+void ReplicatedLog::State::send(const MemberId& to, wire::LogMessage message, bool mayPrecedeSync, ReplicatedLogOutput& output) const
 {
     auto& messages = mayPrecedeSync ? output.messagesBeforeSync : output.messagesAfterSync;
     messages.push_back({ to.vm, to.incarnation, std::move(message) });
@@ -28,7 +28,7 @@
     this->electionDeadline = now + this->options.electionTimeout * (1 + this->random.fraction());
 }
 
-void ReplicatedLog::State::becomeFollower(Term newTerm, VmId newLeader, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::becomeFollower(Term newTerm, VmId newLeader, TimePoint now, ReplicatedLogOutput& output)
 {
     if (newTerm > this->hardState.term)
         this->setHardState(newTerm, 0, output);
@@ -42,7 +42,7 @@
     this->leadershipTransfer.reset();
 }
 
-void ReplicatedLog::State::startPreVote(TimePoint now, LogOutput& output)
+void ReplicatedLog::State::startPreVote(TimePoint now, ReplicatedLogOutput& output)
 {
     this->grantedVotes = { this->selfId() };
     if (!this->options.isPreVoteEnabled || this->isQuorum(this->grantedVotes)) {
@@ -58,7 +58,7 @@
     this->sendVoteRequests(true, false, output);
 }
 
-void ReplicatedLog::State::startElection(bool isLeadershipTransfer, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::startElection(bool isLeadershipTransfer, TimePoint now, ReplicatedLogOutput& output)
 {
     this->role = LogRole::Candidate;
     this->leader = 0;
@@ -72,7 +72,7 @@
         this->sendVoteRequests(false, isLeadershipTransfer, output);
 }
 
-void ReplicatedLog::State::sendVoteRequests(bool isPreVote, bool isLeadershipTransfer, LogOutput& output) const
+void ReplicatedLog::State::sendVoteRequests(bool isPreVote, bool isLeadershipTransfer, ReplicatedLogOutput& output) const
 {
     for (const wire::Member& member : this->log.membership().members()) {
         if (!member.voter() || this->isSameMember(member, this->selfId()))
@@ -106,7 +106,7 @@
     return this->hasRecentLeaderContact(now) && !request.hand_over() && !hasLeaderEnded;
 }
 
-void ReplicatedLog::State::receiveVoteRequest(const MemberId& from, const wire::VoteRequest& request, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::receiveVoteRequest(const MemberId& from, const wire::VoteRequest& request, TimePoint now, ReplicatedLogOutput& output)
 {
     // A member that is not listed has no vote. A learner votes, because the entry that promotes it may not have arrived yet.
     if (!this->findMember(this->selfId()))
@@ -136,7 +136,7 @@
     this->send(from, std::move(message), false, output);
 }
 
-void ReplicatedLog::State::receiveVoteAnswer(const MemberId& from, const wire::VoteAnswer& answer, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::receiveVoteAnswer(const MemberId& from, const wire::VoteAnswer& answer, TimePoint now, ReplicatedLogOutput& output)
 {
     if (!answer.granted() && answer.term() > this->hardState.term && this->findMember(from)) {
         this->becomeFollower(answer.term(), 0, now, output);
@@ -159,7 +159,7 @@
     this->becomeLeader(now, output);
 }
 
-void ReplicatedLog::State::becomeLeader(TimePoint now, LogOutput& output)
+void ReplicatedLog::State::becomeLeader(TimePoint now, ReplicatedLogOutput& output)
 {
     this->role = LogRole::Leader;
     this->leader = this->options.self;
@@ -176,7 +176,7 @@
     this->startHeartbeatRound(now, output);
 }
 
-void ReplicatedLog::State::receiveTimeoutNow(const MemberId& from, const wire::TimeoutNow& request, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::receiveTimeoutNow(const MemberId& from, const wire::TimeoutNow& request, TimePoint now, ReplicatedLogOutput& output)
 {
     if (request.term() != this->hardState.term || this->role != LogRole::Follower || this->leader != from.vm)
         return;
--- a/packages/coordination/src/ReplicatedLogFollower.cpp
+++ b/packages/coordination/src/ReplicatedLogFollower.cpp
@@ -5,7 +5,7 @@
 
 namespace kingcup {
 
-bool ReplicatedLog::State::acceptLeader(const MemberId& from, Term leaderTerm, TimePoint now, LogOutput& output)
+bool ReplicatedLog::State::acceptLeader(const MemberId& from, Term leaderTerm, TimePoint now, ReplicatedLogOutput& output)
 {
     if (leaderTerm < this->hardState.term)
         return false;
@@ -17,7 +17,7 @@
     return true;
 }
 
-void ReplicatedLog::State::receiveAppend(const MemberId& from, const wire::AppendRequest& request, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::receiveAppend(const MemberId& from, const wire::AppendRequest& request, TimePoint now, ReplicatedLogOutput& output)
 {
     wire::LogMessage message;
     wire::AppendAnswer& answer = *message.mutable_append_answer();
@@ -42,7 +42,7 @@
     this->send(from, std::move(message), false, output);
 }
 
-void ReplicatedLog::State::sendRoundAnswer(const MemberId& from, const wire::AppendAnswer& answer, LogOutput& output) const
+void ReplicatedLog::State::sendRoundAnswer(const MemberId& from, const wire::AppendAnswer& answer, ReplicatedLogOutput& output) const
 {
     // Without this answer, a disk that stalls for longer than the election timeout would look like a lost member to the leader.
     bool isCurrentTermSynced = this->syncedTerm == this->hardState.term && !output.write.hardState;
@@ -57,7 +57,7 @@
     this->send(from, std::move(message), true, output);
 }
 
-LogIndex ReplicatedLog::State::appendMissingEntries(const wire::AppendRequest& request, LogOutput& output)
+LogIndex ReplicatedLog::State::appendMissingEntries(const wire::AppendRequest& request, ReplicatedLogOutput& output)
 {
     LogIndex matchIndex = request.previous_index();
     for (const wire::LogEntry& entry : request.entries()) {
@@ -88,7 +88,7 @@
     return index;
 }
 
-void ReplicatedLog::State::commitTo(LogIndex index, LogOutput& output)
+void ReplicatedLog::State::commitTo(LogIndex index, ReplicatedLogOutput& output)
 {
     while (this->commitIndex < index) {
         ++this->commitIndex;
@@ -99,7 +99,7 @@
     }
 }
 
-void ReplicatedLog::State::receiveSnapshot(const MemberId& from, const wire::SnapshotRequest& request, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::receiveSnapshot(const MemberId& from, const wire::SnapshotRequest& request, TimePoint now, ReplicatedLogOutput& output)
 {
     wire::LogMessage message;
     wire::SnapshotAnswer& answer = *message.mutable_snapshot_answer();
@@ -134,7 +134,7 @@
     return request.last_chunk();
 }
 
-void ReplicatedLog::State::installSnapshot(LogOutput& output)
+void ReplicatedLog::State::installSnapshot(ReplicatedLogOutput& output)
 {
     const SnapshotMeta& meta = this->incomingSnapshot->meta;
     if (this->log.lastIndex() > meta.lastIndex)
--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-LogIndex ReplicatedLog::State::appendNewEntry(wire::EntryType type, const std::string& payload, LogOutput& output)
+LogIndex ReplicatedLog::State::appendNewEntry(wire::EntryType type, const std::string& payload, ReplicatedLogOutput& output)
 {
     wire::LogEntry entry;
     entry.set_index(this->log.lastIndex() + 1);
@@ -61,7 +61,7 @@
     }
 }
 
-void ReplicatedLog::State::startHeartbeatRound(TimePoint now, LogOutput& output)
+void ReplicatedLog::State::startHeartbeatRound(TimePoint now, ReplicatedLogOutput& output)
 {
     this->recentRounds.emplace_back(++this->currentRound, now);
     while (now - this->recentRounds.front().second > this->options.electionTimeout)
@@ -70,13 +70,13 @@
     this->sendToAll(true, output);
 }
 
-void ReplicatedLog::State::sendToAll(bool isHeartbeat, LogOutput& output)
+void ReplicatedLog::State::sendToAll(bool isHeartbeat, ReplicatedLogOutput& output)
 {
     for (auto& [id, peer] : this->peers)
         this->sendTo(id, peer, isHeartbeat, output);
 }
 
-void ReplicatedLog::State::sendTo(const MemberId& id, LogPeer& peer, bool isHeartbeat, LogOutput& output)
+void ReplicatedLog::State::sendTo(const MemberId& id, LogPeer& peer, bool isHeartbeat, ReplicatedLogOutput& output)
 {
     if (peer.snapshotData || !this->log.termAt(peer.nextIndex - 1)) {
         if (isHeartbeat || !peer.snapshotData)
@@ -97,7 +97,7 @@
     return !peer.isProbing && hasRoom && peer.nextIndex <= this->log.lastIndex();
 }
 
-void ReplicatedLog::State::sendEntries(const MemberId& id, LogPeer& peer, std::vector<wire::LogEntry> entries, LogOutput& output)
+void ReplicatedLog::State::sendEntries(const MemberId& id, LogPeer& peer, std::vector<wire::LogEntry> entries, ReplicatedLogOutput& output)
 {
     wire::LogMessage message;
     wire::AppendRequest& request = *message.mutable_append_request();
@@ -116,7 +116,7 @@
     this->send(id, std::move(message), this->isTermSynced, output);
 }
 
-void ReplicatedLog::State::sendSnapshotChunk(const MemberId& id, LogPeer& peer, LogOutput& output)
+void ReplicatedLog::State::sendSnapshotChunk(const MemberId& id, LogPeer& peer, ReplicatedLogOutput& output)
 {
     if (!peer.snapshotData) {
         auto data = std::make_shared<const std::string>(this->snapshotReader());
@@ -148,7 +148,7 @@
     }
 }
 
-LogPeer* ReplicatedLog::State::acceptAnswer(const MemberId& from, Term answerTerm, uint64_t answeredRound, TimePoint now, LogOutput& output)
+LogPeer* ReplicatedLog::State::acceptAnswer(const MemberId& from, Term answerTerm, uint64_t answeredRound, TimePoint now, ReplicatedLogOutput& output)
 {
     if (answerTerm > this->hardState.term && this->findMember(from))
         this->becomeFollower(answerTerm, 0, now, output);
@@ -171,7 +171,7 @@
     return true;
 }
 
-void ReplicatedLog::State::receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, ReplicatedLogOutput& output)
 {
     LogPeer* peer = this->acceptAnswer(from, answer.term(), answer.round(), now, output);
     if (!peer)
@@ -193,7 +193,7 @@
     this->advanceLeadershipTransfer(now, output);
 }
 
-void ReplicatedLog::State::receiveSnapshotAnswer(const MemberId& from, const wire::SnapshotAnswer& answer, TimePoint now, LogOutput& output)
+void ReplicatedLog::State::receiveSnapshotAnswer(const MemberId& from, const wire::SnapshotAnswer& answer, TimePoint now, ReplicatedLogOutput& output)
 {
     LogPeer* peer = this->acceptAnswer(from, answer.term(), answer.round(), now, output);
     if (!peer)
@@ -217,7 +217,7 @@
     }
 }
 
-void ReplicatedLog::State::advanceCommitIndex(TimePoint now, LogOutput& output)
+void ReplicatedLog::State::advanceCommitIndex(TimePoint now, ReplicatedLogOutput& output)
 {
     std::vector<LogIndex> matchIndexes;
     for (const auto& [id, peer] : this->peers) {
@@ -272,7 +272,7 @@
     return time && now - *time < this->options.electionTimeout;
 }
 
-void ReplicatedLog::State::tickLeader(TimePoint now, LogOutput& output)
+void ReplicatedLog::State::tickLeader(TimePoint now, ReplicatedLogOutput& output)
 {
     if (this->hasLostQuorum(now)) {
         this->becomeFollower(this->hardState.term, 0, now, output);
@@ -283,7 +283,7 @@
         this->startHeartbeatRound(now, output);
 }
 
-void ReplicatedLog::State::startLeadershipTransfer(TimePoint now, LogOutput& output)
+void ReplicatedLog::State::startLeadershipTransfer(TimePoint now, ReplicatedLogOutput& output)
 {
     if (this->role != LogRole::Leader || this->leadershipTransfer)
         return;
@@ -298,7 +298,7 @@
     this->advanceLeadershipTransfer(now, output);
 }
 
-void ReplicatedLog::State::advanceLeadershipTransfer(TimePoint now, LogOutput& output)
+void ReplicatedLog::State::advanceLeadershipTransfer(TimePoint now, ReplicatedLogOutput& output)
 {
     if (!this->leadershipTransfer)
         return;
--- a/packages/coordination/src/ReplicatedLogMembership.cpp
+++ b/packages/coordination/src/ReplicatedLogMembership.cpp
@@ -174,7 +174,7 @@
     return this->isCaughtUp(id.vm) ? ResultCode::Ok : ResultCode::NotCaughtUp;
 }
 
-LogIndex ReplicatedLog::State::appendMembership(const wire::Membership& membership, LogOutput& output)
+LogIndex ReplicatedLog::State::appendMembership(const wire::Membership& membership, ReplicatedLogOutput& output)
 {
     return this->appendNewEntry(wire::ENTRY_MEMBERSHIP, sortedById(membership).SerializeAsString(), output);
 }
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -69,63 +69,63 @@
     ResultCode checkProposal(TimePoint now) const;
     ResultCode checkFirstMembership(const wire::Membership& membership) const;
     ResultCode checkMembershipChange(const wire::Membership& next, TimePoint now) const;
-    LogIndex appendMembership(const wire::Membership& membership, LogOutput& output);
+    LogIndex appendMembership(const wire::Membership& membership, ReplicatedLogOutput& output);
     bool isCaughtUp(VmId vm) const;
 
     // Roles and elections (ReplicatedLogElection.cpp).
-    void becomeFollower(Term newTerm, VmId newLeader, TimePoint now, LogOutput& output);
-    void becomeLeader(TimePoint now, LogOutput& output);
-    void startPreVote(TimePoint now, LogOutput& output);
-    void startElection(bool isLeadershipTransfer, TimePoint now, LogOutput& output);
-    void sendVoteRequests(bool isPreVote, bool isLeadershipTransfer, LogOutput& output) const;
+    void becomeFollower(Term newTerm, VmId newLeader, TimePoint now, ReplicatedLogOutput& output);
+    void becomeLeader(TimePoint now, ReplicatedLogOutput& output);
+    void startPreVote(TimePoint now, ReplicatedLogOutput& output);
+    void startElection(bool isLeadershipTransfer, TimePoint now, ReplicatedLogOutput& output);
+    void sendVoteRequests(bool isPreVote, bool isLeadershipTransfer, ReplicatedLogOutput& output) const;
     void resetElectionTimer(TimePoint now);
     bool isLogUpToDate(const wire::VoteRequest& request) const;
     bool hasRecentLeaderContact(TimePoint now) const;
     /** Returns whether a leader other than the sender, possibly this member, may still hold a lease that this member supports. If so, the request gets no vote. */
     bool mayOtherLeaderHoldLease(const wire::VoteRequest& request, TimePoint now) const;
-    void receiveVoteRequest(const MemberId& from, const wire::VoteRequest& request, TimePoint now, LogOutput& output);
-    void receiveVoteAnswer(const MemberId& from, const wire::VoteAnswer& answer, TimePoint now, LogOutput& output);
-    void receiveTimeoutNow(const MemberId& from, const wire::TimeoutNow& request, TimePoint now, LogOutput& output);
+    void receiveVoteRequest(const MemberId& from, const wire::VoteRequest& request, TimePoint now, ReplicatedLogOutput& output);
+    void receiveVoteAnswer(const MemberId& from, const wire::VoteAnswer& answer, TimePoint now, ReplicatedLogOutput& output);
+    void receiveTimeoutNow(const MemberId& from, const wire::TimeoutNow& request, TimePoint now, ReplicatedLogOutput& output);
 
     // Follower (ReplicatedLogFollower.cpp).
-    bool acceptLeader(const MemberId& from, Term leaderTerm, TimePoint now, LogOutput& output);
-    void receiveAppend(const MemberId& from, const wire::AppendRequest& request, TimePoint now, LogOutput& output);
+    bool acceptLeader(const MemberId& from, Term leaderTerm, TimePoint now, ReplicatedLogOutput& output);
+    void receiveAppend(const MemberId& from, const wire::AppendRequest& request, TimePoint now, ReplicatedLogOutput& output);
     /** Answers the heartbeat round at once, before the entries are synced. */
-    void sendRoundAnswer(const MemberId& from, const wire::AppendAnswer& answer, LogOutput& output) const;
-    LogIndex appendMissingEntries(const wire::AppendRequest& request, LogOutput& output);
+    void sendRoundAnswer(const MemberId& from, const wire::AppendAnswer& answer, ReplicatedLogOutput& output) const;
+    LogIndex appendMissingEntries(const wire::AppendRequest& request, ReplicatedLogOutput& output);
     LogIndex conflictIndex(LogIndex previousIndex) const;
-    void receiveSnapshot(const MemberId& from, const wire::SnapshotRequest& request, TimePoint now, LogOutput& output);
+    void receiveSnapshot(const MemberId& from, const wire::SnapshotRequest& request, TimePoint now, ReplicatedLogOutput& output);
     bool storeChunk(const wire::SnapshotRequest& request);
-    void installSnapshot(LogOutput& output);
+    void installSnapshot(ReplicatedLogOutput& output);
 
     // Leader (ReplicatedLogLeader.cpp).
-    LogIndex appendNewEntry(wire::EntryType type, const std::string& payload, LogOutput& output);
+    LogIndex appendNewEntry(wire::EntryType type, const std::string& payload, ReplicatedLogOutput& output);
     void rebuildPeers(LogIndex nextIndex);
-    void startHeartbeatRound(TimePoint now, LogOutput& output);
-    void sendToAll(bool isHeartbeat, LogOutput& output);
-    void sendTo(const MemberId& id, LogPeer& peer, bool isHeartbeat, LogOutput& output);
+    void startHeartbeatRound(TimePoint now, ReplicatedLogOutput& output);
+    void sendToAll(bool isHeartbeat, ReplicatedLogOutput& output);
+    void sendTo(const MemberId& id, LogPeer& peer, bool isHeartbeat, ReplicatedLogOutput& output);
     bool canSendEntries(const LogPeer& peer) const;
     /** Handles the term and the heartbeat round of an answer. Returns the peer that sent it, or null if the rest of the answer must be ignored. */
-    LogPeer* acceptAnswer(const MemberId& from, Term answerTerm, uint64_t answeredRound, TimePoint now, LogOutput& output);
+    LogPeer* acceptAnswer(const MemberId& from, Term answerTerm, uint64_t answeredRound, TimePoint now, ReplicatedLogOutput& output);
     bool probeAfterRefusal(LogPeer& peer, LogIndex conflict) const;
-    void sendEntries(const MemberId& id, LogPeer& peer, std::vector<wire::LogEntry> entries, LogOutput& output);
-    void sendSnapshotChunk(const MemberId& id, LogPeer& peer, LogOutput& output);
+    void sendEntries(const MemberId& id, LogPeer& peer, std::vector<wire::LogEntry> entries, ReplicatedLogOutput& output);
+    void sendSnapshotChunk(const MemberId& id, LogPeer& peer, ReplicatedLogOutput& output);
     void recordAnsweredRound(LogPeer& peer, uint64_t answeredRound);
-    void receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, LogOutput& output);
-    void receiveSnapshotAnswer(const MemberId& from, const wire::SnapshotAnswer& answer, TimePoint now, LogOutput& output);
-    void advanceCommitIndex(TimePoint now, LogOutput& output);
+    void receiveAppendAnswer(const MemberId& from, const wire::AppendAnswer& answer, TimePoint now, ReplicatedLogOutput& output);
+    void receiveSnapshotAnswer(const MemberId& from, const wire::SnapshotAnswer& answer, TimePoint now, ReplicatedLogOutput& output);
+    void advanceCommitIndex(TimePoint now, ReplicatedLogOutput& output);
     std::optional<TimePoint> quorumContactTime(TimePoint now) const;
     bool hasLostQuorum(TimePoint now) const;
     bool hasQuorum(TimePoint now) const;
-    void tickLeader(TimePoint now, LogOutput& output);
-    void startLeadershipTransfer(TimePoint now, LogOutput& output);
-    void advanceLeadershipTransfer(TimePoint now, LogOutput& output);
+    void tickLeader(TimePoint now, ReplicatedLogOutput& output);
+    void startLeadershipTransfer(TimePoint now, ReplicatedLogOutput& output);
+    void advanceLeadershipTransfer(TimePoint now, ReplicatedLogOutput& output);
 
     // Shared by all roles.
-    void dispatch(const MemberId& from, const wire::LogMessage& message, TimePoint now, LogOutput& output);
-    void setHardState(Term term, VmId votedFor, LogOutput& output);
-    void commitTo(LogIndex index, LogOutput& output);
-    void send(const MemberId& to, wire::LogMessage message, bool mayPrecedeSync, LogOutput& output) const;
+    void dispatch(const MemberId& from, const wire::LogMessage& message, TimePoint now, ReplicatedLogOutput& output);
+    void setHardState(Term term, VmId votedFor, ReplicatedLogOutput& output);
+    void commitTo(LogIndex index, ReplicatedLogOutput& output);
+    void send(const MemberId& to, wire::LogMessage message, bool mayPrecedeSync, ReplicatedLogOutput& output) const;
 
     ReplicatedLogOptions options;
     RandomSource random;
--- a/packages/coordination/tests/LogNetwork.h
+++ b/packages/coordination/tests/LogNetwork.h
@@ -18,7 +18,7 @@
     DurableLogState disk; ///< State that survives a crash.
     std::string diskSnapshotData; ///< Bytes of the stored snapshot.
     std::unique_ptr<ReplicatedLog> log; ///< Null while crashed.
-    std::vector<LogOutput> unsyncedOutputs; ///< Outputs whose writes are not synced.
+    std::vector<ReplicatedLogOutput> unsyncedOutputs; ///< Outputs whose writes are not synced.
     std::string appliedPayloads; ///< State machine: all applied payloads in order.
     SnapshotMeta appliedPosition; ///< Index, term and membership up to which entries are applied.
     int runNumber = 0; ///< Number of starts; timers of earlier runs are ignored.
@@ -39,7 +39,7 @@
             this->start(vm);
         }
         for (auto& [vm, node] : this->nodes) {
-            LogOutput output;
+            ReplicatedLogOutput output;
             this->check(node.log->bootstrap(membership, this->now, output) == ResultCode::Ok, "bootstrap was refused");
             this->processOutput(node, std::move(output));
         }
@@ -127,7 +127,7 @@
     {
         ReplicatedLog::Proposal proposal;
         std::string payload = std::to_string(++this->lastPayload) + ";";
-        LogOutput output = node.log->propose({ payload }, this->now, proposal);
+        ReplicatedLogOutput output = node.log->propose({ payload }, this->now, proposal);
         if (proposal.code == ResultCode::Ok)
             this->proposals[{ proposal.index, proposal.term }] = payload;
         this->processOutput(node, std::move(output));
@@ -166,7 +166,7 @@
     }
 
     /** Sends the messages that need no sync and queues the rest of an output for the next sync. Also checks that each term has one leader. */
-    void processOutput(LogNode& node, LogOutput output)
+    void processOutput(LogNode& node, ReplicatedLogOutput output)
     {
         if (node.log->role() == LogRole::Leader) {
             uint64_t& leaderIncarnation = this->leaderIncarnations[node.log->term()];
@@ -279,11 +279,11 @@
     {
         if (!node.log || node.runNumber != runNumber)
             return;
-        std::vector<LogOutput> outputs = std::move(node.unsyncedOutputs);
+        std::vector<ReplicatedLogOutput> outputs = std::move(node.unsyncedOutputs);
         node.unsyncedOutputs.clear();
-        for (const LogOutput& output : outputs)
+        for (const ReplicatedLogOutput& output : outputs)
             this->writeToDisk(node, output);
-        for (const LogOutput& output : outputs) {
+        for (const ReplicatedLogOutput& output : outputs) {
             for (const OutgoingLogMessage& message : output.messagesAfterSync)
                 this->send(node, message);
             if (output.receivedSnapshot) {
@@ -295,14 +295,14 @@
         }
         if (node.appliedPosition.lastIndex >= node.disk.snapshot.lastIndex + this->snapshotIntervalEntries)
             this->takeSnapshot(node);
-        if (std::any_of(outputs.begin(), outputs.end(), [](const LogOutput& output) { return !output.write.empty(); })) {
+        if (std::any_of(outputs.begin(), outputs.end(), [](const ReplicatedLogOutput& output) { return !output.write.empty(); })) {
             LogIndex last = node.disk.entries.empty() ? node.disk.snapshot.lastIndex : node.disk.entries.back().index();
             Term term = node.disk.entries.empty() ? node.disk.snapshot.lastTerm : node.disk.entries.back().term();
             this->processOutput(node, node.log->recordSync(last, term, this->now));
         }
     }
 
-    void writeToDisk(LogNode& node, const LogOutput& output)
+    void writeToDisk(LogNode& node, const ReplicatedLogOutput& output)
     {
         DurableLogState& disk = node.disk;
         if (output.receivedSnapshot && output.receivedSnapshot->meta.lastIndex > disk.snapshot.lastIndex)
--- a/packages/coordination/tests/ReplicatedLogRulesTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogRulesTest.cpp
@@ -41,12 +41,12 @@
             options, durable, RandomSource(1), [] { return std::string(); }, timeAt(1000));
     }
 
-    LogOutput receive(VmId from, const wire::LogMessage& message, double ms)
+    ReplicatedLogOutput receive(VmId from, const wire::LogMessage& message, double ms)
     {
         return this->log->receive(from, incarnationOf(from), message, timeAt(ms));
     }
 
-    LogOutput receiveVoteAnswer(VmId from, bool isPreVote, double ms)
+    ReplicatedLogOutput receiveVoteAnswer(VmId from, bool isPreVote, double ms)
     {
         wire::LogMessage message;
         message.mutable_vote_answer()->set_pre_vote(isPreVote);
@@ -55,7 +55,7 @@
         return this->receive(from, message, ms);
     }
 
-    LogOutput receiveAppendAnswer(VmId from, LogIndex matchIndex, uint64_t round, double ms)
+    ReplicatedLogOutput receiveAppendAnswer(VmId from, LogIndex matchIndex, uint64_t round, double ms)
     {
         wire::LogMessage message;
         message.mutable_append_answer()->set_term(6);
@@ -66,7 +66,7 @@
     }
 
     /** Receives a vote request of VM 2, whose log ends at index 1 with this term. */
-    LogOutput receiveVoteRequest(Term lastTerm, double ms, Term term = 6, Term endedTerm = 0)
+    ReplicatedLogOutput receiveVoteRequest(Term lastTerm, double ms, Term term = 6, Term endedTerm = 0)
     {
         wire::LogMessage message;
         message.mutable_vote_request()->set_ended_term(endedTerm);
@@ -110,7 +110,7 @@
     });
     section("the leader's own copy counts only after it is synced", [&] {
         ReplicatedLog::Proposal proposal;
-        LogOutput output = log.propose({ "payload" }, timeAt(3020), proposal);
+        ReplicatedLogOutput output = log.propose({ "payload" }, timeAt(3020), proposal);
         EXPECT_FALSE(output.messagesBeforeSync.empty());
         member.receiveAppendAnswer(2, 3, 1, 3030);
         EXPECT_EQ(log.commitIndex(), 2u);
@@ -137,7 +137,7 @@
     section("a restarted member votes only after the election timeout, because its answers before the restart may support a lease", [] {
         TestMember member;
         EXPECT_TRUE(member.receiveVoteRequest(1, 1599).messagesAfterSync.empty());
-        LogOutput output = member.receiveVoteRequest(1, 1600);
+        ReplicatedLogOutput output = member.receiveVoteRequest(1, 1600);
         ASSERT_EQ(output.messagesAfterSync.size(), 1u);
         EXPECT_TRUE(output.messagesAfterSync[0].message.vote_answer().granted());
         EXPECT_EQ(output.write.hardState, (HardState { 6, 2 }));
@@ -145,7 +145,7 @@
     });
     section("a candidate with an older log gets no vote", [] {
         TestMember member;
-        LogOutput output = member.receiveVoteRequest(0, 1600);
+        ReplicatedLogOutput output = member.receiveVoteRequest(0, 1600);
         EXPECT_FALSE(output.messagesAfterSync.at(0).message.vote_answer().granted());
     });
     section("votes of other incarnations and of learners do not count", [] {
@@ -161,7 +161,7 @@
     });
     section("a group of one sends nothing to its learner before its new term is synced", [] {
         TestMember member(1);
-        LogOutput output = member.log->tick(timeAt(3000));
+        ReplicatedLogOutput output = member.log->tick(timeAt(3000));
         EXPECT_EQ(member.log->role(), LogRole::Leader);
         EXPECT_TRUE(output.messagesBeforeSync.empty());
         EXPECT_FALSE(output.messagesAfterSync.empty());
@@ -172,7 +172,7 @@
 {
     section("a member that led its term requests pre-votes at its first tick and reports that the leader of the term has ended", [] {
         TestMember member(3, { 5, 1, true });
-        LogOutput output = member.log->tick(timeAt(1000));
+        ReplicatedLogOutput output = member.log->tick(timeAt(1000));
         ASSERT_EQ(output.messagesAfterSync.size(), 2u);
         EXPECT_EQ(output.messagesAfterSync[0].message.vote_request().ended_term(), 5u);
         EXPECT_TRUE(output.messagesAfterSync[0].message.vote_request().pre_vote());
@@ -183,7 +183,7 @@
     });
     section("a restarted voter of the ended term grants its vote at once", [] {
         TestMember member;
-        LogOutput output = member.receiveVoteRequest(1, 1001, 6, 5);
+        ReplicatedLogOutput output = member.receiveVoteRequest(1, 1001, 6, 5);
         ASSERT_EQ(output.messagesAfterSync.size(), 1u);
         EXPECT_TRUE(output.messagesAfterSync[0].message.vote_answer().granted());
     });
--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -370,7 +370,7 @@
         return proposal.code;
     };
     section("a group can be formed only once", [&] {
-        LogOutput output;
+        ReplicatedLogOutput output;
         EXPECT_EQ(leading.log->bootstrap(membership, network.now, output), ResultCode::AlreadyBootstrapped);
     });
     section("proposals are refused on a full disk and above the size limits", [&] {
--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -68,7 +68,7 @@
         this->pendingProposals.pop_front();
     }
     ReplicatedLog::Proposal proposal;
-    LogOutput output = this->replicatedLog.propose(payloads, MillisecondClock::now(), proposal);
+    ReplicatedLogOutput output = this->replicatedLog.propose(payloads, MillisecondClock::now(), proposal);
     for (size_t position = 0; position < done.size(); position++) {
         if (proposal.code == ResultCode::Ok)
             this->uncommittedEntries[proposal.index + position] = { proposal.term, std::move(done[position]) };
@@ -94,7 +94,7 @@
 
 ResultCode LogDriver::bootstrap(const wire::Membership& membership)
 {
-    LogOutput output;
+    ReplicatedLogOutput output;
     ResultCode code = this->replicatedLog.bootstrap(membership, MillisecondClock::now(), output);
     this->processOutput(std::move(output));
     return code;
@@ -132,7 +132,7 @@
 }
 
 /** Processes an output of the log: sends the messages that need no sync, queues the write and applies the committed entries. */
-void LogDriver::processOutput(LogOutput output)
+void LogDriver::processOutput(ReplicatedLogOutput output)
 {
     this->sendMessages(output.messagesBeforeSync);
     if (output.receivedSnapshot) {
--- a/programs/kingcupswitchd/control/LogDriver.h
+++ b/programs/kingcupswitchd/control/LogDriver.h
@@ -89,7 +89,7 @@
     };
     void setWriterBlocked(bool isBlocked);
     void flushProposals();
-    void processOutput(LogOutput output);
+    void processOutput(ReplicatedLogOutput output);
     void sendMessages(const std::vector<OutgoingLogMessage>& messages);
     void applyEntry(const wire::LogEntry& entry);
     void completeProposal(LogIndex index, Term term, const wire::CommandResult& result);
