Add: [Entry] Heed what targets state in their answers

Cause: a target that is cut off from control, or leaves faster than control reacts, was used until the change of its record arrived; a target that turns requests away for a stated time was asked again after its usual ejection. Change: Kingcup-Leaving: 1 in any answer, also to a probe, ends the use of this incarnation on this VM, except as last resort for a second, and is reported to control for the others. Retry-After of a 503 takes the target out of use for that time, at most 60 s; without another target the request is refused at once with the time until the first accepts again. Decisions are in Router and TargetSearch, parsing in TargetNotice.

--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -92,6 +92,22 @@
     /** Stops using a target, because another instance answers at its address, until update() brings the new incarnation. */
     void markInstanceGone(const Pick& pick);
 
+    /**
+     * Records that a target stated in an answer that it leaves. It gets no further attempt; within a second it may still be used if
+     * no other target is left. Holds for this incarnation also when the target returns to the table.
+     * @return Whether this was its first statement.
+     */
+    bool recordLeaving(const std::string& address, uint64_t incarnation, TimePoint now);
+
+    /** Records that a target turned a request away and wants none for `delay`. It is not chosen before that. Delays over 60 s are cut. */
+    void recordRetryAfter(const std::string& address, uint64_t incarnation, Milliseconds delay, TimePoint now);
+
+    /** Returns the incarnation of the target in use at an address; empty if there is none. */
+    std::optional<uint64_t> incarnationOf(const std::string& address) const;
+
+    /** Returns the time until the first target accepts requests again; empty if none has asked for a delay. */
+    std::optional<Milliseconds> timeUntilAccepted(TimePoint now) const;
+
     /** Records a load report; ignored for an unknown address or if a newer report is stored. @param age Age of the report on arrival. */
     void recordReport(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now);
 
@@ -104,7 +120,7 @@
     /** Returns the slots of the serving targets in the subset of this VM, without those of ejected targets. */
     uint32_t usableSlots(TimePoint now) const;
 
-    /** Returns up to `count` addresses of serving targets for probing, those with the oldest load report first. */
+    /** Returns up to `count` addresses of serving targets for probing, those with the oldest load report first. Targets that leave or accept no requests for a time are left out. */
     std::vector<std::string> leastRecentlyReported(size_t count, TimePoint now) const;
 
     /** Returns own observations of the last 5 s to share with other VMs, those that deviate most from the fleet first. */
--- a/packages/coordination/include/kingcup/TargetSearch.h
+++ b/packages/coordination/include/kingcup/TargetSearch.h
@@ -28,7 +28,7 @@
     Probe, ///< Probe another target.
     NextRound, ///< Start another round, in which every target may be probed again.
     Send, ///< Send the request to best().
-    Refuse, ///< Refuse the request: no target has a free slot, and the answer would miss the objective.
+    Refuse, ///< Refuse the request: no target has a free slot, and the answer would miss the objective; or no target may get it.
 };
 
 /**
@@ -55,6 +55,12 @@
     /** Records a failed probe. */
     SearchStep recordFailure(size_t position, TimePoint now);
 
+    /** Records that a target must not get the request, because its answer to the probe says that it leaves or accepts no requests for a time. */
+    SearchStep recordUnavailable(size_t position, TimePoint now);
+
+    /** Returns whether at least one target may get the request. */
+    bool hasAvailableTarget() const;
+
     /** Records that there is no further target to probe. */
     SearchStep markExhausted(TimePoint now);
 
@@ -90,6 +96,7 @@
         bool hasAnswered = false; ///< The probe returned a load report.
         bool hasNoFreeSlot = false; ///< It has no free slot, by its answer or by the load assumed for it.
         bool isUnprobed = false; ///< The probe budget allowed no probe.
+        bool isUnavailable = false; ///< It must not get the request.
     };
     bool hasPendingProbe(TimePoint now) const;
     bool meetsObjective(double cost, TimePoint now) const;
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -19,6 +19,7 @@
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr size_t counterStripeCount = 8;
 constexpr double observationLifetimeMs = 5000;
+constexpr Milliseconds maxRetryAfter { 60000 }; ///< Limit for the delay that a target may state, so that a wrong value does not take it out of use for good.
 
 /** Returns a time point as a number of milliseconds. */
 double toMs(TimePoint time)
@@ -126,6 +127,10 @@
         choice.mayUseEjected = true;
         entry = chooseTarget(this->state->policy, choice);
     }
+    if (!entry) {
+        choice.mayUseLeaving = true;
+        entry = chooseTarget(this->state->policy, choice);
+    }
     if (!entry)
         return std::nullopt;
     PickReason reason = pickReason(this->state->policy, choice, *entry);
@@ -158,6 +163,43 @@
         entry->target->markReplaced();
 }
 
+bool Router::recordLeaving(const std::string& address, uint64_t incarnation, TimePoint now)
+{
+    RcuReadGuard guard;
+    const RoutingEntry* entry = this->state->table.read(guard).find(address);
+    return entry && entry->target->incarnation == incarnation && entry->target->recordLeaving(toMs(now));
+}
+
+void Router::recordRetryAfter(const std::string& address, uint64_t incarnation, Milliseconds delay, TimePoint now)
+{
+    RcuReadGuard guard;
+    const RoutingEntry* entry = this->state->table.read(guard).find(address);
+    if (entry && entry->target->incarnation == incarnation)
+        entry->target->recordRetryAfter(toMs(now) + std::min(delay, maxRetryAfter).count());
+}
+
+std::optional<uint64_t> Router::incarnationOf(const std::string& address) const
+{
+    RcuReadGuard guard;
+    const RoutingEntry* entry = this->state->table.read(guard).find(address);
+    return entry ? std::optional(entry->target->incarnation) : std::nullopt;
+}
+
+std::optional<Milliseconds> Router::timeUntilAccepted(TimePoint now) const
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    std::optional<Milliseconds> shortest;
+    for (size_t i = 0; i < table.servingCount; ++i) {
+        const TargetEstimate& target = *table.entries[i].target;
+        if (target.isReplaced() || target.isLeaving() || !target.isDeclining(toMs(now)))
+            continue;
+        Milliseconds delay(target.declinedUntil() - toMs(now));
+        shortest = std::min(shortest.value_or(delay), delay);
+    }
+    return shortest;
+}
+
 void Router::recordReport(const std::string& address, const LoadReport& load, Milliseconds age, TimePoint now)
 {
     RcuReadGuard guard;
@@ -189,14 +231,15 @@
     return slots;
 }
 
-std::vector<std::string> Router::leastRecentlyReported(size_t count, TimePoint) const
+std::vector<std::string> Router::leastRecentlyReported(size_t count, TimePoint now) const
 {
     RcuReadGuard guard;
     const RoutingTable& table = this->state->table.read(guard);
     std::vector<std::pair<double, const std::string*>> order;
     for (size_t i = 0; i < table.servingCount; ++i) {
         const TargetEstimate& target = *table.entries[i].target;
-        order.emplace_back(target.reportedAtMs.load(relaxed), &target.address);
+        if (!target.isLeaving() && !target.isDeclining(toMs(now)))
+            order.emplace_back(target.reportedAtMs.load(relaxed), &target.address);
     }
     std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     std::vector<std::string> addresses;
--- a/packages/coordination/src/RoutingTable.cpp
+++ b/packages/coordination/src/RoutingTable.cpp
@@ -29,9 +29,13 @@
 /** Returns the estimates of a target from the previous table; creates new ones for a new address or incarnation. */
 std::shared_ptr<TargetEstimate> findOrCreateEstimate(const wire::TargetRecord& record, const RoutingTable& previous, uint32_t& lastSerial, const TableTime& time)
 {
+    auto isSame = [&](const TargetEstimate& target) { return target.address == record.address() && target.incarnation == record.incarnation(); };
     const RoutingEntry* existing = previous.find(record.address());
-    if (existing && existing->target->incarnation == record.incarnation())
+    if (existing && isSame(*existing->target))
         return existing->target;
+    auto former = std::find_if(previous.formerTargets.begin(), previous.formerTargets.end(), [&](const auto& target) { return isSame(*target); });
+    if (former != previous.formerTargets.end())
+        return *former;
     // Without a previous table this VM has just started: its targets are new to it, but may have been running for long.
     double coldSinceMs = previous.entries.empty() ? neverMs : time.nowMs;
     auto estimate = std::make_shared<TargetEstimate>(record, ++lastSerial, coldSinceMs);
@@ -40,6 +44,20 @@
     return estimate;
 }
 
+/** Takes over the targets of the previous table that are not in the next one and whose statements still hold. */
+void keepFormerTargets(const RoutingTable& previous, RoutingTable& next, double nowMs)
+{
+    auto keep = [&](const std::shared_ptr<TargetEstimate>& target) {
+        const RoutingEntry* entry = next.find(target->address);
+        if (!(entry && entry->target == target) && target->hasCurrentStatement(nowMs))
+            next.formerTargets.push_back(target);
+    };
+    for (const std::shared_ptr<TargetEstimate>& target : previous.formerTargets)
+        keep(target);
+    for (const RoutingEntry& entry : previous.entries)
+        keep(entry.target);
+}
+
 } // namespace
 
 const RoutingEntry* RoutingTable::find(const std::string& address) const
@@ -97,6 +115,7 @@
         table->localCount += sortKey(entry) == 0;
         table->servingCount += sortKey(entry) < 2;
     }
+    keepFormerTargets(previous, *table, time.nowMs);
     return table;
 }
 
--- a/packages/coordination/src/RoutingTable.h
+++ b/packages/coordination/src/RoutingTable.h
@@ -24,6 +24,7 @@
     ServiceLimits limits;
     ZonePreference zonePreference = ZonePreference::Own;
     std::vector<RoutingEntry> entries;
+    std::vector<std::shared_ptr<TargetEstimate>> formerTargets; ///< Targets out of use whose statements still hold if they return.
     size_t localCount = 0; ///< Local serving targets, which are the first entries.
     size_t servingCount = 0; ///< Serving targets in use, local and remote.
     size_t serviceServingCount = 0; ///< Serving targets of the service, including those that only other VMs use.
--- a/packages/coordination/src/TargetChooser.cpp
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -177,7 +177,10 @@
 
 bool Choice::isEligible(const RoutingEntry& entry) const
 {
-    if (entry.target->isReplaced() || (!this->mayUseEjected && entry.target->isEjected(this->nowMs)))
+    const TargetEstimate& target = *entry.target;
+    if (target.isReplaced() || target.isDeclining(this->nowMs) || (!this->mayUseEjected && target.isEjected(this->nowMs)))
+        return false;
+    if (target.isLeaving() && !(this->mayUseLeaving && target.isLeavingLastResort(this->nowMs)))
         return false;
     return std::find(this->excluded.begin(), this->excluded.end(), entry.target->address) == this->excluded.end();
 }
--- a/packages/coordination/src/TargetChooser.h
+++ b/packages/coordination/src/TargetChooser.h
@@ -40,8 +40,9 @@
     uint64_t number; ///< Number of the choice within the router, which is also the position of the round robin.
     double nowMs;
     bool mayUseEjected = false; ///< Ejected targets are eligible; set if no other target is left.
+    bool mayUseLeaving = false; ///< Targets that began to leave a moment ago are eligible; set if not even an ejected one is left.
 
-    /** Returns whether an entry is neither excluded nor replaced by another instance nor, unless `mayUseEjected` is set, ejected. */
+    /** Returns whether an entry may be chosen: not excluded, replaced or declining, and leaving or ejected only as permitted by the flags. */
     bool isEligible(const RoutingEntry& entry) const;
 
     /** Returns a random eligible entry with an index in [begin, end); null if there is none. */
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -24,6 +24,8 @@
 constexpr double slowdownDecayMs = 75; ///< Half of the 150 ms for which the speed of a machine typically stays the same.
 constexpr double minEjectionMs = 1000;
 constexpr double maxEjectionMs = 30000;
+constexpr double leavingLastResortMs = 1000; ///< Well below the shortest time for which a leaving target goes on serving.
+constexpr double leavingRetentionMs = 300000; ///< A target that left has ended by then.
 constexpr uint32_t minFailuresForEjection = 5;
 constexpr double minFailureShareForEjection = 0.6;
 
@@ -104,6 +106,28 @@
     this->ejectUntil(foreverMs);
 }
 
+bool TargetEstimate::recordLeaving(double nowMs)
+{
+    double expected = neverMs;
+    return this->leavingSinceMs.compare_exchange_strong(expected, nowMs, relaxed);
+}
+
+bool TargetEstimate::isLeavingLastResort(double nowMs) const
+{
+    return nowMs < this->leavingSinceMs.load(relaxed) + leavingLastResortMs;
+}
+
+void TargetEstimate::recordRetryAfter(double untilMs)
+{
+    double current = this->declinedUntilMs.load(relaxed);
+    while (current < untilMs && !this->declinedUntilMs.compare_exchange_weak(current, untilMs, relaxed)) { }
+}
+
+bool TargetEstimate::hasCurrentStatement(double nowMs) const
+{
+    return this->isDeclining(nowMs) || nowMs < this->leavingSinceMs.load(relaxed) + leavingRetentionMs;
+}
+
 double TargetEstimate::slowStartShare(double nowMs) const
 {
     double elapsedMs = nowMs - this->coldSinceMs.load(relaxed);
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -43,6 +43,26 @@
 
     bool isEjected(double nowMs) const { return nowMs < this->ejectedUntilMs.load(std::memory_order_relaxed); }
 
+    /** Records that the target stated that it leaves. @return Whether this was its first statement. */
+    bool recordLeaving(double nowMs);
+
+    /** Returns whether the target stated that it leaves. */
+    bool isLeaving() const { return this->leavingSinceMs.load(std::memory_order_relaxed) != neverMs; }
+
+    /** Returns whether a leaving target is still a last resort: its first statement is recent, so it still accepts requests. */
+    bool isLeavingLastResort(double nowMs) const;
+
+    /** Records that the target wants no request before a time. An earlier statement is not shortened. */
+    void recordRetryAfter(double untilMs);
+
+    /** Returns the time before which the target wants no request; neverMs: none stated. */
+    double declinedUntil() const { return this->declinedUntilMs.load(std::memory_order_relaxed); }
+
+    bool isDeclining(double nowMs) const { return nowMs < this->declinedUntil(); }
+
+    /** Returns whether the target made a statement that still holds, so that the estimate must be kept while the target is out of use. */
+    bool hasCurrentStatement(double nowMs) const;
+
     /** Returns the share of its slots that a target may use during the slow start after it joined or was ejected, in (0, 1]. */
     double slowStartShare(double nowMs) const;
 
@@ -100,6 +120,8 @@
     std::atomic<uint32_t> consecutiveEjections { 0 }; ///< Consecutive ejections, reset once the failure share is low.
     std::atomic<double> ejectedUntilMs { neverMs };
     std::atomic<double> coldUntilMs { neverMs };
+    std::atomic<double> leavingSinceMs { neverMs }; ///< Time of the first statement that it leaves.
+    std::atomic<double> declinedUntilMs { neverMs };
     std::atomic<double> coldSinceMs;
 };
 
--- a/packages/coordination/src/TargetSearch.cpp
+++ b/packages/coordination/src/TargetSearch.cpp
@@ -15,6 +15,7 @@
 constexpr double unansweredCost = 3; ///< Assumed for a target that did not answer: worse than a busy one, better than a slow one.
 constexpr double minUnprobedCost = 2; ///< Minimum assumed for a target that was not probed: that of an average target.
 constexpr double failedProbeCost = 1000; ///< Assumed for a target whose probe failed: worse than any answer.
+constexpr double unavailableCost = 2000; ///< Assumed for a target that must not get the request: worse than any other.
 constexpr double nearlyFullShare = 0.8; ///< Share of busy slots above which a target slows down.
 constexpr double nearlyFullFactor = 1.7; ///< Relative duration of a request on a nearly full target.
 
@@ -28,7 +29,7 @@
 
 size_t TargetSearch::addTarget(TimePoint now)
 {
-    this->targets.push_back({ now, std::nullopt, false, false, false });
+    this->targets.push_back({ now, std::nullopt, false, false, false, false, false });
     this->lastProbeTime = now;
     return this->targets.size() - 1;
 }
@@ -66,6 +67,19 @@
     return this->nextStep(now);
 }
 
+SearchStep TargetSearch::recordUnavailable(size_t position, TimePoint now)
+{
+    this->targets[position].isUnavailable = true;
+    this->targets[position].hasFailed = true;
+    this->targets[position].cost = unavailableCost;
+    return this->nextStep(now);
+}
+
+bool TargetSearch::hasAvailableTarget() const
+{
+    return std::any_of(this->targets.begin(), this->targets.end(), [](const Candidate& target) { return !target.isUnavailable; });
+}
+
 SearchStep TargetSearch::markExhausted(TimePoint now)
 {
     this->isExhausted = true;
@@ -129,6 +143,8 @@
         return SearchStep::Send;
     if (this->canStartNextRound(now))
         return now < *this->lastProbeTime + this->limits.roundPause ? SearchStep::Wait : SearchStep::NextRound;
+    if (!this->hasAvailableTarget())
+        return SearchStep::Refuse;
     bool hasNoCapacity = std::all_of(this->targets.begin(), this->targets.end(), [](const Candidate& target) { return target.hasNoFreeSlot || target.hasFailed; });
     return hasNoCapacity && !this->meetsObjective(this->bestCost(), now) ? SearchStep::Refuse : SearchStep::Send;
 }
@@ -136,7 +152,7 @@
 size_t TargetSearch::best() const
 {
     size_t best = 0;
-    double bestCost = failedProbeCost * 2;
+    double bestCost = unavailableCost;
     for (size_t position = 0; position < this->targets.size(); position++) {
         double cost = this->targets[position].cost.value_or(unansweredCost);
         // The router picks targets in order of preference, so the first of those that were not probed is kept.
--- a/packages/coordination/tests/RouterTest.cpp
+++ b/packages/coordination/tests/RouterTest.cpp
@@ -307,3 +307,63 @@
         EXPECT_FALSE(parseLoadReport(malformed)) << malformed;
     EXPECT_FALSE(parseLoadReport("inflight=1," + std::string(1000, 'x')));
 }
+
+// A target that leaves says so in its answers, and one that turns requests away may ask for a pause. Control may know neither.
+TEST(RouterTest, heedsWhatTargetsStateInAnswers)
+{
+    section("a leaving target gets no further attempt while another is left", [] {
+        RouterFixture fixture(3);
+        EXPECT_TRUE(fixture.router.recordLeaving(addressOf(0), 1, timeAt(1)));
+        EXPECT_FALSE(fixture.router.recordLeaving(addressOf(0), 1, timeAt(2))) << "not the first statement";
+        EXPECT_EQ(fixture.runAttempts(300, answerIn5Ms).count(addressOf(0)), 0u);
+    });
+    section("an ejected target is used rather than a leaving one, and a leaving one for a second when none else is left", [] {
+        RouterFixture fixture(2);
+        fixture.router.recordLeaving(addressOf(0), 1, timeAt(1));
+        std::optional<Pick> failing = fixture.router.pick({}, timeAt(1));
+        fixture.router.finish(*failing, AttemptOutcome::ConnectFailed, Milliseconds(1), timeAt(2));
+        EXPECT_EQ(fixture.router.pick({}, timeAt(3))->address, addressOf(1));
+        std::vector<std::string> excluded { addressOf(1) };
+        EXPECT_EQ(fixture.router.pick(excluded, timeAt(900))->address, addressOf(0));
+        EXPECT_EQ(fixture.router.pick(excluded, timeAt(1002)), std::nullopt);
+    });
+    section("a service whose targets all leave is refused after that second", [] {
+        RouterFixture fixture(3);
+        for (uint32_t target = 0; target < 3; ++target)
+            fixture.router.recordLeaving(addressOf(target), 1, timeAt(1));
+        EXPECT_TRUE(fixture.router.pick({}, timeAt(500)));
+        EXPECT_FALSE(fixture.router.pick({}, timeAt(1500)));
+        EXPECT_EQ(fixture.router.timeUntilAccepted(timeAt(1500)), std::nullopt);
+    });
+    section("the statement holds when the target returns to the table, and ends with the incarnation", [] {
+        RouterFixture fixture(2);
+        fixture.router.recordLeaving(addressOf(0), 1, timeAt(1));
+        std::vector<wire::TargetRecord> others { fixture.records[1] };
+        for (double nowMs : { 2.0, 3.0 })
+            fixture.router.update(fixture.service, others, timeAt(nowMs));
+        fixture.router.update(fixture.service, fixture.records, timeAt(4));
+        fixture.nowMs = 2000;
+        EXPECT_EQ(fixture.runAttempts(100, answerIn5Ms).count(addressOf(0)), 0u);
+        EXPECT_FALSE(fixture.router.recordLeaving(addressOf(0), 2, timeAt(2100))) << "of an incarnation that is not in use";
+        fixture.records[0].set_incarnation(2);
+        fixture.router.update(fixture.service, fixture.records, timeAt(2200));
+        fixture.nowMs = 6000;
+        EXPECT_GT(fixture.runAttempts(100, answerIn5Ms).count(addressOf(0)), 0u);
+    });
+    section("a target that asks for a pause gets nothing before its end, also when none else is left", [] {
+        RouterFixture fixture(2);
+        fixture.router.recordRetryAfter(addressOf(0), 1, Milliseconds(1500), timeAt(0));
+        fixture.router.recordRetryAfter(addressOf(0), 1, Milliseconds(100), timeAt(1));
+        std::vector<std::string> excluded { addressOf(1) };
+        EXPECT_FALSE(fixture.router.pick(excluded, timeAt(1499))) << "a shorter pause does not end the longer one";
+        EXPECT_EQ(fixture.router.timeUntilAccepted(timeAt(1000)), Milliseconds(500));
+        EXPECT_EQ(fixture.router.leastRecentlyReported(2, timeAt(1000)), std::vector<std::string> { addressOf(1) });
+        EXPECT_TRUE(fixture.router.pick(excluded, timeAt(1501)));
+    });
+    section("an absurd pause ends after a minute", [] {
+        RouterFixture fixture(1);
+        fixture.router.recordRetryAfter(addressOf(0), 1, Milliseconds(1e12), timeAt(0));
+        EXPECT_FALSE(fixture.router.pick({}, timeAt(59000)));
+        EXPECT_TRUE(fixture.router.pick({}, timeAt(60001)));
+    });
+}
--- a/packages/coordination/tests/TargetSearchTest.cpp
+++ b/packages/coordination/tests/TargetSearchTest.cpp
@@ -180,6 +180,16 @@
         EXPECT_EQ(search.markExhausted(timeAt(199)), SearchStep::Send);
         EXPECT_EQ(search.best(), 1u);
     });
+    section("a target that leaves or accepts nothing is never sent a request, and without another one the request is refused", [&] {
+        TargetSearch search(limits);
+        EXPECT_EQ(search.recordUnavailable(search.addTarget(timeAt(190)), timeAt(191)), SearchStep::Probe);
+        EXPECT_EQ(search.markExhausted(timeAt(199)), SearchStep::Refuse);
+        EXPECT_FALSE(search.hasAvailableTarget());
+        TargetSearch withFailed(limits);
+        withFailed.recordUnavailable(withFailed.addTarget(timeAt(190)), timeAt(191));
+        withFailed.recordFailure(withFailed.addTarget(timeAt(191)), timeAt(192));
+        EXPECT_EQ(withFailed.best(), 1u);
+    });
     section("a request without any target is refused", [&] {
         TargetSearch search(limits);
         EXPECT_EQ(search.markExhausted(timeAt(0)), SearchStep::Refuse);
--- a/packages/protocol/include/kingcup/HttpRules.h
+++ b/packages/protocol/include/kingcup/HttpRules.h
@@ -11,7 +11,8 @@
 constexpr std::string_view headerDeadline = "Kingcup-Deadline-Ms"; ///< Both ways: remaining time in milliseconds.
 constexpr std::string_view headerDepth = "Kingcup-Depth"; ///< Both ways: call depth, 0 at the first caller.
 constexpr std::string_view headerLoad = "Kingcup-Load"; ///< From targets: load report.
-constexpr std::string_view headerRetryAfter = "Retry-After"; ///< To callers: delay in whole seconds.
+constexpr std::string_view headerLeaving = "Kingcup-Leaving"; ///< From targets: 1 in every answer of a target that leaves.
+constexpr std::string_view headerRetryAfter = "Retry-After"; ///< To callers: delay in whole seconds. From targets, with status 503: time in seconds, with fractions, for which the target accepts no requests from this VM.
 
 constexpr int maxCallDepth = 8; ///< Calls above this depth are refused with depth_exceeded.
 constexpr size_t maxIdempotencyKeyBytes = 255; ///< Longer keys are refused.
--- /dev/null
+++ b/packages/transport/tests/TargetNoticeTest.cpp
@@ -0,0 +1,51 @@
+/** @file TargetNoticeTest.cpp Guards against statements of targets that are missed, and against values that are taken for one. */
+#include "kingcup/TargetNotice.h"
+
+#include "testing/Story.h"
+
+#include <gtest/gtest.h>
+
+using namespace kingcup;
+using kingcup::testing::section;
+
+namespace {
+
+/** Parses the statements of an answer with one header field. */
+TargetNotice noticeOf(int status, std::string_view name, std::string_view value)
+{
+    HttpAnswerHead head;
+    head.status = status;
+    head.headers.add(name, value);
+    return parseTargetNotice(head, "Kingcup-Leaving");
+}
+
+} // namespace
+
+TEST(TargetNoticeTest, parsesDepartures)
+{
+    section("answers of every status state a departure, except 421, which another instance sends", [] {
+        for (int status : { 200, 304, 404, 500, 503 })
+            EXPECT_TRUE(noticeOf(status, "kingcup-leaving", "1").isLeaving) << status;
+        EXPECT_FALSE(noticeOf(421, "Kingcup-Leaving", "1").isUnavailable());
+    });
+    section("other values state nothing", [] {
+        for (const char* value : { "", "0", "11", "yes", "-1", "1, 1" })
+            EXPECT_FALSE(noticeOf(200, "Kingcup-Leaving", value).isLeaving) << value;
+        HttpAnswerHead head;
+        head.headers.add("", "1");
+        EXPECT_FALSE(parseTargetNotice(head, "").isLeaving) << "the field has no name at this edge";
+    });
+}
+
+TEST(TargetNoticeTest, parsesPauses)
+{
+    section("a 503 may state a pause in seconds, with fractions", [] {
+        EXPECT_EQ(noticeOf(503, "Retry-After", "2").retryAfter, Milliseconds(2000));
+        EXPECT_EQ(noticeOf(503, "Retry-After", "0.25").retryAfter, Milliseconds(250));
+    });
+    section("zero, negative, infinite and unreadable values, dates and other statuses state none", [] {
+        for (const char* value : { "0", "0.0", "-3", "nan", "inf", "1e999", "soon", "", "Fri, 04 Dec 2026 05:00:00 GMT" })
+            EXPECT_FALSE(noticeOf(503, "Retry-After", value).isUnavailable()) << value;
+        EXPECT_FALSE(noticeOf(429, "Retry-After", "2").isUnavailable());
+    });
+}
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -94,7 +94,10 @@
         return;
     }
     wire::CommandResult checked = this->stateMachine.check(command);
-    if (checked.result_code() != 0) {
+    // Many entry VMs may report the same departure.
+    bool isKnownDeparture = command.has_change_target() && command.change_target().target().state() == wire::TARGET_DRAINING
+        && !differsFromRecord(command.change_target().target(), this->stateMachine.findTarget(command.change_target().target().service(), command.change_target().target().address()));
+    if (checked.result_code() != 0 || isKnownDeparture) {
         done(checked);
         return;
     }
--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -187,7 +187,7 @@
     if (!this->match.kind->repeatable && !this->parameters.idempotencyKey.empty())
         this->claimKey();
     else if (!this->startAttempt(false))
-        this->refuse(ResultCode::NoTarget, defaultRetryAfter);
+        this->refuseWithoutTarget();
 }
 
 /** Claims the idempotency key. No byte is sent to a target before the claim is committed. */
@@ -217,7 +217,7 @@
     case ResultCode::Ok:
         checkFailPoint("claim.granted");
         if (!this->startAttempt(false))
-            this->refuse(ResultCode::NoTarget, defaultRetryAfter);
+            this->refuseWithoutTarget();
         return;
     case ResultCode::KeyFinished:
         this->sendRecordedAnswer(result);
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -71,6 +71,7 @@
     void startSearch(const AttemptPointer& attempt);
     void probeTarget(const AttemptPointer& attempt, const Pick& pick);
     void probeNextTarget(const AttemptPointer& attempt);
+    void handleProbeHead(const AttemptPointer& attempt, const std::shared_ptr<TargetSearchRound>& round, size_t position, const HttpAnswerHead& head);
     void handleProbeResult(const AttemptPointer& attempt, const std::shared_ptr<TargetSearchRound>& round, size_t position, const std::optional<LoadReport>& load);
     void performSearchStep(const AttemptPointer& attempt, SearchStep step);
     void startSearchRound(const AttemptPointer& attempt);
@@ -78,6 +79,8 @@
     void endSearch(const AttemptPointer& attempt, std::optional<size_t> chosen);
     void refuseForLoad(const AttemptPointer& attempt, double cost);
     TargetSearchLimits searchLimits() const;
+    void recordTargetNotice(const Pick& pick, const TargetNotice& notice, TimePoint now);
+    void refuseWithoutTarget();
     void removeReplacedTarget(const AttemptPointer& attempt, const Pick& pick);
     void continueAfterFailure(const AttemptFailure& failure);
 
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -193,6 +193,7 @@
         if (std::optional<LoadReport> load = this->gateway.edge.parseLoad(*value))
             this->match.runtime->router.recordReport(attempt->pick.address, *load, Milliseconds(0), now);
     }
+    this->recordTargetNotice(attempt->pick, parseTargetNotice(head, this->gateway.edge.headers.leaving), now);
     attempt->isMisdirected = this->isMisdirectedAnswer(head);
     if (attempt->isMisdirected)
         this->removeReplacedTarget(attempt, attempt->pick);
@@ -217,6 +218,14 @@
         this->streamAnswer(attempt);
 }
 
+/** Records the statements of a target in an answer to this call or to a probe for it. */
+void Call::recordTargetNotice(const Pick& pick, const TargetNotice& notice, TimePoint now)
+{
+    if (this->gateway.recordTargetNotice({ this->match.service, this->match.runtime }, pick.address, pick.incarnation, notice, now))
+        logLine(LogLevel::Info, "target_leaving",
+            { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service->name }, { "target", pick.address }, { "instance", pick.instance } });
+}
+
 /** Removes a target from the router because another instance has its address. */
 void Call::removeReplacedTarget(const AttemptPointer& attempt, const Pick& pick)
 {
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -70,17 +70,7 @@
     probe.headers = probeHeaders(this->gateway.edge.headers, pick.address, pick.instance);
     std::shared_ptr<TargetSearchRound> round = attempt->searchRound;
     probe.onHead = [self, attempt, round, position](const HttpAnswerHead& head) {
-        std::optional<std::string_view> value = head.headers.find(self->gateway.edge.headers.load);
-        std::optional<LoadReport> load = value ? self->gateway.edge.parseLoad(*value) : std::nullopt;
-        constexpr int statusOk = 200;
-        if (head.status != statusOk)
-            load.reset();
-        bool isMisdirected = self->isMisdirectedAnswer(head);
-        self->executor.post([self, attempt, round, position, load, isMisdirected] {
-            if (isMisdirected)
-                self->removeReplacedTarget(attempt, round->picks[position]);
-            self->handleProbeResult(attempt, round, position, load);
-        });
+        self->executor.post([self, attempt, round, position, head] { self->handleProbeHead(attempt, round, position, head); });
     };
     probe.onData = [](std::string_view) { return true; };
     probe.onEnd = [self, attempt, round, position](const UpstreamResult& result) {
@@ -105,6 +95,24 @@
         this->performSearchStep(attempt, attempt->searchRound->search.markExhausted(now));
 }
 
+/** Handles the head of the answer to a probe, with the load report and the statements of the target. */
+void Call::handleProbeHead(const AttemptPointer& attempt, const std::shared_ptr<TargetSearchRound>& round, size_t position, const HttpAnswerHead& head)
+{
+    constexpr int statusOk = 200;
+    TimePoint now = MillisecondClock::now();
+    TargetNotice notice = parseTargetNotice(head, this->gateway.edge.headers.leaving);
+    this->recordTargetNotice(round->picks[position], notice, now);
+    if (this->isMisdirectedAnswer(head))
+        this->removeReplacedTarget(attempt, round->picks[position]);
+    if (notice.isUnavailable()) {
+        if (attempt->searchRound == round)
+            this->performSearchStep(attempt, round->search.recordUnavailable(position, now));
+        return;
+    }
+    std::optional<std::string_view> value = head.headers.find(this->gateway.edge.headers.load);
+    this->handleProbeResult(attempt, round, position, value && head.status == statusOk ? this->gateway.edge.parseLoad(*value) : std::nullopt);
+}
+
 /** Handles the result of a probe. @param load Empty when the target gave no usable answer. */
 void Call::handleProbeResult(const AttemptPointer& attempt, const std::shared_ptr<TargetSearchRound>& round, size_t position, const std::optional<LoadReport>& load)
 {
@@ -192,6 +200,12 @@
 void Call::refuseForLoad(const AttemptPointer& attempt, double cost)
 {
     TimePoint now = MillisecondClock::now();
+    if (!attempt->searchRound->search.hasAvailableTarget()) {
+        this->endSearch(attempt, std::nullopt);
+        if (!this->hasActiveAttempt())
+            this->refuseWithoutTarget();
+        return;
+    }
     TargetSearchLimits limits = this->searchLimits();
     Milliseconds usualTime = limits.usualServiceTime.value_or(Milliseconds(0));
     Milliseconds remaining = limits.objectiveEnd - now;
@@ -211,4 +225,15 @@
     this->refuse(ResultCode::QueueFull, Milliseconds(std::max(excess.count(), minRetryAfterMs)));
 }
 
+/** Refuses a request because no target may get it, with the time until the first target accepts requests again. */
+void Call::refuseWithoutTarget()
+{
+    if (this->mayHaveRun) {
+        this->refuse(this->match.kind->repeatable ? ResultCode::ConnectionLost : this->lastFailure.code, Milliseconds(0));
+        return;
+    }
+    std::optional<Milliseconds> delay = this->match.runtime->router.timeUntilAccepted(MillisecondClock::now());
+    this->refuse(ResultCode::NoTarget, delay ? Milliseconds(std::max(delay->count(), minRetryAfterMs)) : AttemptFailure().retryAfter);
+}
+
 } // namespace kingcup
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr uint32_t maxIdleConnectionsPerThread = 2000;
+constexpr Milliseconds departureReportTimeout { 2000 };
 constexpr uint32_t assumedEntryVms = 128; ///< Number of entry VMs that probe budgets assume while the number of live ones is unknown. It exceeds that of the largest deployment, so that probes stay within the budget.
 
 /** Orders rows so that the first match is the most specific one: rows with a host first, then longer path prefixes, then by name. */
@@ -152,6 +153,39 @@
     }
 }
 
+bool Gateway::recordTargetNotice(const RequestTableRow& service, const std::string& address, uint64_t incarnation, const TargetNotice& notice, TimePoint now)
+{
+    Router& router = service.runtime->router;
+    if (notice.retryAfter)
+        router.recordRetryAfter(address, incarnation, *notice.retryAfter, now);
+    if (!notice.isLeaving || !router.recordLeaving(address, incarnation, now))
+        return false;
+    this->reportDeparture(service.service->name, address, incarnation);
+    return true;
+}
+
+/** Reports to control that a target leaves, unless its record says so already. */
+void Gateway::reportDeparture(const std::string& service, const std::string& address, uint64_t incarnation)
+{
+    std::shared_ptr<const ConfigurationSnapshot> configuration;
+    {
+        RcuReadGuard guard;
+        configuration = this->requestTable.read(guard).configuration;
+    }
+    auto targets = configuration->targets.find(service);
+    if (targets == configuration->targets.end())
+        return;
+    for (const wire::TargetRecord& record : targets->second) {
+        if (record.address() != address || record.incarnation() != incarnation || record.state() != wire::TARGET_SERVING)
+            continue;
+        wire::Command command;
+        wire::TargetRecord& leaving = *command.mutable_change_target()->mutable_target();
+        leaving = record;
+        leaving.set_state(wire::TARGET_DRAINING);
+        this->leader.sendCommand(std::move(command), departureReportTimeout, [](const wire::CommandResult&) {});
+    }
+}
+
 void Gateway::updateGauges() const
 {
     TimePoint now = MillisecondClock::now();
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -11,6 +11,7 @@
 #include "kingcup/Metrics.h"
 #include "kingcup/Rcu.h"
 #include "kingcup/Settings.h"
+#include "kingcup/TargetNotice.h"
 #include "kingcup/UpstreamClient.h"
 
 #include <atomic>
@@ -61,6 +62,12 @@
     /** Records load reports of targets that other VMs observed. Reports for unknown services are ignored. */
     void recordLoads(const std::vector<wire::TargetLoad>& loads);
 
+    /**
+     * Records the statements of a target in an answer. Its first statement that it leaves is also reported to control, from which the
+     * target may be cut off. Returns whether this was such a statement.
+     */
+    bool recordTargetNotice(const RequestTableRow& service, const std::string& address, uint64_t incarnation, const TargetNotice& notice, TimePoint now);
+
     /** Updates the gauges of all services. */
     void updateGauges() const;
 
@@ -90,6 +97,7 @@
     uint32_t assumedVms; ///< Number of entry VMs that probe budgets assume while the number of live ones is unknown.
     void addServices(const ConfigurationSnapshot& configuration, RequestTable& next);
     void addRoutes(const ConfigurationSnapshot& configuration, RequestTable& next) const;
+    void reportDeparture(const std::string& service, const std::string& address, uint64_t incarnation);
 
     uint64_t seed; ///< Seed of the random numbers.
     std::optional<RetryBudgetLimits> retryBudget; ///< Retry budget shared by all entry VMs; empty if none is set.
--- a/programs/kingcupswitchd/entry/Prober.cpp
+++ b/programs/kingcupswitchd/entry/Prober.cpp
@@ -2,6 +2,7 @@
 #include "Prober.h"
 
 #include "kingcup/HttpRules.h"
+#include "kingcup/JsonLog.h"
 
 namespace kingcup {
 
@@ -41,12 +42,12 @@
             continue;
         for (const std::string& address : row.runtime->router.leastRecentlyReported(targetsPerRound, now)) {
             if (row.runtime->takeProbe(address, probeBytes, now))
-                this->sendProbe(row.runtime, row.service->name, address);
+                this->sendProbe(row, address);
         }
     }
 }
 
-void Prober::sendProbe(const std::shared_ptr<ServiceRuntime>& runtime, const std::string& service, const std::string& address)
+void Prober::sendProbe(const RequestTableRow& row, const std::string& address)
 {
     UpstreamRequest request;
     request.address = address;
@@ -56,16 +57,21 @@
     request.connectTimeout = probeTimeout;
     request.deadline = MillisecondClock::now() + probeTimeout;
     request.headers.add("Host", address);
-    request.onHead = [runtime, address](const HttpAnswerHead& head) {
+    std::optional<uint64_t> incarnation = row.runtime->router.incarnationOf(address);
+    request.onHead = [this, row, address, incarnation](const HttpAnswerHead& head) {
+        TimePoint now = MillisecondClock::now();
+        TargetNotice notice = parseTargetNotice(head, this->gateway.edge.headers.leaving);
+        if (incarnation && this->gateway.recordTargetNotice(row, address, *incarnation, notice, now))
+            logLine(LogLevel::Info, "target_leaving", { { "service", row.service->name }, { "target", address } });
         std::optional<std::string_view> value = head.headers.find(headerLoad);
         std::optional<LoadReport> load = value ? parseLoadReport(*value) : std::nullopt;
         if (load)
-            runtime->router.recordReport(address, *load, Milliseconds(0), MillisecondClock::now());
+            row.runtime->router.recordReport(address, *load, Milliseconds(0), now);
     };
     request.onData = [](std::string_view) { return true; };
     request.onEnd = [](const UpstreamResult&) {};
     this->gateway.upstream.start(std::move(request));
-    this->gateway.metrics.incrementCounter("kingcup_probes_total", service);
+    this->gateway.metrics.incrementCounter("kingcup_probes_total", row.service->name);
 }
 
 } // namespace kingcup
--- a/programs/kingcupswitchd/entry/Prober.h
+++ b/programs/kingcupswitchd/entry/Prober.h
@@ -15,7 +15,7 @@
 
 private:
     void probeTargets();
-    void sendProbe(const std::shared_ptr<ServiceRuntime>& runtime, const std::string& service, const std::string& address);
+    void sendProbe(const RequestTableRow& row, const std::string& address);
 
     Gateway& gateway; ///< Gateway whose services are probed and whose client sends the probes.
 };
--- a/testing/FakeTarget.cpp
+++ b/testing/FakeTarget.cpp
@@ -169,7 +169,7 @@
     FakeTargetFaults faults = this->faults();
     std::string callId = request.find("X-Call-Id");
     if (this->happens(faults.shedShare))
-        return socket.sendAll(this->makeAnswer(503, makeEchoBody(callId, request.body, 0)).encode());
+        return socket.sendAll(this->shedRequest(makeEchoBody(callId, request.body, 0)).encode());
     if (this->happens(faults.failFastShare))
         return socket.sendAll(this->makeAnswer(500, makeEchoBody(callId, request.body, 0)).encode());
     std::string answer = this->runRequest(request).encode();
@@ -182,6 +182,17 @@
     return socket.sendAll(answer) && request.find("Connection") != "close";
 }
 
+/** Counts a request that is turned away and makes its answer. */
+HttpMessage FakeTarget::shedRequest(std::string body)
+{
+    HttpMessage answer = this->makeAnswer(503, std::move(body));
+    std::lock_guard lock(this->mutex);
+    ++this->counters.shed;
+    if (!this->currentFaults.shedRetryAfter.empty())
+        answer.add("Retry-After", this->currentFaults.shedRetryAfter);
+    return answer;
+}
+
 /** Counts a probe and answers it with the load. */
 HttpMessage FakeTarget::answerProbe()
 {
@@ -280,6 +291,9 @@
     answer.startLine = "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Fault");
     answer.add("Content-Type", body.starts_with('{') ? jsonType : "text/plain");
     answer.add("Kingcup-Load", load);
+    std::lock_guard lock(this->mutex);
+    if (!this->currentFaults.leavingHeader.empty())
+        answer.add("Kingcup-Leaving", this->currentFaults.leavingHeader);
     answer.body = std::move(body);
     return answer;
 }
--- a/testing/FakeTarget.h
+++ b/testing/FakeTarget.h
@@ -38,6 +38,8 @@
     double stragglerFactor = 1; ///< Multiplies each run time.
     double failFastShare = 0; ///< Requests answered 500 at once, without running.
     double shedShare = 0; ///< Requests answered 503 at once, without running.
+    std::string shedRetryAfter; ///< Retry-After of answers by shedShare; empty: none.
+    std::string leavingHeader; ///< Kingcup-Leaving of every answer; empty: none.
     double closeShare = 0; ///< Requests that run and whose connection is closed without an answer.
     bool closeOnlyReused = false; ///< Whether closeShare applies to kept-alive connections only.
     double truncateShare = 0; ///< Answers cut in the middle.
@@ -63,6 +65,7 @@
 struct FakeTargetStats {
     uint64_t executions = 0; ///< Requests that started to run.
     uint64_t probes = 0; ///< GET /load.
+    uint64_t shed = 0; ///< Requests answered by shedShare.
     uint64_t connections = 0; ///< Accepted connections.
     uint64_t announcements = 0; ///< Announcements that were accepted.
     uint64_t refusedAnnouncements = 0; ///< Announcements that were answered otherwise or not at all.
@@ -112,6 +115,7 @@
     void serve(Connection& connection);
     bool answerRequest(Connection& connection, const HttpMessage& request, bool reused);
     bool answerControl(HttpStream& stream, const HttpMessage& request);
+    HttpMessage shedRequest(std::string body);
     HttpMessage answerProbe();
     HttpMessage runRequest(const HttpMessage& request);
     void waitForSlot(std::unique_lock<std::mutex>& lock);
--- a/testing/FakeTargetControl.cpp
+++ b/testing/FakeTargetControl.cpp
@@ -32,6 +32,8 @@
         { "stragglerFactor", faults.stragglerFactor },
         { "failFastShare", faults.failFastShare },
         { "shedShare", faults.shedShare },
+        { "shedRetryAfter", faults.shedRetryAfter },
+        { "leavingHeader", faults.leavingHeader },
         { "closeShare", faults.closeShare },
         { "closeOnlyReused", faults.closeOnlyReused },
         { "truncateShare", faults.truncateShare },
@@ -49,6 +51,8 @@
     take(json, "stragglerFactor", faults.stragglerFactor);
     take(json, "failFastShare", faults.failFastShare);
     take(json, "shedShare", faults.shedShare);
+    take(json, "shedRetryAfter", faults.shedRetryAfter);
+    take(json, "leavingHeader", faults.leavingHeader);
     take(json, "closeShare", faults.closeShare);
     take(json, "closeOnlyReused", faults.closeOnlyReused);
     take(json, "truncateShare", faults.truncateShare);
@@ -63,6 +67,7 @@
     json = {
         { "executions", stats.executions },
         { "probes", stats.probes },
+        { "shed", stats.shed },
         { "connections", stats.connections },
         { "announcements", stats.announcements },
         { "refusedAnnouncements", stats.refusedAnnouncements },
@@ -76,6 +81,7 @@
 {
     take(json, "executions", stats.executions);
     take(json, "probes", stats.probes);
+    take(json, "shed", stats.shed);
     take(json, "connections", stats.connections);
     take(json, "announcements", stats.announcements);
     take(json, "refusedAnnouncements", stats.refusedAnnouncements);
