Add: [Entry] Calls wait for the first configuration after a start

Cause: after a loss of power of all VMs, entry VMs answer callers 0.5 to 2 s before they have a configuration. The lease is set before the configuration is published, so that released calls find it.

--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -13,6 +13,7 @@
 constexpr size_t bodyChunkBytes = 64u << 10;
 constexpr size_t maxBufferedBodyBytes = 256u << 10; ///< Bodies up to this size are buffered so that the request can be retried; larger ones are streamed.
 constexpr Milliseconds defaultRetryAfter { 1000 };
+constexpr Milliseconds assumedCallDuration { 5000 }; ///< Of a caller that states no deadline, before its kind is known.
 constexpr Milliseconds stoppingRetryAfter { 10 }; ///< Short, since the other VMs serve as usual.
 constexpr Milliseconds isolatedRetryAfter { 250 }; ///< Short, since other VMs may have the configuration, and this VM receives it as soon as there is a leader.
 
@@ -46,9 +47,19 @@
     this->executor.post([self = this->shared_from_this()] { self->processRequest(); });
 }
 
-/** Matches and checks the request, then reads its body. */
+/** Parses the request header and matches the request. */
 void Call::processRequest()
 {
+    this->parameters = parseCallParameters(this->exchange->head().headers, this->gateway.edge.headers);
+    this->setExchangeHooks();
+    this->matchRequest();
+}
+
+/** Matches and checks the request, then reads its body. Without a configuration the call may wait for it. */
+void Call::matchRequest()
+{
+    if (this->hasEnded)
+        return;
     const HttpRequestHead& head = this->exchange->head();
     {
         RcuReadGuard guard;
@@ -56,16 +67,31 @@
         this->match = table.match(head.headers.find("Host").value_or(""), head.method, head.path);
         this->manifestNumber = table.configuration->manifestNumber;
     }
-    this->parameters = parseCallParameters(head.headers, this->gateway.edge.headers);
-    this->setExchangeHooks();
     ResultCode code = this->checkRequest();
+    bool lacksConfiguration = code == ResultCode::Isolated && !this->manifestNumber;
+    if (lacksConfiguration && this->waitForConfiguration())
+        return;
     if (code != ResultCode::Ok) {
-        this->refuse(code, retryAfterOf(code));
+        this->refuse(code, lacksConfiguration ? this->gateway.startupRetryAfter() : retryAfterOf(code));
         return;
     }
     this->readBody();
 }
 
+/** Waits for the first configuration of this VM. Returns false if the call may not wait. */
+bool Call::waitForConfiguration()
+{
+    TimePoint assumedDeadline = this->arrivalTime + this->parameters.deadline.value_or(assumedCallDuration);
+    return this->gateway.waitForConfiguration(this->id, assumedDeadline, [self = this->shared_from_this()](bool isConfigured) {
+        self->executor.post([self, isConfigured] {
+            if (isConfigured)
+                self->matchRequest();
+            else
+                self->refuse(ResultCode::Isolated, self->gateway.startupRetryAfter());
+        });
+    });
+}
+
 /** Returns the reason for an immediate refusal, or Ok. Sets the deadline. */
 ResultCode Call::checkRequest()
 {
@@ -116,7 +142,7 @@
 /** Reads the available body bytes until the body is complete or too large to be buffered. After that, resumes the attempts that stream the body. */
 void Call::readBody()
 {
-    if (this->hasEnded)
+    if (this->hasEnded || !this->match.service)
         return;
     if (this->isBodyReady) {
         for (const AttemptPointer& attempt : this->attempts)
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -33,6 +33,8 @@
 
     // Before the first attempt (Call.cpp).
     void processRequest();
+    void matchRequest();
+    bool waitForConfiguration();
     ResultCode checkRequest();
     void setExchangeHooks();
     void readBody();
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -71,11 +71,14 @@
     this->nextSessionRequest = now + this->settings.sessionInterval;
     this->leader.setLeader(envelope.sender_vm());
     this->leader.setControlVms({ answer.control_vms().begin(), answer.control_vms().end() });
-    if (this->configuration.receiveAnswer(envelope.request_id(), answer, now)) {
+    bool hasChanged = this->configuration.receiveAnswer(envelope.request_id(), answer, now);
+    // Calls that wait for the first configuration are checked against the lease when it is published.
+    this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
+    if (hasChanged) {
         this->publishConfiguration();
+        this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
         this->sendSessionRequest(now);
     }
-    this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
     return true;
 }
 
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -53,6 +53,7 @@
     , seed(seed)
     , retryBudget(settings.retryBudget)
     , routeMeasuringBudget(settings.routeMeasuringBudget)
+    , startupQueue(MillisecondClock::now(), RandomSource(seed))
 {
 }
 
@@ -72,7 +73,68 @@
     next->configuration = std::move(configuration);
     logLine(LogLevel::Info, "configuration_in_force", { { "index", next->configuration->index }, { "manifest", next->configuration->manifestNumber } });
     this->metrics.setGauge("kingcup_manifest_number", static_cast<double>(next->configuration->manifestNumber));
+    bool hasManifest = next->configuration->manifestNumber > 0;
     this->requestTable.replace(std::move(next));
+    if (hasManifest)
+        this->releaseWaitingCalls();
+}
+
+bool Gateway::waitForConfiguration(uint64_t callId, TimePoint callDeadline, std::function<void(bool isConfigured)> resume)
+{
+    {
+        std::lock_guard<std::mutex> lock(this->startupMutex);
+        if (!this->isConfigured) {
+            std::optional<TimePoint> end = this->startupQueue.enter(callDeadline, MillisecondClock::now());
+            if (!end)
+                return false;
+            TimerId timer = this->timers.schedule(*end, [this, callId] { this->endWait(callId); });
+            this->waitingCalls[callId] = { std::move(resume), timer };
+            return true;
+        }
+    }
+    resume(true);
+    return true;
+}
+
+Milliseconds Gateway::startupRetryAfter()
+{
+    std::lock_guard<std::mutex> lock(this->startupMutex);
+    return this->startupQueue.retryAfter(MillisecondClock::now());
+}
+
+/** Ends the wait of a call without a configuration. */
+void Gateway::endWait(uint64_t callId)
+{
+    std::function<void(bool)> resume;
+    {
+        std::lock_guard<std::mutex> lock(this->startupMutex);
+        auto call = this->waitingCalls.find(callId);
+        if (call == this->waitingCalls.end())
+            return;
+        resume = std::move(call->second.resume);
+        this->waitingCalls.erase(call);
+        this->startupQueue.leave();
+    }
+    resume(false);
+}
+
+/** Resumes the calls that wait for the first configuration, in the order of their arrival. */
+void Gateway::releaseWaitingCalls()
+{
+    std::map<uint64_t, WaitingCall> calls;
+    {
+        std::lock_guard<std::mutex> lock(this->startupMutex);
+        this->isConfigured = true;
+        calls.swap(this->waitingCalls);
+        for (size_t i = 0; i < calls.size(); ++i)
+            this->startupQueue.leave();
+    }
+    if (!calls.empty())
+        logLine(LogLevel::Info, "waiting_calls_released", { { "calls", calls.size() } });
+    for (auto& [id, call] : calls) {
+        this->timers.cancel(call.timer);
+        call.resume(true);
+    }
 }
 
 /** Adds the services. Those that are in the table in force keep their runtime, with its queue and estimates. */
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -11,11 +11,14 @@
 #include "kingcup/Metrics.h"
 #include "kingcup/Rcu.h"
 #include "kingcup/Settings.h"
+#include "kingcup/StartupQueue.h"
 #include "kingcup/TargetNotice.h"
 #include "kingcup/UpstreamClient.h"
 
 #include <atomic>
+#include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -35,6 +38,15 @@
     /** Puts a configuration in force for new calls. Calls in flight keep the one they started with. */
     void applyConfiguration(std::shared_ptr<const ConfigurationSnapshot> configuration);
 
+    /**
+     * Makes a call wait for the first configuration of this VM. Returns false if the call must be refused at once.
+     * @param resume Called once from any thread: true when there is a configuration, false when the wait has ended without one.
+     */
+    bool waitForConfiguration(uint64_t callId, TimePoint callDeadline, std::function<void(bool isConfigured)> resume);
+
+    /** Returns the delay after which a caller may return that was refused for lack of a configuration. */
+    Milliseconds startupRetryAfter();
+
     /** Sets the end of the lease and the number of live entry VMs, 0 if unknown. */
     void setLease(TimePoint end, uint32_t liveVms);
 
@@ -92,6 +104,14 @@
     std::atomic<uint64_t> activeCalls { 0 }; ///< Number of calls that have not ended.
 
 private:
+    /** Call that waits for the first configuration. */
+    struct WaitingCall {
+        std::function<void(bool)> resume;
+        TimerId timer = 0; ///< Timer of the end of the wait.
+    };
+    void endWait(uint64_t callId);
+    void releaseWaitingCalls();
+
     std::string availabilityZone; ///< Availability zone of this VM.
     Milliseconds leaseTerm; ///< Duration of an entry VM's lease.
     uint32_t assumedVms; ///< Number of entry VMs that probe budgets assume while the number of live ones is unknown.
@@ -107,6 +127,10 @@
     std::atomic<double> stopEndMs { std::numeric_limits<double>::infinity() }; ///< Time by which this VM stops, in milliseconds of the monotonic clock; infinite while no stop has begun.
     std::atomic<double> leaseEndMs { 0 }; ///< End of the lease, in milliseconds of the monotonic clock; 0: no lease yet.
     mutable std::mutex configurationMutex; ///< Serialises applyConfiguration().
+    std::mutex startupMutex; ///< Guards the members below.
+    StartupQueue startupQueue; ///< Decides which calls wait for the first configuration.
+    std::map<uint64_t, WaitingCall> waitingCalls; ///< Calls that wait, by id.
+    bool isConfigured = false; ///< Whether a manifest is in force.
 };
 
 } // namespace kingcup
