Fix: [Process] Timeouts from before an election do not end the knowledge of the leader

Change: LeaderSearch counts a timeout only of a request that was sent after the latest statement that this VM is the leader. Result: LeaderSearchTest.ignoresTimeoutsFromBeforeTheElection.

--- a/packages/coordination/include/kingcup/LeaderSearch.h
+++ b/packages/coordination/include/kingcup/LeaderSearch.h
@@ -1,6 +1,7 @@
 /** @file LeaderSearch.h Selection of the control VM that receives a client's requests. */
 #pragma once
 
+#include "kingcup/MillisecondClock.h"
 #include "kingcup/ReplicatedLogTypes.h"
 
 #include <vector>
@@ -24,8 +25,14 @@
     VmId leader() const { return this->knownLeader; } ///< Last known leader; 0 for none.
     VmId preferredVm() const; ///< Control VM that receives the next request; 0 without any control VM.
 
-    /** Records that a VM is the leader. Returns whether the known leader changed. */
-    bool recordLeader(VmId vm);
+    /** Records that a VM is the leader. Returns whether the known leader changed. @param now Time of the statement. */
+    bool recordLeader(VmId vm, TimePoint now = {});
+
+    /**
+     * Records that a VM did not answer a request. Returns whether requests now go to another VM. A request that was sent before the
+     * latest statement that this VM is the leader does not count: the VM may have had no leadership yet.
+     */
+    bool recordTimeout(VmId vm, TimePoint sentTime);
 
     /** Records that a VM did not answer, or is not the leader and could not name it. Returns whether requests now go to another VM. */
     bool recordFailure(VmId vm);
@@ -34,6 +41,7 @@
     std::vector<VmId> controlVms; ///< In the order in which they are tried.
     size_t position = 0; ///< Counter that selects the control VM, modulo their number, while no leader is known.
     VmId knownLeader = 0; ///< 0: none.
+    TimePoint leaderStatedTime {}; ///< Latest time at which it was recorded as the leader.
 };
 
 } // namespace kingcup
--- a/packages/coordination/src/LeaderSearch.cpp
+++ b/packages/coordination/src/LeaderSearch.cpp
@@ -25,8 +25,15 @@
     return this->controlVms[this->position % this->controlVms.size()];
 }
 
-bool LeaderSearch::recordLeader(VmId vm)
+bool LeaderSearch::recordTimeout(VmId vm, TimePoint sentTime)
 {
+    bool precedesStatement = vm == this->knownLeader && sentTime <= this->leaderStatedTime;
+    return !precedesStatement && this->recordFailure(vm);
+}
+
+bool LeaderSearch::recordLeader(VmId vm, TimePoint now)
+{
+    this->leaderStatedTime = now;
     return std::exchange(this->knownLeader, vm) != vm;
 }
 
--- a/packages/coordination/tests/ChangesCacheTest.cpp
+++ b/packages/coordination/tests/ChangesCacheTest.cpp
@@ -8,6 +8,7 @@
 #include "testing/Story.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 using namespace kingcup;
 using namespace kingcup::testing;
@@ -20,7 +21,8 @@
     Documents documents;
     for (size_t i = 0; i < count; ++i) {
         std::string name = "service-" + std::to_string(i);
-        documents[name] = R"({"name":")" + name + R"(","pathPrefix":"/)" + name + R"(/","kinds":[{"name":"read","method":"GET","path":"/)" + name + R"(/*","repeatable":true,"deadlineMs":3000,"mayWaitMs":1000}]})";
+        nlohmann::json kind = { { "name", "read" }, { "method", "GET" }, { "path", "/" + name + "/*" }, { "repeatable", true }, { "deadlineMs", 3000 }, { "mayWaitMs", 1000 } };
+        documents[name] = nlohmann::json({ { "name", name }, { "pathPrefix", "/" + name + "/" }, { "kinds", { kind } } }).dump();
     }
     return documents;
 }
--- a/packages/coordination/tests/LeaderSearchTest.cpp
+++ b/packages/coordination/tests/LeaderSearchTest.cpp
@@ -66,6 +66,28 @@
 
 } // namespace
 
+// Requests of a whole fleet that were sent before the election time out one after the other once there is a leader.
+TEST(LeaderSearchTest, ignoresTimeoutsFromBeforeTheElection)
+{
+    LeaderSearch search(controlVms);
+    section("a request that was sent before a VM was known as the leader does not end the search's knowledge of it", [&] {
+        search.recordLeader(leaderVm, timeAt(500));
+        for (double sentMs : { 100.0, 300.0, 500.0 })
+            EXPECT_FALSE(search.recordTimeout(leaderVm, timeAt(sentMs))) << sentMs;
+        EXPECT_EQ(search.leader(), leaderVm);
+    });
+    section("a request that was sent later does", [&] {
+        EXPECT_TRUE(search.recordTimeout(leaderVm, timeAt(501)));
+        EXPECT_EQ(search.leader(), 0u);
+        EXPECT_NE(search.preferredVm(), leaderVm);
+    });
+    section("without a known leader every timeout of the preferred VM moves on to the next one", [&] {
+        VmId first = search.preferredVm();
+        EXPECT_TRUE(search.recordTimeout(first, timeAt(1)));
+        EXPECT_NE(search.preferredVm(), first);
+    });
+}
+
 TEST(LeaderSearchTest, findsTheLeader)
 {
     section("control VMs are tried in turn until the leader is known", [] {
--- a/programs/kingcupswitchd/process/LeaderClient.cpp
+++ b/programs/kingcupswitchd/process/LeaderClient.cpp
@@ -96,6 +96,7 @@
 void LeaderClient::send(PendingRequest& pending, TimePoint now)
 {
     pending.resendTime = now + resendInterval * static_cast<double>(1 + pending.request.ByteSizeLong() / bytesPerResendInterval);
+    pending.sentTime = now;
     pending.sentTo = this->preferredVm();
     pending.isRefused = false;
     this->hub.send(pending.sentTo, pending.request);
@@ -103,7 +104,7 @@
 
 void LeaderClient::setLeader(uint32_t vm)
 {
-    if (!this->search.recordLeader(vm))
+    if (!this->search.recordLeader(vm, MillisecondClock::now()))
         return;
     this->knownLeader = vm;
     if (vm)
@@ -113,8 +114,13 @@
 
 void LeaderClient::recordFailure(uint32_t vm)
 {
-    if (!this->search.recordFailure(vm))
-        return;
+    if (this->search.recordFailure(vm))
+        this->useNextVm();
+}
+
+/** Connects to the VM that is preferred after the failure of another. */
+void LeaderClient::useNextVm()
+{
     if (uint32_t lost = this->knownLeader.exchange(0))
         logLine(LogLevel::Warning, "leader_lost", { { "leader", lost } });
     this->connect(this->preferredVm());
@@ -173,8 +179,8 @@
             continue;
         }
         if (now >= pending.resendTime) {
-            if (!pending.isRefused)
-                this->recordFailure(pending.sentTo);
+            if (!pending.isRefused && this->search.recordTimeout(pending.sentTo, pending.sentTime))
+                this->useNextVm();
             this->send(pending, now);
         }
         ++entry;
--- a/programs/kingcupswitchd/process/LeaderClient.h
+++ b/programs/kingcupswitchd/process/LeaderClient.h
@@ -62,6 +62,7 @@
         wire::Envelope request; ///< Request to resend.
         Done done; ///< Receives the answer or the timeout.
         TimePoint deadline {}; ///< Time at which the request fails with CommandTimeout.
+        TimePoint sentTime {}; ///< Time of the latest transmission.
         TimePoint resendTime {}; ///< Time of the next transmission.
         uint32_t sentTo = 0; ///< Control VM that the request was last sent to.
         bool isRefused = false; ///< Whether that control VM answered that it cannot execute the request.
@@ -69,6 +70,7 @@
     void send(PendingRequest& pending, TimePoint now);
     bool retryRefused(const wire::Envelope& answer, PendingRequest& pending);
 
+    void useNextVm();
     void connect(VmId vm);
 
     LinkHub& hub; ///< Links to the control VMs.
