Change: [Entry] Requests that come late to their search compare targets

Cause: the latest start of a search counts from the arrival of a call. Change: limitsOfSearch, now without I/O in coordination, gives a search at least 40 ms from its start. Result: TargetSearchTest.comparesTargetsForLateRequests (slow machines in over 400 of 2,000 searches with one probe, under 60 now).

--- a/packages/coordination/include/kingcup/TargetSearch.h
+++ b/packages/coordination/include/kingcup/TargetSearch.h
@@ -22,6 +22,22 @@
     std::optional<Milliseconds> usualServiceTime; ///< Duration of the work on a free target of usual speed; empty: unknown.
 };
 
+/** Times of a request, from which the limits of its search follow. */
+struct SearchTimes {
+    TimePoint arrival {}; ///< Arrival of the request at this VM.
+    TimePoint searchStart {}; ///< Start of its first search.
+    TimePoint deadline = TimePoint::max(); ///< End of the time that the caller waits.
+    Milliseconds objective { 0 }; ///< Time after the arrival within which the caller wants the answer.
+    std::optional<Milliseconds> usualServiceTime; ///< Duration of the work on a free target of usual speed; empty: unknown.
+};
+
+/**
+ * Returns the limits of a search. A request that comes to its search late, such as one that waited for the first configuration of the
+ * VM, still gets the time for a few probes: without them a quarter or more of such requests would go to a slow machine and hold its
+ * slots several times as long.
+ */
+TargetSearchLimits limitsOfSearch(const SearchTimes& times);
+
 /** Next action of a search. */
 enum class SearchStep {
     Wait, ///< Wait for an answer or until nextEventTime().
--- a/packages/coordination/src/TargetSearch.cpp
+++ b/packages/coordination/src/TargetSearch.cpp
@@ -19,8 +19,25 @@
 constexpr double nearlyFullShare = 0.8; ///< Share of busy slots above which a target slows down.
 constexpr double nearlyFullFactor = 1.7; ///< Relative duration of a request on a nearly full target.
 
+constexpr double searchObjectiveShare = 0.125; ///< Share of the objective that a search may take while the usual time of the work is unknown.
+constexpr double workTimeFactor = 1.25; ///< Multiple of the usual time of the work that must fit between the latest start and the objective.
+constexpr Milliseconds minSearchTime { 40 }; ///< Suffices for three or more probes.
+
 } // namespace
 
+TargetSearchLimits limitsOfSearch(const SearchTimes& times)
+{
+    TargetSearchLimits limits;
+    limits.usualServiceTime = times.usualServiceTime;
+    limits.objectiveEnd = std::min(times.arrival + times.objective, times.deadline);
+    if (limits.usualServiceTime)
+        limits.latestStart = limits.objectiveEnd - *limits.usualServiceTime * workTimeFactor;
+    else
+        limits.latestStart = times.arrival + times.objective * searchObjectiveShare;
+    limits.latestStart = std::max(limits.latestStart, std::min(times.searchStart + minSearchTime, times.deadline));
+    return limits;
+}
+
 TargetSearch::TargetSearch(const TargetSearchLimits& limits, uint32_t earlierUnprobedRounds)
     : limits(limits)
     , earlierUnprobedRounds(earlierUnprobedRounds)
--- a/packages/coordination/tests/TargetSearchTest.cpp
+++ b/packages/coordination/tests/TargetSearchTest.cpp
@@ -196,6 +196,48 @@
     });
 }
 
+// After a loss of power, calls wait for the first configuration of their VM, and come to their search together and late.
+TEST(TargetSearchTest, comparesTargetsForLateRequests)
+{
+    auto timesOf = [](double arrivalMs, double searchStartMs, std::optional<Milliseconds> usualServiceTime) {
+        return SearchTimes { timeAt(arrivalMs), timeAt(searchStartMs), timeAt(arrivalMs + 6000), Milliseconds(1200), usualServiceTime };
+    };
+    section("a request that comes in time has until its objective, less the time of the work", [&] {
+        EXPECT_EQ(limitsOfSearch(timesOf(0, 1, Milliseconds(400))).latestStart, timeAt(700));
+        EXPECT_EQ(limitsOfSearch(timesOf(0, 1, std::nullopt)).latestStart, timeAt(150));
+        EXPECT_EQ(limitsOfSearch(timesOf(0, 1, std::nullopt)).objectiveEnd, timeAt(1200));
+    });
+    section("one that comes late still compares targets, but not beyond its deadline", [&] {
+        EXPECT_EQ(limitsOfSearch(timesOf(0, 900, std::nullopt)).latestStart, timeAt(940));
+        EXPECT_EQ(limitsOfSearch(timesOf(0, 2000, Milliseconds(400))).latestStart, timeAt(2040));
+        EXPECT_EQ(limitsOfSearch(timesOf(0, 5980, Milliseconds(400))).latestStart, timeAt(6000));
+    });
+    section("such requests go to slow machines as seldom as others", [&] {
+        uint64_t seed = testSeed(1);
+        NoisyFleet fleet(seed, 0.25);
+        RandomSource random(seed);
+        auto countSlow = [&](const TargetSearchLimits& limits) {
+            int slow = 0;
+            for (int request = 0; request < 2000; request++) {
+                std::vector<LoadReport> reports;
+                reports.reserve(8);
+                for (int candidate = 0; candidate < 8; candidate++)
+                    reports.push_back(reportOf(1, 0, fleet.isSlow(random.below(20), request * 17.0) ? 5 : 1));
+                size_t probeCount = 0;
+                double durationMs = 0;
+                int chosen = searchAmong(reports, limits, probeCount, durationMs);
+                slow += chosen >= 0 && reports[static_cast<size_t>(chosen)].slowdown > 1;
+            }
+            return slow;
+        };
+        TargetSearchLimits before;
+        before.latestStart = timeAt(-1);
+        TargetSearchLimits after = limitsOfSearch(timesOf(-900, 0, std::nullopt));
+        EXPECT_GT(countSlow(before), 400) << "with a single probe";
+        EXPECT_LT(countSlow(after), 60);
+    });
+}
+
 TEST(TargetSearchTest, keepsItsLimits)
 {
     section("if a target does not answer in time, another one is probed", [] {
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -107,6 +107,7 @@
     SerialExecutor executor; ///< Runs the events of this call one after another.
     uint64_t id; ///< Identifies the call in the admission queue and in the log.
     TimePoint arrivalTime; ///< When the call was created, which is once the request header is complete.
+    std::optional<TimePoint> searchStartTime; ///< Start of the first target search; empty: none yet.
     TimePoint deadline {}; ///< Deadline of the whole call, set by checkRequest().
     RequestMatch match; ///< Service and kind of the request; empty when none matches.
     uint64_t manifestNumber = 0; ///< Number of the manifest by which the request was matched.
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -12,8 +12,6 @@
 
 constexpr size_t probeBytes = 400; ///< Estimated size of a probe: request and answer with their headers.
 constexpr size_t maxPicksBeforeUnprobed = 8; ///< If the probe budget is exhausted, a round with this many candidates picks no further one and may use a target without a probe.
-constexpr double searchObjectiveShare = 0.125; ///< Share of the objective that a search may take while the usual time of the work is unknown.
-constexpr double workTimeFactor = 1.25; ///< Multiple of the usual time of the work that must fit between the latest start and the objective.
 constexpr Milliseconds probeTimeout { 100 };
 constexpr double minRetryAfterMs = 20; ///< With a shorter delay, a caller would retry before the load has changed.
 
@@ -28,19 +26,14 @@
 TargetSearchLimits Call::searchLimits() const
 {
     const Kind& kind = *this->match.kind;
-    TargetSearchLimits limits;
-    limits.usualServiceTime = this->match.runtime->typicalProcessingTime(kind.name, MillisecondClock::now());
-    limits.objectiveEnd = std::min(this->arrivalTime + kind.objective, this->deadline);
-    if (limits.usualServiceTime)
-        limits.latestStart = limits.objectiveEnd - *limits.usualServiceTime * workTimeFactor;
-    else
-        limits.latestStart = this->arrivalTime + kind.objective * searchObjectiveShare;
-    return limits;
+    std::optional<Milliseconds> usualTime = this->match.runtime->typicalProcessingTime(kind.name, MillisecondClock::now());
+    return limitsOfSearch({ this->arrivalTime, this->searchStartTime.value_or(MillisecondClock::now()), this->deadline, kind.objective, usualTime });
 }
 
 /** Starts the search with a probe of the target that the router picked. */
 void Call::startSearch(const AttemptPointer& attempt)
 {
+    this->searchStartTime = this->searchStartTime.value_or(MillisecondClock::now());
     attempt->searchRound = std::make_shared<TargetSearchRound>(this->searchLimits());
     this->probeTarget(attempt, attempt->pick);
 }
