--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds stopPollInterval { 10 };
 constexpr Milliseconds handOverTimeout { 2000 };
 constexpr Milliseconds gaugeUpdateInterval { 1000 };
+constexpr Milliseconds controlConnectTimeout { 100 }; ///< Between control VMs, whose links decide how long an election takes after a loss of power. They are few, so that frequent tries cost little.
+constexpr Milliseconds controlReconnectInterval { 50 };
 
 /** Returns a nonzero random number. */
 uint64_t randomNonzero()
@@ -94,6 +96,10 @@
     options.senderIncarnation = this->control ? this->control->incarnation() : this->incarnation;
     options.keys = keys;
     options.listen = this->settings.control ? this->settings.linkListener : "";
+    if (this->settings.control) {
+        options.connectTimeout = controlConnectTimeout;
+        options.maxReconnectInterval = controlReconnectInterval;
+    }
     options.allowedKeys = this->settings.allowedKeys;
     for (VmId vm : this->directory.initialVms()) {
         options.peers.push_back(*this->directory.peer(vm));
