--- a/programs/kingcupswitchd/process/LeaderClient.cpp
+++ b/programs/kingcupswitchd/process/LeaderClient.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Milliseconds resendInterval { 300 }; ///< Time without an answer after which a request is sent to the next control VM.
-constexpr size_t bytesPerResendInterval = 256u << 10; ///< A large request gets one more resend interval for each of these bytes, which it takes to send, check and commit.
+constexpr double bytesPerResendInterval = 256 * 1024; ///< A large request gets one more resend interval for each of these bytes, which it takes to send, check and commit.
 constexpr Milliseconds refusalRetryDelay { 30 }; ///< Delay before a request is resent after a control VM refused it without naming another leader.
 
 /** Result code and leader that an answer contains. */
@@ -95,7 +95,7 @@
 /** Sends a request to the leader, or to the next control VM in turn while no leader is known. */
 void LeaderClient::send(PendingRequest& pending, TimePoint now)
 {
-    pending.resendTime = now + resendInterval * static_cast<double>(1 + pending.request.ByteSizeLong() / bytesPerResendInterval);
+    pending.resendTime = now + resendInterval * (1 + static_cast<double>(pending.request.ByteSizeLong()) / bytesPerResendInterval);
     pending.sentTime = now;
     pending.sentTo = this->preferredVm();
     pending.isRefused = false;
