--- a/packages/coordination/tests/LogNetwork.h
+++ b/packages/coordination/tests/LogNetwork.h
@@ -213,6 +213,8 @@
     VmId slowDiskVm = 0; ///< Member whose syncs take up to 200 ms; 0 if there is none.
     LogIndex snapshotIntervalEntries = 20; ///< Applied entries between snapshots.
     uint64_t sentMessages = 0; ///< Messages sent and not lost.
+    std::function<void(LogNode&)> tickHook; ///< Called after each tick of a member.
+    std::function<void(LogNode& receiver, VmId from, uint64_t fromIncarnation)> messageHook; ///< Called before a member handles a message.
     std::vector<std::string> violations;
     std::set<std::string> acknowledged; ///< Payloads of accepted proposals that a member has applied.
 
@@ -255,6 +257,8 @@
             if (!node.log || node.runNumber != runNumber)
                 return;
             this->processOutput(node, node.log->tick(this->now));
+            if (this->tickHook)
+                this->tickHook(node);
             this->scheduleTick(node, runNumber);
         });
     }
@@ -268,7 +272,10 @@
         for (int copy = 0; copy < copies; ++copy) {
             this->schedule(0.1 + this->random.fraction() * this->maxDelayMs, [this, vm = from.vm, incarnation = from.incarnation, message] {
                 LogNode& node = this->nodes[message.to];
-                if (node.log && !this->blockedLinks.contains({ vm, message.to }))
+                bool isReceived = node.log && !this->blockedLinks.contains({ vm, message.to });
+                if (isReceived && this->messageHook)
+                    this->messageHook(node, vm, incarnation);
+                if (isReceived)
                     this->processOutput(node, node.log->receive(vm, incarnation, message.message, this->now));
             });
         }
--- a/packages/coordination/tests/MembershipPlannerTest.cpp
+++ b/packages/coordination/tests/MembershipPlannerTest.cpp
@@ -36,14 +36,17 @@
         member->set_voter(voter);
     }
 
-    /** Applies planned changes until none is due. Members that are not silent send a message after each. Returns the number of changes. */
+    /** Applies planned changes until none is due, 50 at most. Members that are not silent send a message after each. Returns the number of changes. */
     int applyPlannedChanges(double nowMs)
     {
+        constexpr int maxChanges = 50;
         int changes = 0;
-        while (auto next = this->planner.nextMembership(
-                   this->membership, 1, [this](VmId vm) { return !this->lagging.contains(vm); }, timeAt(nowMs))) {
+        for (; changes < maxChanges; changes++) {
+            auto hasCaughtUp = [this](VmId vm) { return !this->lagging.contains(vm); };
+            std::optional<wire::Membership> next = this->planner.nextMembership(this->membership, 1, hasCaughtUp, timeAt(nowMs));
+            if (!next)
+                break;
             this->membership = *next;
-            changes++;
             for (const wire::Member& member : this->membership.members()) {
                 if (!this->silent.contains({ member.vm_id(), member.incarnation() }))
                     this->planner.recordMessage(member.vm_id(), member.incarnation(), timeAt(nowMs));
@@ -171,6 +174,14 @@
         EXPECT_FALSE(group.isVoter(9, 10));
         EXPECT_EQ(group.membership.members_size(), 6);
     });
+    section("a learner is not removed before it could send a message, however long the leader has been in office", [] {
+        Group group = makeGroup(5);
+        group.silent = { { 2, 10 }, { 2, 11 } };
+        group.lagging = { 2 };
+        group.planner.recordJoinRequest(2, 11, timeAt(25000));
+        EXPECT_EQ(group.applyPlannedChanges(25000), 1);
+        EXPECT_EQ(group.membership.members_size(), 6);
+    });
     section("a learner that has been silent for 20 seconds is removed", [] {
         Group group = makeGroup(5);
         group.add(9, 10, false);
