Fix: [Coordination] A learner counts as silent only from its join request on

Cause: a member that has sent nothing counted as silent since the start of the leadership. A leader in office for 20 s therefore removed each new learner at its next tick and added it again at the one after. A learner gets its first message with a heartbeat round; with rounds every 80 ms and changes every 20 ms it can be absent at every round, so the two stay in step for as long as timing allows. A VM that replaces a lost one at another address then never becomes a voter, and with two more disks lost three of five voters are gone. VMs that come back at their own address are reached by messages to their old incarnation and only lose half a second. Change: a join request counts as a message of its sender.

--- a/packages/coordination/include/kingcup/MembershipPlanner.h
+++ b/packages/coordination/include/kingcup/MembershipPlanner.h
@@ -34,7 +34,10 @@
     /** Discards the message times of an earlier leadership. Timeouts of members count from now. */
     void becomeLeader(TimePoint now);
 
-    /** Records a join request of a process that is not a member. A new incarnation replaces the earlier request of its VM. */
+    /**
+     * Records a join request of a process that is not a member. A new incarnation replaces the earlier request of its VM.
+     * The request counts as a message, so that a learner is not silent from the moment at which it is added.
+     */
     void recordJoinRequest(VmId vm, uint64_t incarnation, TimePoint now);
 
     /** Records the arrival of a message from a member. */
--- a/packages/coordination/src/MembershipPlanner.cpp
+++ b/packages/coordination/src/MembershipPlanner.cpp
@@ -63,6 +63,7 @@
         request = {};
     request.incarnation = incarnation;
     request.receivedAt = now;
+    this->recordMessage(vm, incarnation, now);
 }
 
 void MembershipPlanner::recordMessage(VmId vm, uint64_t incarnation, TimePoint now)
