Fix: [Coordination] A lost control VM is replaced before the next may be lost, although the leader changes

Cause: a voter lost for good was replaced by another VM 5 s after its last message, and each change of leader starts this count again. A VM that is back counts as lost for 4 s; with the leader killed 3 s after the loss the replacement took 8.5 s and more, and two disks lost in between left two of five voters. Change: 2 s, which is longer than a restart takes. The options of a group with seeds are in coordination now, so that the tests use those of the daemon. A VM that was away for longer than 2 s while another VM stands ready joins again as a learner.

--- a/packages/coordination/include/kingcup/MembershipPlanner.h
+++ b/packages/coordination/include/kingcup/MembershipPlanner.h
@@ -22,6 +22,12 @@
     size_t maxLearners = 8; ///< Number of learners at which no unknown VM is added until one is promoted or removed.
 };
 
+/**
+ * Returns the options of a group that VMs join by themselves through seeds. A VM is named by its address there and cannot run
+ * twice, so its old incarnation has ended and is replaced without a timeout.
+ */
+MembershipPlannerOptions seededPlannerOptions(size_t toleratedLosses);
+
 /**
  * Plans single-member changes for the leader of a group. A VM joins as a learner and is promoted to voter once its log has
  * caught up: in place of an old incarnation of the same VM, in place of a voter that timed out, or because the group has
--- a/packages/coordination/src/MembershipPlanner.cpp
+++ b/packages/coordination/src/MembershipPlanner.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/** Longer than a restart takes. Each change of leader starts it again, and the replacement must be a voter before the next VM may be lost. */
+constexpr Milliseconds seededVoterReplacementTimeout { 2000 };
+
 const wire::Member* findMember(const wire::Membership& membership, VmId vm, uint64_t incarnation)
 {
     for (const wire::Member& member : membership.members()) {
@@ -45,6 +48,16 @@
 
 } // namespace
 
+MembershipPlannerOptions seededPlannerOptions(size_t toleratedLosses)
+{
+    MembershipPlannerOptions options;
+    options.wantedVoters = 2 * toleratedLosses + 1;
+    options.mayAdmitUnknownVms = true;
+    options.incarnationReplacementTimeout = Milliseconds(0);
+    options.voterReplacementTimeout = seededVoterReplacementTimeout;
+    return options;
+}
+
 MembershipPlanner::MembershipPlanner(MembershipPlannerOptions options)
     : options(options)
 {
--- a/packages/coordination/tests/MembershipRecoveryTest.cpp
+++ b/packages/coordination/tests/MembershipRecoveryTest.cpp
@@ -15,17 +15,8 @@
 constexpr double joinRequestIntervalMs = 500;
 constexpr double linkOpeningMs = 150; ///< Time after a restart in which no messages are exchanged, because the links are not open.
 constexpr double catchUpMs = 4000; ///< Time after which a VM that lost its disk must be a voter again.
-constexpr VmId groupSize = 5;
-
-MembershipPlannerOptions plannerOptions()
-{
-    MembershipPlannerOptions options;
-    options.wantedVoters = groupSize;
-    options.mayAdmitUnknownVms = true;
-    options.incarnationReplacementTimeout = Milliseconds(0);
-    options.voterReplacementTimeout = Milliseconds(5000);
-    return options;
-}
+constexpr size_t toleratedLosses = 2;
+constexpr VmId groupSize = 2 * toleratedLosses + 1;
 
 ReplicatedLogOptions logOptions()
 {
@@ -74,6 +65,13 @@
     /** Starts a VM that belongs to no group. */
     void startNewVm(VmId vm) { this->loseDisks({ vm }); }
 
+    /** Starts a VM with its disk after a crash. */
+    void startAgain(VmId vm)
+    {
+        this->planners.erase(vm);
+        this->network.start(vm);
+    }
+
     /** Returns whether the running incarnation of a VM is a voter. */
     bool isVoter(VmId vm)
     {
@@ -101,7 +99,7 @@
     LogNetwork network;
 
 private:
-    MembershipPlanner& planner(VmId vm) { return this->planners.try_emplace(vm, plannerOptions()).first->second; }
+    MembershipPlanner& planner(VmId vm) { return this->planners.try_emplace(vm, seededPlannerOptions(toleratedLosses)).first->second; }
 
     void tick(LogNode& node)
     {
@@ -185,3 +183,33 @@
         EXPECT_TRUE(group.network.violations.empty()) << group.network.violations.front();
     }
 }
+
+TEST(MembershipRecoveryTest, newVmReplacesLostOneInTimeAlthoughLeaderChanges)
+{
+    uint64_t first = testSeed(1);
+    for (uint64_t seed = first; seed < first + 40; seed++) {
+        PlannedGroup group(seed);
+        section("seed " + std::to_string(seed), [&] {
+            group.network.runFor(5000);
+            LogNode* leading = group.network.leader();
+            ASSERT_TRUE(leading);
+            VmId formerLeader = leading->vm;
+            VmId lost = formerLeader % groupSize + 1;
+            section("the leader ends three seconds after another VM was lost for good, and starts again", [&] {
+                group.network.crash(lost);
+                group.network.runFor(1000);
+                group.startNewVm(groupSize + 1);
+                group.network.runFor(2000);
+                group.network.crash(formerLeader);
+                group.network.runFor(500);
+                group.startAgain(formerLeader);
+            });
+            section("the new VM is a voter in place of the lost one within the time that the former leader may take to catch up", [&] {
+                group.network.runFor(catchUpMs);
+                EXPECT_TRUE(group.isVoter(groupSize + 1));
+                EXPECT_FALSE(group.isVoter(lost));
+            });
+        });
+        EXPECT_TRUE(group.network.violations.empty()) << group.network.violations.front();
+    }
+}
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -16,7 +16,6 @@
 constexpr Milliseconds diskCheckInterval { 1000 };
 constexpr uint64_t diskReserveBytes = 32u << 20; ///< New commands are refused while less is free, so that accepted ones can still be written.
 constexpr int stateFailureExitCode = 70;
-constexpr Milliseconds voterReplacementTimeout { 5000 }; ///< A voter that has sent nothing for this time may be replaced: longer than a restart takes, shorter than the expected time to the next failure.
 
 /** Ends the process without further cleanup, because its durable or replicated state may be wrong. */
 [[noreturn]] void exitAfterFailure(std::error_code error)
@@ -56,20 +55,13 @@
     return rules;
 }
 
-/**
- * Returns the limits and timeouts of membership changes. With seeds instead of listed control VMs, a VM is named by its address
- * and cannot run twice. Its old incarnation has ended and is replaced without a timeout.
- */
+/** Returns the limits and timeouts of membership changes. */
 MembershipPlannerOptions plannerOptions(const Settings& settings, const ControlDirectory& directory)
 {
+    if (directory.acceptsUnlistedVms())
+        return seededPlannerOptions(settings.toleratedLosses);
     MembershipPlannerOptions options;
     options.wantedVoters = directory.initialVms().size();
-    if (!directory.acceptsUnlistedVms())
-        return options;
-    options.wantedVoters = 2 * settings.toleratedLosses + 1;
-    options.mayAdmitUnknownVms = true;
-    options.incarnationReplacementTimeout = Milliseconds(0);
-    options.voterReplacementTimeout = voterReplacementTimeout;
     return options;
 }
 
