--- a/testing/FakeTarget.cpp
+++ b/testing/FakeTarget.cpp
@@ -294,6 +294,8 @@
     std::lock_guard lock(this->mutex);
     if (!this->currentFaults.leavingHeader.empty())
         answer.add("Kingcup-Leaving", this->currentFaults.leavingHeader);
+    if (!this->currentFaults.limitHeader.empty())
+        answer.add("Kingcup-Limit", this->currentFaults.limitHeader);
     answer.body = std::move(body);
     return answer;
 }
--- a/testing/FakeTargetControl.cpp
+++ b/testing/FakeTargetControl.cpp
@@ -34,6 +34,7 @@
         { "shedShare", faults.shedShare },
         { "shedRetryAfter", faults.shedRetryAfter },
         { "leavingHeader", faults.leavingHeader },
+        { "limitHeader", faults.limitHeader },
         { "closeShare", faults.closeShare },
         { "closeOnlyReused", faults.closeOnlyReused },
         { "truncateShare", faults.truncateShare },
@@ -53,6 +54,7 @@
     take(json, "shedShare", faults.shedShare);
     take(json, "shedRetryAfter", faults.shedRetryAfter);
     take(json, "leavingHeader", faults.leavingHeader);
+    take(json, "limitHeader", faults.limitHeader);
     take(json, "closeShare", faults.closeShare);
     take(json, "closeOnlyReused", faults.closeOnlyReused);
     take(json, "truncateShare", faults.truncateShare);
