Fix: [Entry] Entry VMs together keep to the limit that a target names in its answers

Cause: no part read the statement; a target could only leave or ask for a pause. Change: the edge names the header (Kingcup-Limit; the platform's name is in platform/ only), TargetNotice parses it, and TargetRateLimit, without I/O, spaces the requests of one VM: permits at equal intervals for its share of 70% of the limit among the live entry VMs that may use the target, the first at a random time, none saved below one a second. A VM that does not know the number of VMs assumes 128; the interval follows the number and the limit as they change. Router chooses no target without a permit, also as a last resort; a pick that is not sent gives its permit back. When no target may get a request, it is refused at once with the time until the next permit. The limit ends with an answer to a request that names none. The target in TargetLimitTest works 40 ms, so that calls spread over all targets: with 2 ms they stay on one of them, limit or not.

--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -67,6 +67,7 @@
     uint64_t incarnation = 0;
     std::string instance; ///< Name of the incarnation; empty: it has none.
     uint64_t ticket = 0; ///< Identifies the attempt in finish().
+    bool hasPermit = false; ///< Whether the attempt counts towards the limit that the target named.
     PickReason reason;
 };
 
@@ -83,12 +84,18 @@
      */
     void update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now, uint64_t logTimeMs = 0);
 
-    /** Chooses a target and counts an attempt in flight on it; finish() must follow. Empty if no serving target remains. @param excluded Addresses that must not be chosen. */
+    /**
+     * Chooses a target and counts an attempt in flight on it; finish() or abandon() must follow. Empty if no serving target remains that
+     * may get a request now. @param excluded Addresses that must not be chosen.
+     */
     std::optional<Pick> pick(std::span<const std::string> excluded, TimePoint now);
 
     /** Records the end of an attempt. @param latency Time from sending the request to the first byte of the answer. */
     void finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now);
 
+    /** Records that the attempt was not sent, so that it does not count towards the limit that the target named. */
+    void abandon(const Pick& pick, TimePoint now);
+
     /** Stops using a target, because another instance answers at its address, until update() brings the new incarnation. */
     void markInstanceGone(const Pick& pick);
 
@@ -102,10 +109,22 @@
     /** Records that a target turned a request away and wants none for `delay`. It is not chosen before that. Delays over 60 s are cut. */
     void recordRetryAfter(const std::string& address, uint64_t incarnation, Milliseconds delay, TimePoint now);
 
+    /**
+     * Records the limit that a target named in an answer: the requests a second that it accepts from all entry VMs together. It gets no
+     * request beyond the share of this VM until clearLimit().
+     */
+    void recordLimit(const std::string& address, uint64_t incarnation, double requestsPerSecond, TimePoint now);
+
+    /** Records that a target named no limit in an answer. */
+    void clearLimit(const std::string& address, uint64_t incarnation);
+
+    /** Sets the number of entry VMs that may use the same target, this one included; below 1: unknown, which keeps the earlier number. */
+    void setVmsPerTarget(double vms);
+
     /** Returns the incarnation of the target in use at an address; empty if there is none. */
     std::optional<uint64_t> incarnationOf(const std::string& address) const;
 
-    /** Returns the time until the first target accepts requests again; empty if none has asked for a delay. */
+    /** Returns the time until the first target accepts requests again; empty if none has asked for a delay or named a limit. */
     std::optional<Milliseconds> timeUntilAccepted(TimePoint now) const;
 
     /** Records a load report; ignored for an unknown address or if a newer report is stored. @param age Age of the report on arrival. */
@@ -120,7 +139,7 @@
     /** Returns the slots of the serving targets in the subset of this VM, without those of ejected targets. */
     uint32_t usableSlots(TimePoint now) const;
 
-    /** Returns up to `count` addresses of serving targets for probing, those with the oldest load report first. Targets that leave or accept no requests for a time are left out. */
+    /** Returns up to `count` addresses of serving targets for probing, those with the oldest load report first. Targets that leave, accept no requests for a time or have reached their limit are left out. */
     std::vector<std::string> leastRecentlyReported(size_t count, TimePoint now) const;
 
     /** Returns own observations of the last 5 s to share with other VMs, those that deviate most from the fleet first. */
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -67,6 +67,12 @@
     {
     }
 
+    /** Chooses a target, if need be an ejected or leaving one; null if none may get a request now. */
+    const RoutingEntry* choose(Choice& choice) const;
+
+    /** Returns the entry of an incarnation in use, or null. */
+    static const RoutingEntry* find(const RoutingTable& routingTable, const std::string& address, uint64_t incarnation);
+
     /** Ejects a target, unless this would exceed the configured share of ejected targets. */
     void tryEject(const RoutingTable& routingTable, TargetEstimate& target, double nowMs);
 
@@ -77,11 +83,32 @@
     FleetAverages fleetAverages;
     alignas(64) std::atomic<uint64_t> nextChoice { 0 }; ///< Number of the next choice.
     StripedCounter outstanding; ///< Attempts in flight.
+    std::atomic<double> vmsPerTarget { 1 }; ///< Entry VMs that may use the same target.
     std::mutex updateMutex; ///< Serialises update(), which reads the current table and replaces it.
     std::mutex ejectionMutex; ///< Prevents concurrent ejections from exceeding the allowed share together.
     uint32_t lastSerial = 0; ///< Last serial number given to an estimate; guarded by updateMutex.
 };
 
+const RoutingEntry* Router::State::choose(Choice& choice) const
+{
+    const RoutingEntry* entry = chooseTarget(this->policy, choice);
+    if (!entry) {
+        choice.mayUseEjected = true;
+        entry = chooseTarget(this->policy, choice);
+    }
+    if (!entry) {
+        choice.mayUseLeaving = true;
+        entry = chooseTarget(this->policy, choice);
+    }
+    return entry;
+}
+
+const RoutingEntry* Router::State::find(const RoutingTable& routingTable, const std::string& address, uint64_t incarnation)
+{
+    const RoutingEntry* entry = routingTable.find(address);
+    return entry && entry->target->incarnation == incarnation ? entry : nullptr;
+}
+
 void Router::State::tryEject(const RoutingTable& routingTable, TargetEstimate& target, double nowMs)
 {
     std::lock_guard<std::mutex> lock(this->ejectionMutex);
@@ -121,23 +148,22 @@
     uint64_t number = this->state->nextChoice.fetch_add(1, relaxed);
     ChoiceRandom random(this->state->seed, number);
     this->state->fleetAverages.refresh(table, toMs(now));
-    Choice choice { table, excluded, this->state->fleetAverages, random, number, toMs(now) };
-    const RoutingEntry* entry = chooseTarget(this->state->policy, choice);
-    if (!entry) {
-        choice.mayUseEjected = true;
-        entry = chooseTarget(this->state->policy, choice);
-    }
-    if (!entry) {
-        choice.mayUseLeaving = true;
-        entry = chooseTarget(this->state->policy, choice);
-    }
-    if (!entry)
-        return std::nullopt;
+    double vms = this->state->vmsPerTarget.load(relaxed);
+    Choice choice { table, excluded, this->state->fleetAverages, random, number, toMs(now), vms };
+    const RoutingEntry* entry = nullptr;
+    bool hasPermit = false;
+    do {
+        entry = this->state->choose(choice);
+        if (!entry)
+            return std::nullopt;
+        // Another thread may have taken the permit since the choice.
+        hasPermit = entry->target->rateLimit.isSet() && entry->target->rateLimit.takePermit(vms, toMs(now));
+    } while (entry->target->rateLimit.isSet() && !hasPermit);
     PickReason reason = pickReason(this->state->policy, choice, *entry);
     entry->target->recordStart(toMs(now));
     this->state->outstanding.add(1);
     uint64_t ticket = static_cast<uint64_t>(entry->target->serial) << 32 | (number & 0xffffffff);
-    return Pick { entry->target->address, entry->target->incarnation, entry->target->instance, ticket, reason };
+    return Pick { entry->target->address, entry->target->incarnation, entry->target->instance, ticket, hasPermit, reason };
 }
 
 void Router::finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now)
@@ -155,6 +181,17 @@
         this->state->tryEject(table, *entry->target, toMs(now));
 }
 
+void Router::abandon(const Pick& pick, TimePoint now)
+{
+    this->finish(pick, AttemptOutcome::Cancelled, Milliseconds(0), now);
+    if (!pick.hasPermit)
+        return;
+    RcuReadGuard guard;
+    const RoutingEntry* entry = State::find(this->state->table.read(guard), pick.address, pick.incarnation);
+    if (entry)
+        entry->target->rateLimit.returnPermit();
+}
+
 void Router::markInstanceGone(const Pick& pick)
 {
     RcuReadGuard guard;
@@ -166,18 +203,44 @@
 bool Router::recordLeaving(const std::string& address, uint64_t incarnation, TimePoint now)
 {
     RcuReadGuard guard;
-    const RoutingEntry* entry = this->state->table.read(guard).find(address);
-    return entry && entry->target->incarnation == incarnation && entry->target->recordLeaving(toMs(now));
+    const RoutingEntry* entry = State::find(this->state->table.read(guard), address, incarnation);
+    return entry && entry->target->recordLeaving(toMs(now));
 }
 
 void Router::recordRetryAfter(const std::string& address, uint64_t incarnation, Milliseconds delay, TimePoint now)
 {
     RcuReadGuard guard;
-    const RoutingEntry* entry = this->state->table.read(guard).find(address);
-    if (entry && entry->target->incarnation == incarnation)
+    const RoutingEntry* entry = State::find(this->state->table.read(guard), address, incarnation);
+    if (entry)
         entry->target->recordRetryAfter(toMs(now) + std::min(delay, maxRetryAfter).count());
 }
 
+void Router::recordLimit(const std::string& address, uint64_t incarnation, double requestsPerSecond, TimePoint now)
+{
+    RcuReadGuard guard;
+    const RoutingEntry* entry = State::find(this->state->table.read(guard), address, incarnation);
+    if (!entry)
+        return;
+    ChoiceRandom random(this->state->seed, this->state->nextChoice.fetch_add(1, relaxed));
+    constexpr size_t phases = 1 << 20;
+    double phase = static_cast<double>(random.below(phases)) / phases;
+    entry->target->rateLimit.setLimit(requestsPerSecond, phase, toMs(now));
+}
+
+void Router::clearLimit(const std::string& address, uint64_t incarnation)
+{
+    RcuReadGuard guard;
+    const RoutingEntry* entry = State::find(this->state->table.read(guard), address, incarnation);
+    if (entry)
+        entry->target->rateLimit.clear();
+}
+
+void Router::setVmsPerTarget(double vms)
+{
+    if (vms >= 1)
+        this->state->vmsPerTarget.store(vms, relaxed);
+}
+
 std::optional<uint64_t> Router::incarnationOf(const std::string& address) const
 {
     RcuReadGuard guard;
@@ -189,12 +252,14 @@
 {
     RcuReadGuard guard;
     const RoutingTable& table = this->state->table.read(guard);
+    double vms = this->state->vmsPerTarget.load(relaxed);
     std::optional<Milliseconds> shortest;
     for (size_t i = 0; i < table.servingCount; ++i) {
         const TargetEstimate& target = *table.entries[i].target;
-        if (target.isReplaced() || target.isLeaving() || !target.isDeclining(toMs(now)))
+        bool isLimited = target.rateLimit.isSet();
+        if (target.isReplaced() || target.isLeaving() || (!target.isDeclining(toMs(now)) && !isLimited))
             continue;
-        Milliseconds delay(target.declinedUntil() - toMs(now));
+        Milliseconds delay(std::max({ target.declinedUntil(), target.rateLimit.nextPermitAt(vms), toMs(now) }) - toMs(now));
         shortest = std::min(shortest.value_or(delay), delay);
     }
     return shortest;
@@ -235,10 +300,12 @@
 {
     RcuReadGuard guard;
     const RoutingTable& table = this->state->table.read(guard);
+    double vms = this->state->vmsPerTarget.load(relaxed);
     std::vector<std::pair<double, const std::string*>> order;
     for (size_t i = 0; i < table.servingCount; ++i) {
         const TargetEstimate& target = *table.entries[i].target;
-        if (!target.isLeaving() && !target.isDeclining(toMs(now)))
+        bool mayGetRequest = !target.isLeaving() && !target.isDeclining(toMs(now)) && target.rateLimit.hasPermit(vms, toMs(now));
+        if (mayGetRequest)
             order.emplace_back(target.reportedAtMs.load(relaxed), &target.address);
     }
     std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -295,11 +362,12 @@
             { "latencyMs", target.latency(this->state->fleetAverages.latencyMs.load(relaxed), toMs(now)) },
             { "recentFailures", target.recentFailures(toMs(now)) },
             { "ejected", target.isEjected(toMs(now)) },
+            { "limitPerSecond", target.rateLimit.isSet() ? nlohmann::json(target.rateLimit.limit()) : nlohmann::json() },
             { "ramp", target.slowStartShare(toMs(now)) },
             { "reportedInFlight", target.reportedInFlight.load(relaxed) },
             { "reportAgeMs", std::min(toMs(now) - target.reportedAtMs.load(relaxed), 1e9) } });
     }
-    return nlohmann::json({ { "service", table.service }, { "outstanding", this->outstanding() }, { "targets", targets } }).dump();
+    return nlohmann::json({ { "service", table.service }, { "outstanding", this->outstanding() }, { "vmsPerTarget", this->state->vmsPerTarget.load(relaxed) }, { "targets", targets } }).dump();
 }
 
 } // namespace kingcup
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -26,6 +26,7 @@
 constexpr double maxEjectionMs = 30000;
 constexpr double leavingLastResortMs = 1000; ///< Well below the shortest time for which a leaving target goes on serving.
 constexpr double leavingRetentionMs = 300000; ///< A target that left has ended by then.
+constexpr double limitRetentionMs = 60000; ///< A target that is listed again after this time has got no request for as long.
 constexpr uint32_t minFailuresForEjection = 5;
 constexpr double minFailureShareForEjection = 0.6;
 
@@ -125,7 +126,7 @@
 
 bool TargetEstimate::hasCurrentStatement(double nowMs) const
 {
-    return this->isDeclining(nowMs) || nowMs < this->leavingSinceMs.load(relaxed) + leavingRetentionMs;
+    return this->isDeclining(nowMs) || this->rateLimit.isNamedSince(limitRetentionMs, nowMs) || nowMs < this->leavingSinceMs.load(relaxed) + leavingRetentionMs;
 }
 
 double TargetEstimate::slowStartShare(double nowMs) const
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -1,6 +1,8 @@
 /** @file TargetEstimate.h Estimates of one entry VM about one target. */
 #pragma once
 
+#include "TargetRateLimit.h"
+
 #include "kingcup/Router.h"
 
 #include <atomic>
@@ -102,6 +104,7 @@
     std::atomic<double> reportedSlowdown { 1 }; ///< From the newest report.
     std::atomic<double> reportedLatencyMs { 0 }; ///< Milliseconds, from the newest report; 0: not stated.
     std::atomic<uint32_t> picksSinceReport { 0 }; ///< Own attempts started since the newest report arrived.
+    TargetRateLimit rateLimit; ///< Limit that the target named in its answers.
 
 private:
     static constexpr double foreverMs = std::numeric_limits<double>::infinity(); ///< End of a permanent ejection.
--- a/packages/coordination/tests/RouterTest.cpp
+++ b/packages/coordination/tests/RouterTest.cpp
@@ -367,3 +367,57 @@
         EXPECT_TRUE(fixture.router.pick({}, timeAt(60001)));
     });
 }
+
+// A target in need names the requests a second that it accepts from all VMs together.
+TEST(RouterTest, keepsToTheLimitThatATargetNames)
+{
+    constexpr double vms = 10;
+    section("a target at its limit is not chosen, also when none else is left, and the time until its next permit is known", [] {
+        RouterFixture fixture(2);
+        fixture.router.setVmsPerTarget(vms);
+        fixture.router.recordLimit(addressOf(0), 1, 1, timeAt(0));
+        std::vector<std::string> excluded { addressOf(1) };
+        double next = fixture.router.timeUntilAccepted(timeAt(0)).value_or(Milliseconds(0)).count();
+        EXPECT_FALSE(fixture.router.pick(excluded, timeAt(next - 1)));
+        EXPECT_EQ(fixture.router.leastRecentlyReported(2, timeAt(next - 1)), std::vector<std::string> { addressOf(1) });
+        EXPECT_TRUE(fixture.router.pick(excluded, timeAt(next + 1)));
+        EXPECT_FALSE(fixture.router.pick(excluded, timeAt(next + 1000))) << "the permit is taken";
+    });
+    section("an attempt that was abandoned does not count", [] {
+        RouterFixture fixture(1);
+        fixture.router.setVmsPerTarget(vms);
+        fixture.router.recordLimit(addressOf(0), 1, 1, timeAt(0));
+        std::optional<Pick> pick = fixture.router.pick({}, timeAt(20000));
+        ASSERT_TRUE(pick);
+        EXPECT_TRUE(pick->hasPermit);
+        fixture.router.abandon(*pick, timeAt(20001));
+        EXPECT_TRUE(fixture.router.pick({}, timeAt(20002)));
+        EXPECT_EQ(fixture.router.outstanding(), 1u);
+    });
+    section("an attempt that began before the limit was named gives no permit back", [] {
+        RouterFixture fixture(1);
+        fixture.router.setVmsPerTarget(vms);
+        std::optional<Pick> pick = fixture.router.pick({}, timeAt(0));
+        fixture.router.recordLimit(addressOf(0), 1, 1, timeAt(1));
+        std::optional<Milliseconds> before = fixture.router.timeUntilAccepted(timeAt(2));
+        fixture.router.abandon(*pick, timeAt(2));
+        EXPECT_EQ(fixture.router.timeUntilAccepted(timeAt(2)), before);
+    });
+    section("the limit of another incarnation changes nothing, and a cleared one ends at once", [] {
+        RouterFixture fixture(1);
+        fixture.router.recordLimit(addressOf(0), 2, 0, timeAt(0));
+        EXPECT_TRUE(fixture.router.pick({}, timeAt(1)));
+        fixture.router.recordLimit(addressOf(0), 1, 0, timeAt(2));
+        EXPECT_FALSE(fixture.router.pick({}, timeAt(2)));
+        fixture.router.clearLimit(addressOf(0), 1);
+        EXPECT_TRUE(fixture.router.pick({}, timeAt(3)));
+    });
+    section("an unknown number of VMs leaves the earlier one in effect", [] {
+        RouterFixture fixture(1);
+        fixture.router.setVmsPerTarget(vms);
+        fixture.router.setVmsPerTarget(0);
+        fixture.router.recordLimit(addressOf(0), 1, 1, timeAt(0));
+        EXPECT_TRUE(fixture.router.pick({}, timeAt(20000)));
+        EXPECT_FALSE(fixture.router.pick({}, timeAt(25000)));
+    });
+}
--- a/packages/protocol/include/kingcup/HttpRules.h
+++ b/packages/protocol/include/kingcup/HttpRules.h
@@ -12,6 +12,7 @@
 constexpr std::string_view headerDepth = "Kingcup-Depth"; ///< Both ways: call depth, 0 at the first caller.
 constexpr std::string_view headerLoad = "Kingcup-Load"; ///< From targets: load report.
 constexpr std::string_view headerLeaving = "Kingcup-Leaving"; ///< From targets: 1 in every answer of a target that leaves.
+constexpr std::string_view headerLimit = "Kingcup-Limit"; ///< From targets: requests a second that the target accepts from all entry VMs together, as a decimal number.
 constexpr std::string_view headerRetryAfter = "Retry-After"; ///< To callers: delay in whole seconds. From targets, with status 503: time in seconds, with fractions, for which the target accepts no requests from this VM.
 
 constexpr int maxCallDepth = 8; ///< Calls above this depth are refused with depth_exceeded.
--- a/packages/transport/tests/TargetNoticeTest.cpp
+++ b/packages/transport/tests/TargetNoticeTest.cpp
@@ -16,7 +16,7 @@
     HttpAnswerHead head;
     head.status = status;
     head.headers.add(name, value);
-    return parseTargetNotice(head, "Kingcup-Leaving");
+    return parseTargetNotice(head, { "Kingcup-Leaving", "Kingcup-Limit" });
 }
 
 } // namespace
@@ -33,7 +33,7 @@
             EXPECT_FALSE(noticeOf(200, "Kingcup-Leaving", value).isLeaving) << value;
         HttpAnswerHead head;
         head.headers.add("", "1");
-        EXPECT_FALSE(parseTargetNotice(head, "").isLeaving) << "the field has no name at this edge";
+        EXPECT_FALSE(parseTargetNotice(head, {}).isLeaving) << "the field has no name at this edge";
     });
 }
 
@@ -49,3 +49,22 @@
         EXPECT_FALSE(noticeOf(429, "Retry-After", "2").isUnavailable());
     });
 }
+
+TEST(TargetNoticeTest, parsesLimits)
+{
+    section("answers of every status may name a limit as a decimal number, except 421, which another instance sends", [] {
+        for (int status : { 200, 404, 500, 503 })
+            EXPECT_EQ(noticeOf(status, "kingcup-limit", "2.3").requestsPerSecond, 2.3) << status;
+        EXPECT_EQ(noticeOf(200, "Kingcup-Limit", "0").requestsPerSecond, 0.0);
+        EXPECT_EQ(noticeOf(421, "Kingcup-Limit", "2").requestsPerSecond, std::nullopt);
+    });
+    section("a target at its limit is still available", [] { EXPECT_FALSE(noticeOf(200, "Kingcup-Limit", "2").isUnavailable()); });
+    section("an answer without the field ends the limit, but not one with an unreadable value or of another instance", [] {
+        EXPECT_TRUE(noticeOf(200, "Kingcup-Load", "inflight=1").isWithoutLimit);
+        EXPECT_FALSE(noticeOf(421, "Kingcup-Load", "inflight=1").isWithoutLimit);
+        for (const char* value : { "", "-1", "nan", "inf", "two", "2, 3" }) {
+            EXPECT_EQ(noticeOf(200, "Kingcup-Limit", value).requestsPerSecond, std::nullopt) << value;
+            EXPECT_FALSE(noticeOf(200, "Kingcup-Limit", value).isWithoutLimit) << value;
+        }
+    });
+}
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -62,7 +62,7 @@
         if (!pick || this->gateway.containment.recordStart(service, this->fingerprint, pick->address))
             return pick;
         this->gateway.containment.recordEnd(service, this->fingerprint, pick->address);
-        this->match.runtime->router.finish(*pick, AttemptOutcome::Cancelled, Milliseconds(0), now);
+        this->match.runtime->router.abandon(*pick, now);
         excluded.push_back(pick->address);
     }
 }
@@ -193,7 +193,11 @@
         if (std::optional<LoadReport> load = this->gateway.edge.parseLoad(*value))
             this->match.runtime->router.recordReport(attempt->pick.address, *load, Milliseconds(0), now);
     }
-    this->recordTargetNotice(attempt->pick, parseTargetNotice(head, this->gateway.edge.headers.leaving), now);
+    TargetNotice notice = this->gateway.parseNotice(head);
+    this->recordTargetNotice(attempt->pick, notice, now);
+    // An answer to a probe does not end a limit, since it need not name one.
+    if (notice.isWithoutLimit)
+        this->match.runtime->router.clearLimit(attempt->pick.address, attempt->pick.incarnation);
     attempt->isMisdirected = this->isMisdirectedAnswer(head);
     if (attempt->isMisdirected)
         this->removeReplacedTarget(attempt, attempt->pick);
--- a/programs/kingcupswitchd/entry/CallHeaders.cpp
+++ b/programs/kingcupswitchd/entry/CallHeaders.cpp
@@ -96,7 +96,7 @@
     HttpAnswerHead head;
     head.status = targetHead.status;
     head.contentLength = targetHead.contentLength;
-    copyEndToEnd(targetHead.headers, { names.load, names.leaving, names.result, names.run, "Content-Length" }, head.headers);
+    copyEndToEnd(targetHead.headers, { names.load, names.leaving, names.limit, names.result, names.run, "Content-Length" }, head.headers);
     addIfNamed(head.headers, names.result, resultHeaderValue(result));
     addIfNamed(head.headers, names.run, runStateName(run));
     return head;
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -93,7 +93,7 @@
 {
     constexpr int statusOk = 200;
     TimePoint now = MillisecondClock::now();
-    TargetNotice notice = parseTargetNotice(head, this->gateway.edge.headers.leaving);
+    TargetNotice notice = this->gateway.parseNotice(head);
     this->recordTargetNotice(round->picks[position], notice, now);
     if (this->isMisdirectedAnswer(head))
         this->removeReplacedTarget(attempt, round->picks[position]);
@@ -172,7 +172,7 @@
         if (position == chosen)
             continue;
         this->gateway.containment.recordEnd(this->match.service->name, this->fingerprint, searchRound.picks[position].address);
-        this->match.runtime->router.finish(searchRound.picks[position], AttemptOutcome::Cancelled, Milliseconds(0), now);
+        this->match.runtime->router.abandon(searchRound.picks[position], now);
     }
 }
 
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -14,7 +14,7 @@
 
 constexpr uint32_t maxIdleConnectionsPerThread = 2000;
 constexpr Milliseconds departureReportTimeout { 2000 };
-constexpr uint32_t assumedEntryVms = 128; ///< Number of entry VMs that probe budgets assume while the number of live ones is unknown. It exceeds that of the largest deployment, so that probes stay within the budget.
+constexpr uint32_t assumedEntryVms = 128; ///< Number of entry VMs that probe budgets and limits of targets assume while the number of live ones is unknown. It exceeds that of the largest deployment, so that probes stay within the budget.
 
 /** Orders rows so that the first match is the most specific one: rows with a host first, then longer path prefixes, then by name. */
 bool isMoreSpecific(const RequestTableRow& one, const RequestTableRow& other)
@@ -215,11 +215,18 @@
     }
 }
 
+TargetNotice Gateway::parseNotice(const HttpAnswerHead& head) const
+{
+    return parseTargetNotice(head, { this->edge.headers.leaving, this->edge.headers.limit });
+}
+
 bool Gateway::recordTargetNotice(const RequestTableRow& service, const std::string& address, uint64_t incarnation, const TargetNotice& notice, TimePoint now)
 {
     Router& router = service.runtime->router;
     if (notice.retryAfter)
         router.recordRetryAfter(address, incarnation, *notice.retryAfter, now);
+    if (notice.requestsPerSecond)
+        router.recordLimit(address, incarnation, *notice.requestsPerSecond, now);
     if (!notice.isLeaving || !router.recordLeaving(address, incarnation, now))
         return false;
     this->reportDeparture(service.service->name, address, incarnation);
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -74,6 +74,9 @@
     /** Records load reports of targets that other VMs observed. Reports for unknown services are ignored. */
     void recordLoads(const std::vector<wire::TargetLoad>& loads);
 
+    /** Parses the statements of a target in an answer to a call or a probe. */
+    TargetNotice parseNotice(const HttpAnswerHead& head) const;
+
     /**
      * Records the statements of a target in an answer. Its first statement that it leaves is also reported to control, from which the
      * target may be cut off. Returns whether this was such a statement.
@@ -114,7 +117,7 @@
 
     std::string availabilityZone; ///< Availability zone of this VM.
     Milliseconds leaseTerm; ///< Duration of an entry VM's lease.
-    uint32_t assumedVms; ///< Number of entry VMs that probe budgets assume while the number of live ones is unknown.
+    uint32_t assumedVms; ///< Number of entry VMs that probe budgets and limits of targets assume while the number of live ones is unknown.
     void addServices(const ConfigurationSnapshot& configuration, RequestTable& next);
     void addRoutes(const ConfigurationSnapshot& configuration, RequestTable& next) const;
     void reportDeparture(const std::string& service, const std::string& address, uint64_t incarnation);
--- a/programs/kingcupswitchd/entry/Prober.cpp
+++ b/programs/kingcupswitchd/entry/Prober.cpp
@@ -60,7 +60,7 @@
     std::optional<uint64_t> incarnation = row.runtime->router.incarnationOf(address);
     request.onHead = [this, row, address, incarnation](const HttpAnswerHead& head) {
         TimePoint now = MillisecondClock::now();
-        TargetNotice notice = parseTargetNotice(head, this->gateway.edge.headers.leaving);
+        TargetNotice notice = this->gateway.parseNotice(head);
         if (incarnation && this->gateway.recordTargetNotice(row, address, *incarnation, notice, now))
             logLine(LogLevel::Info, "target_leaving", { { "service", row.service->name }, { "target", address } });
         std::optional<std::string_view> value = head.headers.find(headerLoad);
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -21,6 +21,7 @@
     , admission(service.limits)
     , probeBudget(service.measuringBudget, assumedVms)
 {
+    this->router.setVmsPerTarget(assumedVms);
     if (retryBudget)
         this->retryPolicy.setBudget(*retryBudget, MillisecondClock::now());
 }
@@ -103,9 +104,12 @@
 void ServiceRuntime::setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now)
 {
     this->retryPolicy.setLiveVms(liveVms);
+    double targetVmShare = std::min(1.0, maxSubsetImbalance * this->router.subsetShare());
+    if (liveVms)
+        this->router.setVmsPerTarget(std::max(1.0, liveVms * targetVmShare));
     std::lock_guard<std::mutex> lock(this->mutex);
     this->probeBudget.setLiveVms(liveVms, leaseTerm, now);
-    this->probeBudget.setTargetVmShare(std::min(1.0, maxSubsetImbalance * this->router.subsetShare()));
+    this->probeBudget.setTargetVmShare(targetVmShare);
 }
 
 /** Releases the lock and then calls the callbacks of the requests that were decided. */
--- a/programs/kingcupswitchd/entry/ServiceRuntime.h
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.h
@@ -27,7 +27,7 @@
 public:
     using AdmissionCallback = std::function<void(const AdmissionDecision&)>;
 
-    /** @param entryVm Name of this VM. @param availabilityZone Availability zone of this VM. @param retryBudget Budget shared by all entry VMs; empty if none is set. @param assumedVms Number of entry VMs that the probe budget assumes while the number of live ones is unknown. */
+    /** @param entryVm Name of this VM. @param availabilityZone Availability zone of this VM. @param retryBudget Budget shared by all entry VMs; empty if none is set. @param assumedVms Number of entry VMs that the probe budget and limits of targets assume while the number of live ones is unknown. */
     ServiceRuntime(const Service& service, const std::string& entryVm, const std::string& availabilityZone, const std::optional<RetryBudgetLimits>& retryBudget, uint32_t assumedVms, uint64_t seed, TimerQueue& timers);
 
     /** Applies a new configuration. @param logTimeMs Log time in milliseconds. */
--- a/programs/kingcupswitchd/process/Edge.h
+++ b/programs/kingcupswitchd/process/Edge.h
@@ -27,6 +27,7 @@
     std::string requestId; ///< From callers and to targets: id of the request, which the target repeats in its response.
     std::string expectedInstance; ///< To targets: instance that the request is addressed to; any other instance rejects it with 421.
     std::string leaving { headerLeaving }; ///< From targets: "1" if the target leaves and must get no further request.
+    std::string limit { headerLimit }; ///< From targets: requests a second that the target accepts from all entry VMs together.
     std::string notRun; ///< From targets: present if the target did not run the request.
 };
 
--- a/tests/TargetLimitTest.cpp
+++ b/tests/TargetLimitTest.cpp
@@ -13,6 +13,7 @@
 
 constexpr double learnMs = 1000; ///< Time after which every entry VM has got an answer with the limit.
 constexpr double windowMs = 4000;
+constexpr double workMs = 40; ///< Long enough for the calls to spread over all targets.
 constexpr double immediateRefusalMs = 100; ///< Far below the time limit of a call.
 constexpr size_t checkedRefusals = 10; ///< The last calls, which come when no target may get a request.
 
@@ -47,6 +48,8 @@
 {
     Deployment deployment(testOptions(79, 3, { { "matters", 4, 6 } }));
     ASSERT_EQ(startAll(deployment), "");
+    for (size_t target = 0; target < deployment.targets().size(); ++target)
+        deployment.changeFaults(target, { { "latencyMedianMs", workMs } });
     section("a target that names a limit of 2 requests a second gets no more, and no call fails", [&] {
         LoadGenerator load(loadOn(deployment, 200, Milliseconds(7500), 0.3));
         load.start();
