Fix: [Coordination] A leader with a full disk transfers its leadership

Cause: a leader whose disk is full refuses every proposal, also changes of the membership, but keeps its leadership by heartbeats. A VM that loses its disk meanwhile stays outside until the disk has room, longer than the time after which the next disks may be lost. Change: after 2 s with a full disk the leader transfers its leadership to a voter that answers and has room; answers to appends state a full disk (a new field; older builds ignore it). TimeoutNow does not wait for a sync, which may not end on a full disk. With all disks full the leader stays, since another could not commit the first entry of its term. A transfer at a stop also prefers voters that answer. Two lost disks beside the full one are beyond what five voters bear: no quorum can write.

--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -183,7 +183,7 @@
 ReplicatedLogOutput ReplicatedLog::transferLeadership(TimePoint now)
 {
     ReplicatedLogOutput output;
-    this->state->startLeadershipTransfer(now, output);
+    this->state->startLeadershipTransfer(true, now, output);
     return output;
 }
 
--- a/packages/coordination/src/ReplicatedLogElection.cpp
+++ b/packages/coordination/src/ReplicatedLogElection.cpp
@@ -169,6 +169,7 @@
     this->recentRounds.clear();
     this->peers.clear();
     this->leadershipTransfer.reset();
+    this->diskFullSince.reset();
     this->incomingSnapshot.reset();
     this->uncommittedBytes = 0;
     this->termStartIndex = this->appendNewEntry(wire::ENTRY_EMPTY, {}, output);
--- a/packages/coordination/src/ReplicatedLogFollower.cpp
+++ b/packages/coordination/src/ReplicatedLogFollower.cpp
@@ -38,6 +38,7 @@
         // While the disk is full, the refusal has no conflict index, so that the leader does not send the entries again at once.
     }
     answer.set_term(this->hardState.term);
+    answer.set_disk_full(this->isDiskFull);
     this->sendRoundAnswer(from, answer, output);
     this->send(from, std::move(message), false, output);
 }
@@ -54,6 +55,7 @@
     roundAnswer.set_accepted(true);
     roundAnswer.set_round(answer.round());
     roundAnswer.set_round_only(true);
+    roundAnswer.set_disk_full(answer.disk_full());
     this->send(from, std::move(message), true, output);
 }
 
--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -9,6 +9,7 @@
 
 constexpr size_t maxMessagesInFlight = 256; ///< Limit of unacknowledged messages with entries per member.
 constexpr size_t maxBytesInFlight = 4u << 20; ///< Limit of bytes in unacknowledged messages per member; bounds what is queued for a member that is down.
+constexpr Milliseconds fullDiskTransferDelay { 2000 }; ///< If the disks of all members fill up together, each member has reported it by then, and the leader stays.
 
 /** Removes the messages in flight that a member has acknowledged. */
 void removeAcknowledged(LogPeer& peer)
@@ -176,6 +177,7 @@
     LogPeer* peer = this->acceptAnswer(from, answer.term(), answer.round(), now, output);
     if (!peer)
         return;
+    peer->isDiskFull = answer.disk_full();
     if (answer.round_only())
         return;
     if (answer.accepted()) {
@@ -278,18 +280,37 @@
         this->becomeFollower(this->hardState.term, 0, now, output);
         return;
     }
+    this->transferFromFullDisk(now, output);
     this->advanceLeadershipTransfer(now, output);
     if (this->role == LogRole::Leader && now >= this->nextHeartbeatTime)
         this->startHeartbeatRound(now, output);
 }
 
-void ReplicatedLog::State::startLeadershipTransfer(TimePoint now, ReplicatedLogOutput& output)
+/** Transfers leadership from a full disk, because this leader can neither replace lost members nor put a configuration in force. */
+void ReplicatedLog::State::transferFromFullDisk(TimePoint now, ReplicatedLogOutput& output)
+{
+    if (!this->isDiskFull)
+        this->diskFullSince.reset();
+    else if (!this->diskFullSince)
+        this->diskFullSince = now;
+    else if (now - *this->diskFullSince >= fullDiskTransferDelay)
+        this->startLeadershipTransfer(false, now, output);
+}
+
+bool ReplicatedLog::State::canLead(const LogPeer& peer, TimePoint now) const
+{
+    return !peer.isDiskFull && peer.answeredRoundTime && now - *peer.answeredRoundTime < this->options.electionTimeout;
+}
+
+void ReplicatedLog::State::startLeadershipTransfer(bool mayUseAnyVoter, TimePoint now, ReplicatedLogOutput& output)
 {
     if (this->role != LogRole::Leader || this->leadershipTransfer)
         return;
+    auto rank = [&](const LogPeer& peer) { return std::pair(this->canLead(peer, now), peer.matchIndex); };
     const std::pair<const MemberId, LogPeer>* best = nullptr;
     for (const auto& row : this->peers) {
-        if (row.second.isVoter && (!best || row.second.matchIndex > best->second.matchIndex))
+        bool isCandidate = row.second.isVoter && (mayUseAnyVoter || this->canLead(row.second, now));
+        if (isCandidate && (!best || rank(row.second) > rank(best->second)))
             best = &row;
     }
     if (!best)
@@ -314,7 +335,8 @@
         return;
     wire::LogMessage message;
     message.mutable_timeout_now()->set_term(this->hardState.term);
-    this->send(this->leadershipTransfer->target, std::move(message), false, output);
+    // On a full disk no sync may end, so the message must not wait for one.
+    this->send(this->leadershipTransfer->target, std::move(message), this->isTermSynced, output);
     this->leadershipTransfer->isTimeoutNowSent = true;
 }
 
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -27,6 +27,7 @@
     bool isProbing = true; ///< Whether the end of the log of the member is unknown. No entries are sent until the member accepts a message.
     std::deque<std::pair<LogIndex, size_t>> inFlight {}; ///< Last index and size in bytes of each message with entries that is not acknowledged.
     size_t inFlightBytes = 0; ///< Total size of these messages.
+    bool isDiskFull = false; ///< Whether the disk of the member was full at its latest answer to an append.
     std::optional<TimePoint> answeredRoundTime; ///< Sending time of the newest heartbeat round that the member answered; empty if it answered none.
     std::shared_ptr<const std::string> snapshotData; ///< Snapshot that is being sent; null if there is none.
     SnapshotMeta snapshotMeta; ///< Position of the snapshot that is being sent.
@@ -118,7 +119,10 @@
     bool hasLostQuorum(TimePoint now) const;
     bool hasQuorum(TimePoint now) const;
     void tickLeader(TimePoint now, ReplicatedLogOutput& output);
-    void startLeadershipTransfer(TimePoint now, ReplicatedLogOutput& output);
+    void transferFromFullDisk(TimePoint now, ReplicatedLogOutput& output);
+    /** Starts a transfer to the voter with the newest log among those that answer and have room on their disks, or else, if permitted, among all. */
+    void startLeadershipTransfer(bool mayUseAnyVoter, TimePoint now, ReplicatedLogOutput& output);
+    bool canLead(const LogPeer& peer, TimePoint now) const;
     void advanceLeadershipTransfer(TimePoint now, ReplicatedLogOutput& output);
 
     // Shared by all roles.
@@ -151,6 +155,7 @@
     TimePoint leaderSince {};
     TimePoint nextHeartbeatTime {};
     LogIndex termStartIndex = 0; ///< Index of the empty entry with which the term of this leader starts.
+    std::optional<TimePoint> diskFullSince; ///< First tick of this leadership at which the disk was full without a break; empty: it has room.
     bool isTermSynced = false; ///< Whether the term is synced; until then appends wait for the sync as well.
     size_t uncommittedBytes = 0; ///< Payload bytes of the uncommitted entries that this leader appended.
     std::optional<LeadershipTransfer> leadershipTransfer;
--- a/packages/coordination/tests/MembershipRecoveryTest.cpp
+++ b/packages/coordination/tests/MembershipRecoveryTest.cpp
@@ -213,3 +213,44 @@
         EXPECT_TRUE(group.network.violations.empty()) << group.network.violations.front();
     }
 }
+
+TEST(MembershipRecoveryTest, lostDiskUnderLeaderWithFullDiskIsReplacedInTime)
+{
+    uint64_t first = testSeed(1);
+    for (uint64_t seed = first; seed < first + 40; seed++) {
+        PlannedGroup group(seed);
+        section("seed " + std::to_string(seed), [&] {
+            group.network.runFor(5000);
+            LogNode* leading = group.network.leader();
+            ASSERT_TRUE(leading);
+            VmId formerLeader = leading->vm;
+            section("a VM that loses its disk just after the disk of the leader is full is a voter again in time", [&] {
+                leading->log->setDiskFull(true);
+                group.loseDisks({ PlannedGroup::nextTwo(formerLeader).front() });
+                group.network.runFor(catchUpMs);
+                EXPECT_TRUE(group.isWhole());
+            });
+            section("another VM leads meanwhile, and its leadership lasts", [&] {
+                ASSERT_TRUE(group.network.leader());
+                VmId next = group.network.leader()->vm;
+                EXPECT_NE(next, formerLeader);
+                group.network.runFor(5000);
+                EXPECT_EQ(group.network.leader()->vm, next);
+            });
+        });
+        EXPECT_TRUE(group.network.violations.empty()) << group.network.violations.front();
+    }
+}
+
+TEST(MembershipRecoveryTest, leaderKeepsItsQuorumWhileAllDisksAreFull)
+{
+    PlannedGroup group(testSeed(1));
+    group.network.runFor(2000);
+    LogNode* leading = group.network.leader();
+    for (VmId vm = 1; vm <= groupSize; vm++)
+        group.network.nodes[vm].log->setDiskFull(true);
+    for (int step = 0; step < 100; step++) {
+        group.network.runFor(100);
+        ASSERT_EQ(group.network.leaderWithQuorum(), leading);
+    }
+}
