--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -183,7 +183,7 @@
 ReplicatedLogOutput ReplicatedLog::transferLeadership(TimePoint now)
 {
     ReplicatedLogOutput output;
-    this->state->startLeadershipTransfer(true, now, output);
+    this->state->startLeadershipTransfer(TransferTargets::AnyVoter, now, output);
     return output;
 }
 
--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -294,7 +294,7 @@
     else if (!this->diskFullSince)
         this->diskFullSince = now;
     else if (now - *this->diskFullSince >= fullDiskTransferDelay)
-        this->startLeadershipTransfer(false, now, output);
+        this->startLeadershipTransfer(TransferTargets::VotersWithRoom, now, output);
 }
 
 bool ReplicatedLog::State::canLead(const LogPeer& peer, TimePoint now) const
@@ -302,14 +302,14 @@
     return !peer.isDiskFull && peer.answeredRoundTime && now - *peer.answeredRoundTime < this->options.electionTimeout;
 }
 
-void ReplicatedLog::State::startLeadershipTransfer(bool mayUseAnyVoter, TimePoint now, ReplicatedLogOutput& output)
+void ReplicatedLog::State::startLeadershipTransfer(TransferTargets targets, TimePoint now, ReplicatedLogOutput& output)
 {
     if (this->role != LogRole::Leader || this->leadershipTransfer)
         return;
     auto rank = [&](const LogPeer& peer) { return std::pair(this->canLead(peer, now), peer.matchIndex); };
     const std::pair<const MemberId, LogPeer>* best = nullptr;
     for (const auto& row : this->peers) {
-        bool isCandidate = row.second.isVoter && (mayUseAnyVoter || this->canLead(row.second, now));
+        bool isCandidate = row.second.isVoter && (targets == TransferTargets::AnyVoter || this->canLead(row.second, now));
         if (isCandidate && (!best || rank(row.second) > rank(best->second)))
             best = &row;
     }
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -35,6 +35,12 @@
     uint64_t snapshotRound = 0; ///< Heartbeat round in which the newest chunk was sent.
 };
 
+/** Voters to which a leader may transfer its leadership. */
+enum class TransferTargets {
+    AnyVoter, ///< All; those that answer and have room on their disks are preferred.
+    VotersWithRoom, ///< Only those that answer and have room on their disks.
+};
+
 /** Leadership transfer in progress. */
 struct LeadershipTransfer {
     MemberId target; ///< Member that is to become the leader.
@@ -120,8 +126,9 @@
     bool hasQuorum(TimePoint now) const;
     void tickLeader(TimePoint now, ReplicatedLogOutput& output);
     void transferFromFullDisk(TimePoint now, ReplicatedLogOutput& output);
-    /** Starts a transfer to the voter with the newest log among those that answer and have room on their disks, or else, if permitted, among all. */
-    void startLeadershipTransfer(bool mayUseAnyVoter, TimePoint now, ReplicatedLogOutput& output);
+    /** Starts a transfer to the permitted voter with the newest log. Does nothing if there is none or a transfer is in progress. */
+    void startLeadershipTransfer(TransferTargets targets, TimePoint now, ReplicatedLogOutput& output);
+    /** Returns whether a member answers and has room on its disk. */
     bool canLead(const LogPeer& peer, TimePoint now) const;
     void advanceLeadershipTransfer(TimePoint now, ReplicatedLogOutput& output);
 
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -152,13 +152,15 @@
     Choice choice { table, excluded, this->state->fleetAverages, random, number, toMs(now), vms };
     const RoutingEntry* entry = nullptr;
     bool hasPermit = false;
-    do {
+    for (bool isTaken = false; !isTaken;) {
         entry = this->state->choose(choice);
         if (!entry)
             return std::nullopt;
-        // Another thread may have taken the permit since the choice.
-        hasPermit = entry->target->rateLimit.isSet() && entry->target->rateLimit.takePermit(vms, toMs(now));
-    } while (entry->target->rateLimit.isSet() && !hasPermit);
+        // Another thread may take the permit after the choice; the target is not eligible then.
+        TargetRateLimit& limit = entry->target->rateLimit;
+        hasPermit = limit.isSet();
+        isTaken = !hasPermit || limit.takePermit(vms, toMs(now));
+    }
     PickReason reason = pickReason(this->state->policy, choice, *entry);
     entry->target->recordStart(toMs(now));
     this->state->outstanding.add(1);
