Add: [Entry] An entry VM finds out, logs and measures whether it reaches the targets

New connections count apart from kept ones, since a partition may spare these. target_path_changed and kingcup_targets_reachable tell the state; attempt_ended tells whether there was a connection. Nothing is decided by the state yet. A test may divert the connections of one process (KINGCUP_PARTITION_FILE).

--- a/packages/transport/include/kingcup/UpstreamClient.h
+++ b/packages/transport/include/kingcup/UpstreamClient.h
@@ -39,6 +39,7 @@
     Milliseconds timeToFirstByte { 0 }; ///< Time from the start to the first byte of the answer; 0 if none arrived.
     Milliseconds duration { 0 }; ///< Whole duration.
     bool newConnection = false; ///< Whether a connection was opened for the attempt.
+    bool isConnected = false; ///< Whether there was a connection to the target.
 };
 
 /** One attempt to run a request on a target. */
@@ -51,6 +52,7 @@
     std::function<int(char* buffer, size_t size)> bodySource; ///< Source of a streamed body: returns the number of bytes written, 0 at the end, bodyPause or bodyAbort. Used when `body` is null and `hasBody` is set.
     bool hasBody = false; ///< Whether a body is sent.
     std::optional<uint64_t> bodyLength; ///< Length of a streamed body in bytes; empty for chunked encoding.
+    bool connectsOnly = false; ///< Whether a new connection is opened and closed again, without a request. The attempt is complete once it is established.
     bool isRepeatable = false; ///< Whether the request may be executed more than once. If not, it is sent once, on a new connection only, so that libcurl cannot repeat it.
     Milliseconds connectTimeout { 1000 }; ///< Time limit for opening a connection.
     TimePoint deadline {}; ///< Time at which the attempt is ended; TimePoint {} for none.
--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -3,9 +3,12 @@
 
 #include "HttpFraming.h"
 #include "HttpText.h"
+#include "SimulatedPartition.h"
 
 #include <algorithm>
 #include <cmath>
+#include <cstring>
+#include <sys/socket.h>
 #include <utility>
 
 namespace kingcup {
@@ -71,6 +74,8 @@
     curl_easy_setopt(this->curl, CURLOPT_READDATA, this);
     curl_easy_setopt(this->curl, CURLOPT_PREREQFUNCTION, &UpstreamAttempt::onBeforeSend);
     curl_easy_setopt(this->curl, CURLOPT_PREREQDATA, this);
+    if (isPartitionSimulated())
+        curl_easy_setopt(this->curl, CURLOPT_OPENSOCKETFUNCTION, &UpstreamAttempt::onOpenSocket);
     return true;
 }
 
@@ -107,7 +112,7 @@
     // libcurl repeats a request by itself if a reused connection closes before the answer. A streamed body cannot be
     // repeated at all.
     bool isStreamed = this->request.hasBody && !this->request.body;
-    if (this->request.isRepeatable && !isStreamed)
+    if (this->request.isRepeatable && !isStreamed && !this->request.connectsOnly)
         return;
     curl_easy_setopt(this->curl, CURLOPT_FRESH_CONNECT, 1L);
     // A connection that was opened for one request would stay in libcurl's cache. Up to the size of the cache, such idle
@@ -203,11 +208,21 @@
     auto* attempt = static_cast<UpstreamAttempt*>(self);
     // libcurl would send a request again, to the same target, when a reused connection was lost before an answer. That
     // would hide from crash containment that the target was lost while it ran this request.
-    if (std::exchange(attempt->maybeSent, true))
+    if (std::exchange(attempt->isConnected, true) || attempt->request.connectsOnly)
         return CURL_PREREQFUNC_ABORT;
+    attempt->maybeSent = true;
     return CURL_PREREQFUNC_OK;
 }
 
+curl_socket_t UpstreamAttempt::onOpenSocket(void*, curlsocktype, curl_sockaddr* address)
+{
+    if (std::optional<SocketAddress> other = simulatedDestination(); other && other->size() <= sizeof(address->addr)) {
+        std::memcpy(&address->addr, other->data(), other->size());
+        address->addrlen = other->size();
+    }
+    return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+}
+
 void UpstreamAttempt::resumeReceiving()
 {
     if (std::exchange(this->isReceivingPaused, false))
@@ -235,6 +250,8 @@
 {
     if (this->isBodyAborted)
         return UpstreamOutcome::Cancelled;
+    if (this->request.connectsOnly)
+        return this->isConnected ? UpstreamOutcome::Complete : UpstreamOutcome::ConnectFailed;
     if (this->isInvalid || code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY)
         return UpstreamOutcome::Invalid;
     if (code == CURLE_OK && this->parser.complete())
@@ -263,6 +280,7 @@
     if (this->firstByteTime != TimePoint {})
         result.timeToFirstByte = this->firstByteTime - this->startTime;
     result.newConnection = connections > 0;
+    result.isConnected = this->isConnected;
     if (this->request.onEnd)
         this->request.onEnd(result);
 }
--- a/packages/transport/src/UpstreamAttempt.h
+++ b/packages/transport/src/UpstreamAttempt.h
@@ -40,6 +40,7 @@
     static size_t onHeaderLine(char* bytes, size_t size, size_t count, void* self);
     static size_t onBodyBytes(char* bytes, size_t size, size_t count, void* self);
     static size_t onReadBody(char* buffer, size_t size, size_t count, void* self);
+    static curl_socket_t onOpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address);
     static int onBeforeSend(void* self, char* primaryAddress, char* localAddress, int primaryPort, int localPort);
 
     /** Processes a header line. Returns false to abort the transfer. */
@@ -78,7 +79,8 @@
     curl_slist* headerLines = nullptr; ///< List of header lines, owned by the attempt.
     uint64_t sentBodyBytes = 0; ///< Body bytes passed to libcurl.
     uint64_t receivedBodyBytes = 0; ///< Body bytes passed to onData.
-    bool maybeSent = false; ///< A connection was ready to take the request.
+    bool isConnected = false; ///< A connection was ready to take the request.
+    bool maybeSent = false; ///< The request may have been sent on it.
     bool isInvalid = false; ///< The answer is malformed.
     bool isBodyAborted = false; ///< The body source failed or did not match the announced length.
     bool isReceivingPaused = false; ///< onData returned false.
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -288,6 +288,7 @@
     TimePoint now = MillisecondClock::now();
     AttemptOutcome outcome = routerOutcome(result, *attempt);
     this->logAttemptEnd(attempt, result);
+    this->gateway.paths.recordExchange(attempt->pick.address, result);
     this->match.runtime->router.finish(attempt->pick, outcome, result.timeToFirstByte, now);
     const std::string& service = this->match.service->name;
     if (result.outcome == UpstreamOutcome::Complete && !attempt->isMisdirected) {
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -66,7 +66,8 @@
         self->executor.post([self, attempt, round, position, head] { self->handleProbeHead(attempt, round, position, head); });
     };
     probe.onData = [](std::string_view) { return true; };
-    probe.onEnd = [self, attempt, round, position](const UpstreamResult& result) {
+    probe.onEnd = [self, attempt, round, position, address = pick.address](const UpstreamResult& result) {
+        self->gateway.paths.recordExchange(address, result);
         if (result.outcome != UpstreamOutcome::Complete)
             self->executor.post([self, attempt, round, position] { self->handleProbeResult(attempt, round, position, std::nullopt); });
     };
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -36,6 +36,17 @@
     return table;
 }
 
+/** Returns the addresses of all targets. */
+std::vector<std::string> addressesOf(const ConfigurationSnapshot& configuration)
+{
+    std::vector<std::string> addresses;
+    for (const auto& [service, targets] : configuration.targets) {
+        for (const wire::TargetRecord& target : targets)
+            addresses.push_back(target.address());
+    }
+    return addresses;
+}
+
 } // namespace
 
 Gateway::Gateway(const Settings& settings, const Edge& edge, LeaderClient& leader, ClaimClient& claims, Metrics& metrics, uint64_t seed)
@@ -45,6 +56,7 @@
     , leader(leader)
     , claims(claims)
     , metrics(metrics)
+    , paths(this->upstream, metrics, seed, nullptr)
     , upstream(settings.upstreamThreads, maxIdleConnectionsPerThread)
     , requestTable(createEmptyTable())
     , availabilityZone(settings.availabilityZone)
@@ -70,6 +82,7 @@
     this->addServices(*configuration, *next);
     this->addRoutes(*configuration, *next);
     this->containment.applySnapshot(*configuration);
+    this->paths.setTargets(addressesOf(*configuration));
     next->configuration = std::move(configuration);
     logLine(LogLevel::Info, "configuration_in_force", { { "index", next->configuration->index }, { "manifest", next->configuration->manifestNumber } });
     this->metrics.setGauge("kingcup_manifest_number", static_cast<double>(next->configuration->manifestNumber));
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -3,6 +3,7 @@
 
 #include "ClaimClient.h"
 #include "Edge.h"
+#include "PathMonitor.h"
 #include "RequestTable.h"
 #include "TimerQueue.h"
 
@@ -98,6 +99,7 @@
     LeaderClient& leader; ///< Reports suspicions to the leader.
     ClaimClient& claims; ///< Claims idempotency keys.
     Metrics& metrics; ///< Metrics of this process.
+    PathMonitor paths; ///< Watches whether targets are reachable. Outlives the client, whose callbacks use it.
     UpstreamClient upstream; ///< Sends requests to targets.
     TimerQueue timers; ///< Runs hedges, queue timeouts, stall timeouts and probes.
     CrashContainment containment; ///< Suspected and quarantined requests.
--- a/programs/kingcupswitchd/entry/Prober.cpp
+++ b/programs/kingcupswitchd/entry/Prober.cpp
@@ -34,6 +34,7 @@
     TimePoint now = MillisecondClock::now();
     for (const RequestTableRow& row : this->gateway.services())
         row.runtime->refreshLimits(*row.service, now);
+    this->gateway.paths.startDueChecks();
     if (!this->gateway.isLeaseValid() || this->gateway.isStopping.load())
         return;
     for (const RequestTableRow& row : this->gateway.services()) {
@@ -69,7 +70,7 @@
             row.runtime->router.recordReport(address, *load, Milliseconds(0), now);
     };
     request.onData = [](std::string_view) { return true; };
-    request.onEnd = [](const UpstreamResult&) {};
+    request.onEnd = [this, address](const UpstreamResult& result) { this->gateway.paths.recordExchange(address, result); };
     this->gateway.upstream.start(std::move(request));
     this->gateway.metrics.incrementCounter("kingcup_probes_total", row.service->name);
 }
