--- a/testing/ProcessHarness.h
+++ b/testing/ProcessHarness.h
@@ -4,6 +4,7 @@
 #include "kingcup/MillisecondClock.h"
 #include "testing/ScratchFolder.h"
 
+#include <cstdlib>
 #include <functional>
 #include <optional>
 #include <string>
@@ -51,6 +52,20 @@
     std::string output; ///< Standard output and error.
 };
 
+/** Sets an environment variable for the processes that a test starts. */
+class ScopedEnvironment {
+public:
+    ScopedEnvironment(std::string name, const std::string& value)
+        : name(std::move(name))
+    {
+        setenv(this->name.c_str(), value.c_str(), 1);
+    }
+    ~ScopedEnvironment() { unsetenv(this->name.c_str()); }
+
+private:
+    std::string name; ///< Variable.
+};
+
 /** Runs a program to its end. @param folder Receives its output file. */
 CommandResult runCommand(const std::vector<std::string>& arguments, const std::string& folder, Milliseconds limit);
 
--- a/tests/ClaimKillPointsTest.cpp
+++ b/tests/ClaimKillPointsTest.cpp
@@ -43,20 +43,6 @@
     }
 }
 
-/** Sets an environment variable for the processes that a test starts. */
-class ScopedEnvironment {
-public:
-    ScopedEnvironment(std::string name, const std::string& value)
-        : name(std::move(name))
-    {
-        setenv(this->name.c_str(), value.c_str(), 1);
-    }
-    ~ScopedEnvironment() { unsetenv(this->name.c_str()); }
-
-private:
-    std::string name; ///< Variable.
-};
-
 /** Returns a load of keyed posts that are sent again until they have a final answer. */
 LoadOptions postLoad(const Deployment& deployment, Milliseconds duration)
 {
