Fix: [Entry] An entry VM that is partitioned from all targets reaches them through other VMs

Cause: an entry VM knew no way to a target but its own connections. Class: a resource that is lost for one VM alone, while the fleet has it, was treated as the failure of each single target. Each call tried two targets in vain, and took the retry from the budget although nothing had arrived anywhere. Change: each VM may relay connections to targets (HTTP CONNECT; relayListener). A VM whose path is cut sends through relays that control names: four of its zone, four of others, and control VMs when no entry VM relays. The relay passes bytes only: choice of the target, deadline, retry budget, limits, departures and the distinction of what was not sent stay with the one VM that has the request. Relays connect to targets only, so there are no chains. Attempts that were not sent take no retry from the budget and do not count as attempts; there are at most three more of them. Failures of the path are not blamed on targets. Ruled out: reporting not ready, since the load balancer uses all VMs of a zone when over half are out of rotation; passing the request itself to another VM, which would need its own rules for configurations, retries, deadlines and outcomes, and has an answer handled under the configuration of two VMs. RelayListenerTest, RelayDirectoryTest, RelaySelectorTest, RelayGateTest, RetryPolicyTest pass.

--- a/packages/coordination/include/kingcup/RetryPolicy.h
+++ b/packages/coordination/include/kingcup/RetryPolicy.h
@@ -16,7 +16,8 @@
     bool isRepeatable = false; ///< Whether the kind of the call may be executed more than once.
     bool mayHaveBeenSent = false; ///< Whether any byte of the attempt may have reached the target.
     uint32_t attempts = 1; ///< Attempts made so far.
-    uint32_t maxAttempts = 3; ///< Largest number of attempts, from the kind of the call.
+    std::optional<uint32_t> arrivals; ///< Those among them that may have arrived at a target; empty: all.
+    uint32_t maxAttempts = 3; ///< Largest number of attempts that arrive, from the kind of the call.
     uint32_t depth = 0; ///< Depth in a chain of calls. Above 0 only attempts that were not sent are retried.
     AttemptOutcome outcome = AttemptOutcome::ConnectFailed; ///< Outcome of the last attempt.
     TimePoint deadline {}; ///< Deadline of the call.
--- a/packages/coordination/src/RetryPolicy.cpp
+++ b/packages/coordination/src/RetryPolicy.cpp
@@ -14,6 +14,7 @@
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr double retryBurst = 10; ///< Retries that are allowed at once, also to a service with little traffic.
 constexpr double hedgeBurst = 10;
+constexpr uint32_t maxUnsentAttempts = 3; ///< Attempts of a call that could not be sent, in addition to the largest number of those that arrive.
 constexpr uint64_t minObservations = 50;
 constexpr double minLatencyQuantile = 0.1; ///< A retry is pointless if less time is left than this quantile of the latency.
 
@@ -107,12 +108,14 @@
 {
     bool hasFailed = context.outcome != AttemptOutcome::Answered && context.outcome != AttemptOutcome::Cancelled;
     bool isSafe = !context.mayHaveBeenSent || (context.isRepeatable && context.depth == 0);
-    if (!hasFailed || !isSafe || context.attempts >= context.maxAttempts)
+    uint32_t arrivals = context.arrivals.value_or(context.attempts);
+    if (!hasFailed || !isSafe || arrivals >= context.maxAttempts || context.attempts >= context.maxAttempts + maxUnsentAttempts)
         return false;
     std::optional<Milliseconds> minLatency = this->state->latencies.quantile(minLatencyQuantile, minObservations, now);
     if (now + minLatency.value_or(Milliseconds(0)) >= context.deadline)
         return false;
-    return this->state->takeRetryFromBudget(now);
+    // The first attempt that arrives at a target is none beyond the first.
+    return arrivals == 0 || this->state->takeRetryFromBudget(now);
 }
 
 void RetryPolicy::recordLatency(Milliseconds latency, TimePoint now)
--- a/packages/coordination/tests/RetryPolicyTest.cpp
+++ b/packages/coordination/tests/RetryPolicyTest.cpp
@@ -51,6 +51,24 @@
         context.attempts = 3;
         EXPECT_FALSE(policy.takeRetry(context, timeAt(0)));
     });
+    section("attempts that were not sent neither use up the number of attempts nor the budget, and are bounded", [&] {
+        ServiceLimits limits;
+        limits.retryShare = 0;
+        RetryPolicy withoutBudget(limits);
+        RetryContext unsent = failedAttempt();
+        unsent.isRepeatable = false;
+        unsent.mayHaveBeenSent = false;
+        unsent.maxAttempts = 1;
+        unsent.arrivals = 0;
+        EXPECT_TRUE(withoutBudget.takeRetry(unsent, timeAt(0)));
+        unsent.attempts = 3;
+        EXPECT_TRUE(withoutBudget.takeRetry(unsent, timeAt(0)));
+        unsent.attempts = 4;
+        EXPECT_FALSE(withoutBudget.takeRetry(unsent, timeAt(0)));
+        unsent.attempts = 2;
+        unsent.arrivals = 1;
+        EXPECT_FALSE(withoutBudget.takeRetry(unsent, timeAt(0))) << "one attempt has arrived, which is the largest number";
+    });
     section("a call is not retried if the retry cannot end before the deadline", [&] {
         for (int i = 0; i < 100; ++i)
             policy.recordLatency(Milliseconds(20), timeAt(1));
--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -56,6 +56,7 @@
     std::string operatorListener; ///< host:port for operators and targets.
     uint32_t controlId = 0; ///< Id of this control VM; role control.
     std::string linkListener; ///< host:port of the link listener; role control.
+    std::string relayListener; ///< host:port for VMs that cannot reach targets themselves; empty: this VM relays no connections.
     std::string dataFolder; ///< Directory of the durable state; role control.
     std::vector<ControlVmAddress> controlVms; ///< All control VMs; empty when they are found through seeds.
     std::vector<std::string> controlSeeds; ///< Operator listeners, as host:port, of some control VMs; their links use `linkPort`.
@@ -80,6 +81,7 @@
     uint32_t callerThreads = 2; ///< Threads of the caller listener.
     uint32_t upstreamThreads = 2; ///< Threads of the upstream client.
     uint32_t maxCallerConnections = 4000; ///< Most open connections of callers.
+    uint32_t maxRelayedConnections = 512; ///< Most connections that are relayed at once.
     uint64_t maxHeaderBytes = 16u << 10; ///< Largest request header.
     Milliseconds slowSenderTimeout { 10000 }; ///< Longest pause while a caller sends a request.
     Milliseconds stopNotice { 1000 }; ///< Time from reporting "not ready" until the listeners close.
--- a/packages/protocol/src/Settings.cpp
+++ b/packages/protocol/src/Settings.cpp
@@ -160,6 +160,7 @@
     bool tokens = settings.access == ListenerAccess::Tokens;
     reader.integer("controlId", settings.controlId, requiredIf(settings.control && listed), 1, 65535);
     reader.text("linkListener", settings.linkListener, requiredIf(settings.control), endpointText);
+    reader.text("relayListener", settings.relayListener, Presence::Optional, endpointText);
     reader.text("dataFolder", settings.dataFolder, requiredIf(settings.control), printableText);
     reader.text("curvePublicKey", settings.curvePublicKey, requiredIf(secured), keyText);
     reader.text("curveSecretKeyFile", settings.curveSecretKeyFile, requiredIf(secured), printableText);
@@ -178,6 +179,7 @@
     reader.integer("callerThreads", settings.callerThreads, Presence::Optional, 1, 256);
     reader.integer("upstreamThreads", settings.upstreamThreads, Presence::Optional, 1, 256);
     reader.integer("maxCallerConnections", settings.maxCallerConnections, Presence::Optional, 1, 1000000);
+    reader.integer("maxRelayedConnections", settings.maxRelayedConnections, Presence::Optional, 1, 100000);
     reader.integer("maxHeaderBytes", settings.maxHeaderBytes, Presence::Optional, 1024, 1u << 20);
     reader.milliseconds("slowSenderTimeoutMs", settings.slowSenderTimeout, Presence::Optional, 1, hourMs);
     reader.milliseconds("stopNoticeMs", settings.stopNotice, Presence::Optional, 0, hourMs);
--- a/packages/transport/include/kingcup/UpstreamClient.h
+++ b/packages/transport/include/kingcup/UpstreamClient.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace kingcup {
@@ -32,6 +33,19 @@
     { UpstreamOutcome::Invalid, "invalid" },
 };
 
+/** Failure on the way through a relay, before the request was sent. */
+enum class RelayFailure {
+    None, ///< No relay was used, it connected to the target, or the target did not take the connection.
+    Refused, ///< The relay refused.
+    Unreachable, ///< The relay gave no answer.
+};
+
+/** VM that relays a connection to a target. */
+struct RelayHop {
+    std::string address; ///< host:port of its relay listener.
+    std::string token; ///< Token of its process.
+};
+
 /** Result of an attempt. */
 struct UpstreamResult {
     UpstreamOutcome outcome = UpstreamOutcome::ConnectFailed; ///< Outcome of the attempt.
@@ -40,11 +54,13 @@
     Milliseconds duration { 0 }; ///< Whole duration.
     bool newConnection = false; ///< Whether a connection was opened for the attempt.
     bool isConnected = false; ///< Whether there was a connection to the target.
+    RelayFailure relayFailure = RelayFailure::None; ///< Failure of the relay, which says nothing about the target.
 };
 
 /** One attempt to run a request on a target. */
 struct UpstreamRequest {
     std::string address; ///< host:port.
+    std::optional<RelayHop> relay; ///< VM through which the target is reached; empty: directly.
     std::string method; ///< HTTP method.
     std::string target; ///< Path with query.
     HttpHeaders headers; ///< End-to-end fields.
--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -51,6 +51,7 @@
 
 UpstreamAttempt::~UpstreamAttempt()
 {
+    curl_slist_free_all(this->relayHeaderLines);
     curl_slist_free_all(this->headerLines);
 }
 
@@ -74,7 +75,7 @@
     curl_easy_setopt(this->curl, CURLOPT_READDATA, this);
     curl_easy_setopt(this->curl, CURLOPT_PREREQFUNCTION, &UpstreamAttempt::onBeforeSend);
     curl_easy_setopt(this->curl, CURLOPT_PREREQDATA, this);
-    if (isPartitionSimulated())
+    if (isPartitionSimulated() && !this->request.relay)
         curl_easy_setopt(this->curl, CURLOPT_OPENSOCKETFUNCTION, &UpstreamAttempt::onOpenSocket);
     return true;
 }
@@ -101,7 +102,7 @@
 {
     curl_easy_setopt(this->curl, CURLOPT_URL, ("http://" + this->request.address + "/").c_str());
     curl_easy_setopt(this->curl, CURLOPT_REQUEST_TARGET, this->request.target.c_str());
-    curl_easy_setopt(this->curl, CURLOPT_PROXY, "");
+    this->setRelay();
     curl_easy_setopt(this->curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(this->curl, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(this->curl, CURLOPT_FOLLOWLOCATION, 0L);
@@ -120,6 +121,33 @@
     curl_easy_setopt(this->curl, CURLOPT_FORBID_REUSE, 1L);
 }
 
+void UpstreamAttempt::setRelay()
+{
+    if (!this->request.relay) {
+        curl_easy_setopt(this->curl, CURLOPT_PROXY, "");
+        return;
+    }
+    this->relayHeaderLines = curl_slist_append(nullptr, ("Proxy-Authorization: Bearer " + this->request.relay->token).c_str());
+    curl_easy_setopt(this->curl, CURLOPT_PROXY, ("http://" + this->request.relay->address).c_str());
+    curl_easy_setopt(this->curl, CURLOPT_HTTPPROXYTUNNEL, 1L);
+    curl_easy_setopt(this->curl, CURLOPT_PROXYHEADER, this->relayHeaderLines);
+    curl_easy_setopt(this->curl, CURLOPT_HEADEROPT, static_cast<long>(CURLHEADER_SEPARATE));
+    curl_easy_setopt(this->curl, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+}
+
+RelayFailure UpstreamAttempt::relayFailure() const
+{
+    constexpr long statusBadGateway = 502;
+    constexpr long statusGatewayTimeout = 504;
+    if (!this->request.relay || this->isConnected || !this->curl)
+        return RelayFailure::None;
+    long status = 0;
+    curl_easy_getinfo(this->curl, CURLINFO_HTTP_CONNECTCODE, &status);
+    if (status == 0)
+        return RelayFailure::Unreachable;
+    return status == statusBadGateway || status == statusGatewayTimeout ? RelayFailure::None : RelayFailure::Refused;
+}
+
 bool UpstreamAttempt::setHeaders()
 {
     const HttpHeaders& headers = this->request.headers;
@@ -281,6 +309,7 @@
         result.timeToFirstByte = this->firstByteTime - this->startTime;
     result.newConnection = connections > 0;
     result.isConnected = this->isConnected;
+    result.relayFailure = this->relayFailure();
     if (this->request.onEnd)
         this->request.onEnd(result);
 }
--- a/packages/transport/src/UpstreamAttempt.h
+++ b/packages/transport/src/UpstreamAttempt.h
@@ -55,6 +55,12 @@
     /** Sets limits, deadlines and connection rules. */
     void setConnection();
 
+    /** Sets the relay, or a direct connection. */
+    void setRelay();
+
+    /** Returns the failure of the relay, if there is one. */
+    RelayFailure relayFailure() const;
+
     /** Builds the list of header fields. Returns false if one is malformed. */
     bool setHeaders();
 
@@ -76,6 +82,7 @@
     TimePoint startTime; ///< Time at which start() was called.
     TimePoint firstByteTime {}; ///< Time of the first byte of the answer; TimePoint {} before it.
     CURL* curl = nullptr; ///< Transfer handle, owned by the loop.
+    curl_slist* relayHeaderLines = nullptr; ///< Header lines for the relay, owned by the attempt.
     curl_slist* headerLines = nullptr; ///< List of header lines, owned by the attempt.
     uint64_t sentBodyBytes = 0; ///< Body bytes passed to libcurl.
     uint64_t receivedBodyBytes = 0; ///< Body bytes passed to onData.
--- a/programs/kingcupswitchd/control/ControlLeader.cpp
+++ b/programs/kingcupswitchd/control/ControlLeader.cpp
@@ -20,6 +20,7 @@
     if (!this->hasInitialisedSessions) {
         this->hasInitialisedSessions = true;
         this->sessions->becomeLeader(now, this->stateMachine.targets());
+        this->relayDirectory->clear();
     }
     for (const EntrySession& session : this->sessions->takeExpiredSessions(now))
         this->proposeEntryVmGone(session.entryVm, session.incarnation + 1);
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -90,9 +90,11 @@
     return this->stateMachine.load(this->snapshotData);
 }
 
-void ControlNode::start(LinkHub& hub, uint64_t seed)
+void ControlNode::start(LinkHub& hub, RelayGate& relayGate, uint64_t seed)
 {
     this->hub = &hub;
+    this->gate = &relayGate;
+    this->relayDirectory = std::make_unique<RelayDirectory>(this->settings.leaseTerm);
     this->sessions = std::make_unique<SessionTable>(this->settings.leaseTerm, this->settings.targetLease);
     ReplicatedLogOptions options;
     options.group = controlGroup;
@@ -184,6 +186,9 @@
     case wire::Envelope::kQueryRequest:
         this->receiveQuery(origin, envelope);
         return;
+    case wire::Envelope::kRelayOffer:
+        this->receiveRelayOffer(envelope);
+        return;
     case wire::Envelope::kReplaceControlRequest:
         this->receiveReplacement(origin, envelope);
         return;
@@ -198,6 +203,7 @@
     this->driver->tick();
     this->membershipManager->tick();
     this->checkDisk(now);
+    this->updateRelay(now);
     if (this->leaderCode() == ResultCode::Ok)
         this->tickLeader(now);
 }
--- a/programs/kingcupswitchd/control/ControlNode.h
+++ b/programs/kingcupswitchd/control/ControlNode.h
@@ -3,11 +3,13 @@
 
 #include "LogDriver.h"
 #include "MembershipManager.h"
+#include "RelayGate.h"
 
 #include "kingcup/ChangesCache.h"
 #include "kingcup/ControlStateMachine.h"
 #include "kingcup/DataFolder.h"
 #include "kingcup/Metrics.h"
+#include "kingcup/RelayDirectory.h"
 #include "kingcup/SessionTable.h"
 #include "kingcup/Settings.h"
 
@@ -37,9 +39,9 @@
 
     /**
      * Creates the log driver and the membership manager. The hub must outlive this object, and its thread must not run yet.
-     * @param seed Seed of the log's random numbers.
+     * @param gate Told of the targets; must outlive this object. @param seed Seed of the log's random numbers.
      */
-    void start(LinkHub& hub, uint64_t seed);
+    void start(LinkHub& hub, RelayGate& gate, uint64_t seed);
 
     /** Handles a message of any VM. Messages that are not for the control role are ignored. */
     void receive(const LinkOrigin& origin, const wire::Envelope& envelope);
@@ -97,6 +99,9 @@
     void receiveCommand(const LinkOrigin& origin, const wire::Envelope& envelope);
     void receiveHeartbeats(const LinkOrigin& origin, const wire::Envelope& envelope);
     void receiveQuery(const LinkOrigin& origin, const wire::Envelope& envelope);
+    void receiveRelayOffer(const wire::Envelope& envelope);
+    void addRelays(const wire::SessionRequest& request, wire::SessionAnswer& answer, TimePoint now);
+    void updateRelay(TimePoint now);
     void receiveReplacement(const LinkOrigin& origin, const wire::Envelope& envelope);
     void answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result);
     void proposeManifest(const std::string& text, int attempt, LogDriver::Done done);
@@ -130,6 +135,10 @@
     std::string snapshotData; ///< Snapshot as read by open(); empty: none.
     ControlStateMachine stateMachine; ///< Replicated state to which committed commands are applied.
     std::unique_ptr<SessionTable> sessions; ///< Leases and heartbeats, which only the leader maintains.
+    std::unique_ptr<RelayDirectory> relayDirectory; ///< Offers to relay connections, which only the leader maintains.
+    RelayGate* gate = nullptr; ///< Decides on connections that other VMs want relayed.
+    LogIndex relayedIndex = 0; ///< Log index of the targets that the gate knows.
+    TimePoint nextRelayOffer {}; ///< Time of the next offer to the leader.
     LinkHub* hub = nullptr; ///< Sends messages and runs posted tasks.
     std::unique_ptr<LogDriver> driver; ///< Replicated log with its storage and links.
     std::unique_ptr<MembershipManager> membershipManager; ///< Bootstrap and membership changes.
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -55,6 +55,7 @@
         body->set_live_entry_vms(this->sessions->liveEntryVms(now));
         *body->mutable_changes() = this->changesSince(request.held_index(), request.accepts_compressed());
         this->addControlVms(*body);
+        this->addRelays(request, *body, now);
         this->subscribers[request.entry_vm()] = { origin, this->stateMachine.configurationIndex(), request.accepts_compressed() };
         if (request.leaving())
             this->subscribers.erase(request.entry_vm());
@@ -71,6 +72,56 @@
         answer.add_control_vms(member.vm_id());
 }
 
+/** Records the offer of an entry VM and adds the relays that it may use, unless it holds them. */
+void ControlNode::addRelays(const wire::SessionRequest& request, wire::SessionAnswer& answer, TimePoint now)
+{
+    if (request.has_relay_offer() && !request.leaving())
+        this->relayDirectory->record(request.relay_offer(), now);
+    else
+        this->relayDirectory->remove(request.entry_vm());
+    // A new leader knows all offers only after a session interval of all VMs.
+    if (!this->sessions->liveEntryVms(now))
+        return;
+    const RelaySelection& selection = this->relayDirectory->select(request.entry_vm(), request.availability_zone(), now);
+    answer.set_relay_version(selection.version);
+    if (selection.version != request.relay_version())
+        answer.mutable_relays()->Add(selection.relays.begin(), selection.relays.end());
+}
+
+/** Records the offer of a control VM. */
+void ControlNode::receiveRelayOffer(const wire::Envelope& envelope)
+{
+    if (this->softStateCode() == ResultCode::Ok)
+        this->relayDirectory->record(envelope.relay_offer(), MillisecondClock::now());
+}
+
+/** Tells the gate of the targets, and the leader that this VM relays connections. An entry role in the same process does both itself. */
+void ControlNode::updateRelay(TimePoint now)
+{
+    if (this->settings.entry || this->settings.relayListener.empty())
+        return;
+    if (LogIndex index = this->stateMachine.configurationIndex(); index != this->relayedIndex) {
+        std::vector<std::string> addresses;
+        for (const wire::TargetRecord& target : this->stateMachine.targets()) {
+            if (target.state() != wire::TARGET_GONE)
+                addresses.push_back(target.address());
+        }
+        this->gate->setTargets(std::move(addresses));
+        this->gate->setServing(index > 0);
+        this->relayedIndex = index;
+    }
+    std::optional<wire::RelayOffer> offer = this->gate->offer();
+    if (!offer || now < this->nextRelayOffer || !this->leader())
+        return;
+    this->nextRelayOffer = now + this->settings.sessionInterval;
+    wire::Envelope envelope;
+    *envelope.mutable_relay_offer() = std::move(*offer);
+    if (this->isLeader())
+        this->receiveRelayOffer(envelope);
+    else
+        this->hub->send(this->leader(), std::move(envelope));
+}
+
 void ControlNode::answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result)
 {
     wire::Envelope answer;
--- a/programs/kingcupswitchd/entry/CallAnswer.cpp
+++ b/programs/kingcupswitchd/entry/CallAnswer.cpp
@@ -163,7 +163,7 @@
             { "instance", attempt->pick.instance }, { "hedge", attempt->isHedge }, { "probes", attempt->probeCount }, { "rounds", attempt->searchRoundCount }, { "searchCost", attempt->searchCost }, { "costMs", std::round(reason.costMs) }, { "slowdown", reason.slowdown },
             { "reportAgeMs", std::round(std::min(reason.reportAgeMs, maxLoggedAgeMs)) }, { "outstanding", reason.outstanding }, { "candidates", reason.candidates },
             { "outcome", nameOf(upstreamOutcomeNames, result.outcome) }, { "status", attempt->head.status }, { "sent", result.maybeSent },
-            { "newConnection", result.newConnection }, { "connected", result.isConnected }, { "firstByteMs", std::round(result.timeToFirstByte.count()) }, { "totalMs", std::round(result.duration.count()) }, { "load", load } });
+            { "newConnection", result.newConnection }, { "connected", result.isConnected }, { "relay", attempt->relay ? attempt->relay->address : "" }, { "firstByteMs", std::round(result.timeToFirstByte.count()) }, { "totalMs", std::round(result.duration.count()) }, { "load", load } });
 }
 
 /** Logs the result of the call and the manifest by which it was matched. */
--- a/programs/kingcupswitchd/entry/CallAttempt.h
+++ b/programs/kingcupswitchd/entry/CallAttempt.h
@@ -38,13 +38,16 @@
     size_t searchRoundCount = 1; ///< Number of search rounds; 1 also without a search.
     UpstreamClient::AttemptHandle handle = 0; ///< Handle in the upstream client; 0 before the request is sent.
     TimePoint startTime {}; ///< When the request was sent to the upstream client.
+    std::optional<RelayHop> relay; ///< VM through which the target is reached; empty: directly.
     HttpAnswerHead head; ///< Head of the answer, valid once it has arrived.
     bool hasHead = false; ///< Whether `head` is set.
     bool hasEnded = false; ///< Whether the attempt has ended and its end is recorded in the router.
+    bool mayHaveArrived = true; ///< Whether the request may have arrived at the target; false once it is known that it was not sent.
     bool isComplete = false; ///< Whether the attempt ended with a complete answer.
     bool isDiscarded = false; ///< Whether the answer is not sent to the caller, unless the attempt becomes the fallback.
     bool isHedge = false; ///< Whether the attempt was started in parallel to a slow one.
     bool isStalled = false; ///< Whether the attempt was cancelled because its download stalled.
+    bool isPathFailure = false; ///< Whether the request was not sent because of the path to the target, which says nothing about the target.
     bool isMisdirected = false; ///< Whether another instance has the address; it did not run the request, and its answer is no sign of the target's health.
     std::optional<uint64_t> resumeOffset; ///< Bytes that the caller already has when this attempt resumes a download; otherwise empty.
     bool isResumeRejected = false; ///< Whether the answer does not continue the download, so that its bytes must not be sent to the caller.
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -23,7 +23,7 @@
     TimePoint now = MillisecondClock::now();
     const std::string& service = this->match.service->name;
     ContainmentVerdict verdict = this->gateway.containment.verdict(service, this->fingerprint, this->gateway.logTimeMs());
-    if (verdict == ContainmentVerdict::Refuse)
+    if (verdict == ContainmentVerdict::Refuse || !this->gateway.hasPathToTargets(now))
         return false;
     std::optional<Pick> pick = this->pickTarget(verdict, now);
     if (!pick)
@@ -45,6 +45,7 @@
 void Call::sendAttempt(const AttemptPointer& attempt)
 {
     attempt->startTime = MillisecondClock::now();
+    attempt->relay = this->gateway.relays.hopTo(attempt->pick.address);
     attempt->handle = this->gateway.upstream.start(this->createUpstreamRequest(attempt));
     if (this->hasClaim)
         checkFailPoint("attempt.started");
@@ -74,6 +75,8 @@
     if (verdict == ContainmentVerdict::RunAlone)
         excluded = this->gateway.containment.targetsWithSuspects(this->match.service->name);
     for (const AttemptPointer& attempt : this->attempts) {
+        if (attempt->isPathFailure)
+            continue;
         excluded.push_back(attempt->pick.address);
         if (!attempt->searchRound)
             continue;
@@ -89,6 +92,7 @@
     Milliseconds remaining = this->deadline - attempt->startTime;
     UpstreamRequest request;
     request.address = attempt->pick.address;
+    request.relay = attempt->relay;
     request.method = head.method;
     request.target = head.target;
     request.headers = targetHeaders(head, this->gateway.edge.headers, remaining, this->parameters.depth, attempt->pick.instance);
@@ -284,11 +288,13 @@
 void Call::recordAttemptEnd(const AttemptPointer& attempt, const UpstreamResult& result)
 {
     attempt->hasEnded = true;
+    attempt->mayHaveArrived = result.maybeSent;
     attempt->isComplete = result.outcome == UpstreamOutcome::Complete;
+    attempt->isPathFailure = result.relayFailure != RelayFailure::None || (!result.isConnected && !attempt->relay && this->gateway.paths.isCut());
     TimePoint now = MillisecondClock::now();
-    AttemptOutcome outcome = routerOutcome(result, *attempt);
+    AttemptOutcome outcome = attempt->isPathFailure ? AttemptOutcome::Cancelled : routerOutcome(result, *attempt);
     this->logAttemptEnd(attempt, result);
-    this->gateway.paths.recordExchange(attempt->pick.address, result);
+    this->gateway.recordExchange(attempt->pick.address, attempt->relay, result);
     this->match.runtime->router.finish(attempt->pick, outcome, result.timeToFirstByte, now);
     const std::string& service = this->match.service->name;
     if (result.outcome == UpstreamOutcome::Complete && !attempt->isMisdirected) {
@@ -427,6 +433,7 @@
     context.isRepeatable = this->match.kind->repeatable;
     context.mayHaveBeenSent = mayHaveBeenSent;
     context.attempts = static_cast<uint32_t>(this->attempts.size());
+    context.arrivals = static_cast<uint32_t>(std::count_if(this->attempts.begin(), this->attempts.end(), [](const AttemptPointer& attempt) { return attempt->mayHaveArrived; }));
     context.maxAttempts = this->match.kind->maxAttempts;
     context.depth = this->parameters.depth;
     context.outcome = outcome;
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -13,6 +13,7 @@
 constexpr size_t probeBytes = 400; ///< Estimated size of a probe: request and answer with their headers.
 constexpr size_t maxPicksBeforeUnprobed = 8; ///< If the probe budget is exhausted, a round with this many candidates picks no further one and may use a target without a probe.
 constexpr Milliseconds probeTimeout { 100 };
+constexpr Milliseconds pathRetryAfter { 20 }; ///< Short, since the caller comes to another VM.
 constexpr double minRetryAfterMs = 20; ///< With a shorter delay, a caller would retry before the load has changed.
 
 } // namespace
@@ -55,6 +56,7 @@
     auto self = this->shared_from_this();
     UpstreamRequest probe;
     probe.address = pick.address;
+    probe.relay = this->gateway.relays.hopTo(pick.address);
     probe.method = "GET";
     probe.target = this->match.service->healthPath;
     probe.isRepeatable = true;
@@ -66,8 +68,8 @@
         self->executor.post([self, attempt, round, position, head] { self->handleProbeHead(attempt, round, position, head); });
     };
     probe.onData = [](std::string_view) { return true; };
-    probe.onEnd = [self, attempt, round, position, address = pick.address](const UpstreamResult& result) {
-        self->gateway.paths.recordExchange(address, result);
+    probe.onEnd = [self, attempt, round, position, address = pick.address, relay = probe.relay](const UpstreamResult& result) {
+        self->gateway.recordExchange(address, relay, result);
         if (result.outcome != UpstreamOutcome::Complete)
             self->executor.post([self, attempt, round, position] { self->handleProbeResult(attempt, round, position, std::nullopt); });
     };
@@ -188,6 +190,7 @@
         attempt->pick = searchRound->picks[*chosen];
     else
         attempt->hasEnded = true;
+    attempt->mayHaveArrived = chosen.has_value();
 }
 
 /** Refuses a request whose answer would come after its objective because all targets are full. This attempt was not sent. */
@@ -226,7 +229,12 @@
         this->refuse(this->match.kind->repeatable ? ResultCode::ConnectionLost : this->lastFailure.code, Milliseconds(0));
         return;
     }
-    std::optional<Milliseconds> delay = this->match.runtime->router.timeUntilAccepted(MillisecondClock::now());
+    TimePoint now = MillisecondClock::now();
+    if (!this->gateway.hasPathToTargets(now)) {
+        this->refuse(ResultCode::NoTarget, pathRetryAfter);
+        return;
+    }
+    std::optional<Milliseconds> delay = this->match.runtime->router.timeUntilAccepted(now);
     this->refuse(ResultCode::NoTarget, delay ? Milliseconds(std::max(delay->count(), minRetryAfterMs)) : AttemptFailure().retryAfter);
 }
 
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -26,13 +26,15 @@
 
 } // namespace
 
-EntryNode::EntryNode(const Settings& settings, const Edge& edge, LinkHub& hub, LeaderClient& leader, Metrics& metrics, uint64_t incarnation, uint64_t seed)
+EntryNode::EntryNode(const Settings& settings, const Edge& edge, LinkHub& hub, LeaderClient& leader, Metrics& metrics, RelayGate& gate, uint64_t incarnation, uint64_t seed)
     : settings(settings)
     , hub(hub)
     , leader(leader)
     , metrics(metrics)
+    , gate(gate)
     , claims(leader, settings.vm, incarnation)
-    , gateway(settings, edge, leader, this->claims, metrics, seed)
+    , gateway(
+          settings, edge, leader, this->claims, metrics, gate, [this](PathState) { this->hub.post([this] { this->handlePathChange(); }); }, seed)
     , prober(this->gateway)
     , configuration(settings.vm, incarnation, settings.availabilityZone, settings.leaseTerm)
     , listener(
@@ -71,6 +73,7 @@
     this->nextSessionRequest = now + this->settings.sessionInterval;
     this->leader.setLeader(envelope.sender_vm());
     this->leader.setControlVms({ answer.control_vms().begin(), answer.control_vms().end() });
+    this->gateway.relays.receiveRelays(answer);
     bool hasChanged = this->configuration.receiveAnswer(envelope.request_id(), answer, now);
     // Calls that wait for the first configuration are checked against the lease when it is published.
     this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
@@ -103,6 +106,7 @@
     this->servesIsolated.store(!snapshot->routes.empty());
     this->gateway.setLogClock(this->configuration.logClock());
     this->gateway.applyConfiguration(std::move(snapshot));
+    this->updateGate();
 }
 
 void EntryNode::tick(TimePoint now)
@@ -125,13 +129,30 @@
     *envelope.mutable_session_request() = this->configuration.createSessionRequest(id, now);
     envelope.mutable_session_request()->set_incarnation(this->claims.currentIncarnation());
     envelope.mutable_session_request()->set_leaving(this->isLeaving.load());
+    envelope.mutable_session_request()->set_relay_version(this->gateway.relays.version());
+    if (std::optional<wire::RelayOffer> offer = this->gate.offer())
+        *envelope.mutable_session_request()->mutable_relay_offer() = std::move(*offer);
     this->pendingSessionVm = this->leader.preferredVm();
     this->hub.send(this->pendingSessionVm, std::move(envelope));
 }
 
+/** Tells control at once whether this VM relays connections, and asks for its own relays. */
+void EntryNode::handlePathChange()
+{
+    this->updateGate();
+    this->sendSessionRequest(MillisecondClock::now());
+}
+
+/** This VM relays connections while it reaches the targets itself. */
+void EntryNode::updateGate()
+{
+    this->gate.setServing(this->hasManifest.load() && !this->isLeaving.load() && !this->gateway.paths.isCut());
+}
+
 void EntryNode::announceStop()
 {
     this->isLeaving.store(true);
+    this->updateGate();
     this->listener.announceClose();
 }
 
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -20,7 +20,7 @@
 /** Entry role of a process. receive() and tick() must be called on the thread of the hub. */
 class EntryNode {
 public:
-    EntryNode(const Settings& settings, const Edge& edge, LinkHub& hub, LeaderClient& leader, Metrics& metrics, uint64_t incarnation, uint64_t seed);
+    EntryNode(const Settings& settings, const Edge& edge, LinkHub& hub, LeaderClient& leader, Metrics& metrics, RelayGate& gate, uint64_t incarnation, uint64_t seed);
 
     /** Starts the listener for callers and the prober. Fails with ListenFailed. */
     std::error_code start();
@@ -31,8 +31,8 @@
     /** Sends a session request, which renews the lease, when one is due. */
     void tick(TimePoint now);
 
-    /** Returns whether this VM should receive calls: a manifest is in force, no stop has begun, and the lease is valid or there are routes, which are served without one. */
-    bool isReady() const { return (this->gateway.isLeaseValid() || this->servesIsolated.load()) && !this->gateway.isStopping.load() && this->hasManifest.load() && !this->isLeaving.load(); }
+    /** Returns whether this VM should receive calls: a manifest is in force, no stop has begun, targets can be reached, and the lease is valid or there are routes, which are served without one. */
+    bool isReady() const { return this->gateway.hasPathToTargets(MillisecondClock::now()) && (this->gateway.isLeaseValid() || this->servesIsolated.load()) && !this->gateway.isStopping.load() && this->hasManifest.load() && !this->isLeaving.load(); }
 
     /** First step of a planned stop: clears readiness and closes connections after their next answer. Calls are still served. */
     void announceStop();
@@ -62,11 +62,14 @@
     void sendSessionRequest(TimePoint now);
     void followLeaderHint(uint32_t sender, uint32_t leaderVm, TimePoint now);
     void publishConfiguration();
+    void handlePathChange();
+    void updateGate();
 
     Settings settings; ///< Settings of this process.
     LinkHub& hub; ///< Sends session requests.
     LeaderClient& leader; ///< Selects the control VM for session requests.
     Metrics& metrics; ///< Metrics of this process.
+    RelayGate& gate; ///< Decides on connections that other VMs want relayed.
     ClaimClient claims; ///< Claims idempotency keys.
     Gateway gateway; ///< Serves callers' requests.
     Prober prober; ///< Probes the load of targets.
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -49,15 +49,17 @@
 
 } // namespace
 
-Gateway::Gateway(const Settings& settings, const Edge& edge, LeaderClient& leader, ClaimClient& claims, Metrics& metrics, uint64_t seed)
+Gateway::Gateway(const Settings& settings, const Edge& edge, LeaderClient& leader, ClaimClient& claims, Metrics& metrics, RelayGate& gate, std::function<void(PathState)> pathHook, uint64_t seed)
     : entryVm(settings.vm)
     , edge(edge)
     , suspicionWait(settings.suspicionWait)
     , leader(leader)
     , claims(claims)
     , metrics(metrics)
-    , paths(this->upstream, metrics, seed, nullptr)
+    , paths(this->upstream, metrics, seed, std::move(pathHook))
+    , relays(this->paths)
     , upstream(settings.upstreamThreads, maxIdleConnectionsPerThread)
+    , gate(gate)
     , requestTable(createEmptyTable())
     , availabilityZone(settings.availabilityZone)
     , leaseTerm(settings.leaseTerm)
@@ -83,6 +85,7 @@
     this->addRoutes(*configuration, *next);
     this->containment.applySnapshot(*configuration);
     this->paths.setTargets(addressesOf(*configuration));
+    this->gate.setTargets(addressesOf(*configuration));
     next->configuration = std::move(configuration);
     logLine(LogLevel::Info, "configuration_in_force", { { "index", next->configuration->index }, { "manifest", next->configuration->manifestNumber } });
     this->metrics.setGauge("kingcup_manifest_number", static_cast<double>(next->configuration->manifestNumber));
@@ -268,6 +271,14 @@
     }
 }
 
+void Gateway::recordExchange(const std::string& address, const std::optional<RelayHop>& relay, const UpstreamResult& result)
+{
+    if (relay)
+        this->relays.recordResult(*relay, result);
+    else
+        this->paths.recordExchange(address, result);
+}
+
 void Gateway::updateGauges() const
 {
     TimePoint now = MillisecondClock::now();
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -4,6 +4,8 @@
 #include "ClaimClient.h"
 #include "Edge.h"
 #include "PathMonitor.h"
+#include "RelayClient.h"
+#include "RelayGate.h"
 #include "RequestTable.h"
 #include "TimerQueue.h"
 
@@ -30,8 +32,8 @@
 /** Serves callers' requests, one Call for each. Thread-safe. */
 class Gateway {
 public:
-    /** @param seed Seed of the random numbers. */
-    Gateway(const Settings& settings, const Edge& edge, LeaderClient& leader, ClaimClient& claims, Metrics& metrics, uint64_t seed);
+    /** @param gate Told of the targets. @param pathHook Called on any thread when the path to the targets is lost or found again. @param seed Seed of the random numbers. */
+    Gateway(const Settings& settings, const Edge& edge, LeaderClient& leader, ClaimClient& claims, Metrics& metrics, RelayGate& gate, std::function<void(PathState)> pathHook, uint64_t seed);
 
     /** Starts a call for a request that the listener received. */
     void handleRequest(std::shared_ptr<HttpExchange> exchange);
@@ -84,6 +86,12 @@
      */
     bool recordTargetNotice(const RequestTableRow& service, const std::string& address, uint64_t incarnation, const TargetNotice& notice, TimePoint now);
 
+    /** Records what the end of an exchange with a target shows about the path to it. @param relay VM through which it was reached; empty: directly. */
+    void recordExchange(const std::string& address, const std::optional<RelayHop>& relay, const UpstreamResult& result);
+
+    /** Returns whether a request may reach a target: over an own connection or through another VM. */
+    bool hasPathToTargets(TimePoint now) const { return !this->paths.isCut() || this->relays.hasRelay(now); }
+
     /** Updates the gauges of all services. */
     void updateGauges() const;
 
@@ -100,9 +108,11 @@
     ClaimClient& claims; ///< Claims idempotency keys.
     Metrics& metrics; ///< Metrics of this process.
     PathMonitor paths; ///< Watches whether targets are reachable. Outlives the client, whose callbacks use it.
+    RelayClient relays; ///< VMs through which targets are reached while the path is cut.
     UpstreamClient upstream; ///< Sends requests to targets.
     TimerQueue timers; ///< Runs hedges, queue timeouts, stall timeouts and probes.
     CrashContainment containment; ///< Suspected and quarantined requests.
+    RelayGate& gate; ///< Decides on connections that other VMs want relayed.
     RcuPointer<RequestTable> requestTable; ///< Request table in force; never null.
     std::atomic<bool> isStopping { false }; ///< Whether all further calls are refused.
     std::atomic<uint64_t> lastCallId { 0 }; ///< Identifier of the latest call.
--- a/programs/kingcupswitchd/entry/PathMonitor.cpp
+++ b/programs/kingcupswitchd/entry/PathMonitor.cpp
@@ -73,7 +73,7 @@
     UpstreamRequest check;
     check.address = address;
     check.method = "GET";
-    check.target = "/";
+    check.target.push_back('/');
     check.connectsOnly = true;
     check.connectTimeout = checkTimeout;
     check.deadline = MillisecondClock::now() + checkTimeout;
@@ -92,7 +92,7 @@
         state = this->reachability.state();
         this->isPathCut.store(state == PathState::Cut);
     }
-    logLine(state == PathState::Cut ? LogLevel::Warning : LogLevel::Info, "target_path_changed", { { "path", nameOf(pathStateNames, state) } });
+    logLine(LogLevel::Warning, "target_path_changed", { { "path", nameOf(pathStateNames, state) } });
     this->metrics.setGauge("kingcup_targets_reachable", state == PathState::Cut ? 0 : 1);
     if (this->changeHook)
         this->changeHook(state);
--- a/programs/kingcupswitchd/entry/Prober.cpp
+++ b/programs/kingcupswitchd/entry/Prober.cpp
@@ -52,6 +52,7 @@
 {
     UpstreamRequest request;
     request.address = address;
+    request.relay = this->gateway.relays.hopTo(address);
     request.method = "GET";
     request.target = "/load";
     request.isRepeatable = true;
@@ -70,7 +71,7 @@
             row.runtime->router.recordReport(address, *load, Milliseconds(0), now);
     };
     request.onData = [](std::string_view) { return true; };
-    request.onEnd = [this, address](const UpstreamResult& result) { this->gateway.paths.recordExchange(address, result); };
+    request.onEnd = [this, address, relay = request.relay](const UpstreamResult& result) { this->gateway.recordExchange(address, relay, result); };
     this->gateway.upstream.start(std::move(request));
     this->gateway.metrics.incrementCounter("kingcup_probes_total", row.service->name);
 }
--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -35,6 +35,7 @@
     , directory(this->settings)
     , incarnation(static_cast<uint64_t>(MillisecondClock::wallTimeMs()))
     , seed(this->settings.seed ? this->settings.seed : randomNonzero())
+    , relayGate(this->settings)
 {
 }
 
@@ -55,14 +56,16 @@
         this->hubOptions(keys), receiver, [this] { this->tick(); }, this->settings.tickInterval);
     this->leaderClient = std::make_unique<LeaderClient>(*this->hub, this->directory, randomNonzero() >> 1);
     if (this->control)
-        this->control->start(*this->hub, this->seed);
+        this->control->start(*this->hub, this->relayGate, this->seed);
     if (this->settings.entry)
-        this->entry = std::make_unique<EntryNode>(this->settings, this->edge, *this->hub, *this->leaderClient, this->metrics, this->incarnation, this->seed);
+        this->entry = std::make_unique<EntryNode>(this->settings, this->edge, *this->hub, *this->leaderClient, this->metrics, this->relayGate, this->incarnation, this->seed);
     this->announcements = std::make_unique<TargetAnnouncements>(*this->leaderClient, [this](const std::vector<wire::TargetLoad>& loads) {
         if (this->entry)
             this->entry->recordLoads(loads);
     });
     this->operatorApi = std::make_unique<OperatorApi>(this->settings, this->edge, *this->leaderClient, *this->announcements, this->metrics, this->operatorHooks());
+    if (std::error_code error = this->startRelayListener())
+        return error;
     if (std::error_code error = this->hub->start())
         return error;
     if (std::error_code error = this->operatorApi->start())
@@ -75,6 +78,17 @@
     return {};
 }
 
+std::error_code Process::startRelayListener()
+{
+    if (this->settings.relayListener.empty())
+        return {};
+    RelayListenerOptions options;
+    options.address = this->settings.relayListener;
+    options.maxConnections = this->settings.maxRelayedConnections;
+    this->relayListener = std::make_unique<RelayListener>(options, [this](std::string_view token, const std::string& target) { return this->relayGate.decide(token, target); });
+    return this->relayListener->start();
+}
+
 std::error_code Process::loadLinkKeys(LinkKeys& keys) const
 {
     if (this->settings.linkSecurity == LinkSecurity::None)
@@ -142,6 +156,7 @@
 void Process::tick()
 {
     TimePoint now = MillisecondClock::now();
+    this->relayGate.recordTick(now);
     this->leaderClient->tick(now);
     if (this->entry)
         this->entry->tick(now);
@@ -160,6 +175,8 @@
     this->metrics.setGauge("kingcup_link_sent_bytes", static_cast<double>(counters.sentBytes));
     this->metrics.setGauge("kingcup_link_received_bytes", static_cast<double>(counters.receivedBytes));
     this->metrics.setGauge("kingcup_link_dropped_messages", static_cast<double>(counters.droppedMessages));
+    if (this->relayListener)
+        this->metrics.setGauge("kingcup_relayed_connections", this->relayListener->openConnections());
     if (this->entry)
         this->entry->updateGauges();
     if (this->control)
@@ -188,17 +205,23 @@
 {
     logLine(LogLevel::Info, "stopping");
     bool isClean = true;
+    this->relayGate.setServing(false);
+    if (this->relayListener)
+        this->relayListener->stopAccepting();
     if (this->entry) {
         this->entry->announceStop();
         TimePoint noticeEnd = MillisecondClock::now() + this->settings.stopNotice;
         while (MillisecondClock::now() < noticeEnd && !isAborted.load())
             std::this_thread::sleep_for(stopPollInterval);
-        isClean = this->waitForCalls(isAborted);
     }
+    if (this->entry || this->busyRelayedConnections() > 0)
+        isClean = this->waitForCalls(isAborted);
     if (this->control)
         this->handOverLeadership();
     if (this->entry)
         this->entry->stop();
+    if (this->relayListener)
+        this->relayListener->stop();
     this->operatorApi->stop();
     this->hub->stop();
     if (this->control)
@@ -207,20 +230,30 @@
     return isClean;
 }
 
-/** Waits for the calls in flight, in short steps so that `isAborted` is checked in between. Returns whether all calls completed. */
+/** Waits for the calls in flight, also those of other VMs, in short steps so that `isAborted` is checked in between. Returns whether all calls completed. */
 bool Process::waitForCalls(const std::atomic<bool>& isAborted)
 {
     constexpr Milliseconds step { 100 };
     TimePoint deadline = MillisecondClock::now() + this->settings.stopLimit;
-    this->entry->setStopEnd(deadline);
+    if (this->entry)
+        this->entry->setStopEnd(deadline);
     while (MillisecondClock::now() < deadline && !isAborted.load()) {
-        if (this->entry->drain(step))
+        bool isIdle = !this->entry || this->entry->drain(step);
+        if (isIdle && !this->busyRelayedConnections())
             return true;
+        if (isIdle)
+            std::this_thread::sleep_for(stopPollInterval);
     }
-    logLine(LogLevel::Warning, "calls_cut_off", { { "calls", this->entry->activeCalls() } });
+    logLine(LogLevel::Warning, "calls_cut_off", { { "calls", (this->entry ? this->entry->activeCalls() : 0) + this->busyRelayedConnections() } });
     return false;
 }
 
+/** Returns the number of connections of other VMs on which an answer is awaited. */
+uint32_t Process::busyRelayedConnections() const
+{
+    return this->relayListener ? this->relayListener->busyConnections() : 0;
+}
+
 /** Transfers leadership and waits until this VM is no longer the leader, or until the timeout. */
 void Process::handOverLeadership()
 {
--- a/programs/kingcupswitchd/process/Process.h
+++ b/programs/kingcupswitchd/process/Process.h
@@ -6,6 +6,9 @@
 #include "Edge.h"
 #include "EntryNode.h"
 #include "OperatorApi.h"
+#include "RelayGate.h"
+
+#include "kingcup/RelayListener.h"
 
 #include <memory>
 
@@ -36,6 +39,8 @@
     void updateGauges(TimePoint now);
     bool waitForCalls(const std::atomic<bool>& isAborted);
     void handOverLeadership();
+    std::error_code startRelayListener();
+    uint32_t busyRelayedConnections() const;
     nlohmann::json localStatus() const;
     nlohmann::json dump() const;
 
@@ -46,6 +51,8 @@
     uint64_t seed; ///< Seed of the random number generators.
     TimePoint nextGaugeUpdate {}; ///< Time of the next update of the gauges.
     Metrics metrics; ///< Metrics of this process.
+    RelayGate relayGate; ///< Decides on connections that other VMs want relayed.
+    std::unique_ptr<RelayListener> relayListener; ///< Relays connections of other VMs; null if disabled.
     std::unique_ptr<ControlNode> control; ///< Control role; null if disabled.
     std::unique_ptr<LinkHub> hub; ///< Links to other VMs.
     std::unique_ptr<LeaderClient> leaderClient; ///< Client of the control group.
--- a/testing/Deployment.cpp
+++ b/testing/Deployment.cpp
@@ -74,6 +74,7 @@
         std::filesystem::create_directories(vm.dataFolder());
         vm.operatorAddress = this->addresses.next();
         (isControl ? vm.linkAddress : vm.callerAddress) = this->addresses.next();
+        vm.relayAddress = this->addresses.next();
         makeKeys(vm);
     }
     size_t position = 0;
@@ -120,6 +121,7 @@
         { "availabilityZone", this->options.zones[position % this->options.zones.size()] },
         { "roles", { vm.controlId ? "control" : "entry" } },
         { "operatorListener", vm.operatorAddress },
+        { "relayListener", vm.relayAddress },
         { "controlVms", this->controlAddresses(vm) },
         { "curvePublicKey", vm.publicKey },
         { "curveSecretKeyFile", vm.secretKeyFile },
--- a/testing/Deployment.h
+++ b/testing/Deployment.h
@@ -48,6 +48,7 @@
     std::string callerAddress; ///< Listener for callers.
     std::string operatorAddress; ///< Listener for operators and targets.
     std::string linkAddress; ///< Link listener.
+    std::string relayAddress; ///< Relay listener.
     std::string publicKey; ///< CURVE public key.
     std::string secretKeyFile; ///< File with the CURVE secret key.
     std::string folder; ///< Holds its files.
