Fix: [State] A request that reached no target is answered 503 instead of 502

A caller may not send a request that must not repeat again after a 502. Cause: connect_failed states not-run, but had the status of an outcome that is unknown. Class: a status that promises less than its run state. Change: its status is 503, as that of all other results of requests that have not run and may be sent again; deadline_before_send stays 504, since its caller's time is over. Measured: TargetPartition.callersAreToldAtOnceThatNothingRanWhenThereIsNoWayToTheTargets fails with the status 502 and passes with 503. It also holds that a VM without any way to the targets refuses within 100 ms and reports itself not ready.

--- a/packages/state/src/ResultCode.cpp
+++ b/packages/state/src/ResultCode.cpp
@@ -17,7 +17,7 @@
     { ResultCode::QueueFull, "queue_full", 503, RunState::NotRun, true, "The admission queue of the service is full." },
     { ResultCode::WaitTooLong, "wait_too_long", 503, RunState::NotRun, true, "The request cannot start within the time its kind may wait." },
     { ResultCode::NoTarget, "no_target", 503, RunState::NotRun, true, "No target of the service takes work." },
-    { ResultCode::ConnectFailed, "connect_failed", 502, RunState::NotRun, true, "No connection to a target could be opened." },
+    { ResultCode::ConnectFailed, "connect_failed", 503, RunState::NotRun, true, "No connection to a target could be opened." },
     { ResultCode::Isolated, "isolated", 503, RunState::NotRun, true, "This VM does not know that its configuration is current." },
     { ResultCode::Stopping, "stopping", 503, RunState::NotRun, true, "This VM is stopping." },
     { ResultCode::ClaimUnavailable, "claim_unavailable", 503, RunState::NotRun, true, "The idempotency key could not be claimed in time." },
--- a/tests/TargetPartitionTest.cpp
+++ b/tests/TargetPartitionTest.cpp
@@ -78,12 +78,21 @@
 
 /** A deployment whose entry VMs can be partitioned from the targets. */
 struct PartitionedDeployment {
-    explicit PartitionedDeployment(uint64_t seed)
+    /** @param hasRelays Whether VMs relay connections for others. */
+    explicit PartitionedDeployment(uint64_t seed, bool hasRelays = true)
         : environment("KINGCUP_PARTITION_FILE", this->folder.path() + "/partition")
-        , deployment(testOptions(seed, 3, { { "matters", 4, 6 }, { "ledger", 3, 6 } }))
+        , deployment(optionsOf(seed, hasRelays))
     {
     }
 
+    static DeploymentOptions optionsOf(uint64_t seed, bool hasRelays)
+    {
+        DeploymentOptions options = testOptions(seed, 3, { { "matters", 4, 6 }, { "ledger", 3, 6 } });
+        if (!hasRelays)
+            options.settings["relayListener"] = nullptr;
+        return options;
+    }
+
     /** Returns the first entry VMs. */
     std::vector<Vm*> firstEntryVms(size_t count)
     {
@@ -171,6 +180,38 @@
     expectServed(stage, 3, refusingAddress());
 }
 
+TEST(TargetPartition, callersAreToldAtOnceThatNothingRanWhenThereIsNoWayToTheTargets)
+{
+    constexpr Milliseconds noticeTime { 1000 }; ///< Time until the VM has noticed the partition.
+    constexpr double immediateRefusalMs = 100; ///< Far below the time limit of a call.
+    PartitionedDeployment stage(96, false);
+    ASSERT_EQ(startAll(stage.deployment), "");
+    std::vector<Vm*> vms = stage.firstEntryVms(1);
+    LoadGenerator load(loadOn(stage.deployment, 100, Milliseconds(4000), 1));
+    TargetPartition partition(stage.prefix(), vms, refusingAddress());
+    double cutMs = machineTimeMs();
+    load.start();
+    section("the VM reports itself not ready", [&] {
+        EXPECT_TRUE(waitUntil(noticeTime, [&] { return !stage.deployment.ready(*vms[0]); }));
+        EXPECT_TRUE(stage.deployment.ready(stage.deployment.entryVms()[1]));
+    });
+    EXPECT_EQ(violationsAfter(stage.deployment, load), "");
+    size_t refusals = 0;
+    for (const CallRecord& record : load.records()) {
+        if (record.address != vms[0]->callerAddress || record.view.startMs < cutMs + noticeTime.count())
+            continue;
+        ++refusals;
+        EXPECT_EQ(record.view.status, 503) << record.result;
+        EXPECT_EQ(record.view.told, ToldRun::NotRun);
+        EXPECT_LT(record.view.endMs - record.view.startMs, immediateRefusalMs);
+    }
+    EXPECT_GT(refusals, 50u);
+    section("before it has noticed, what reached no target is answered 503 too", [&] {
+        for (const CallRecord& record : load.records())
+            EXPECT_FALSE(record.view.status == 502) << record.result;
+    });
+}
+
 TEST(TargetPartition, shortPartitionsInSeriesHarmNoCaller)
 {
     constexpr int partitions = 4;
