Fix: [Transport] Bytes without end that are no answer end the attempt

What callers saw: nothing was seen; the users' pages say that a target in trouble may send such bytes in a head or a body until its connection is closed. Cause: libcurl skips chunk extensions, and passes on trailer lines, without a limit. Class: input whose size is bounded only where it is stored. Status lines, header lines, interim answers, chunk sizes and bytes after an answer were bounded. Change: trailer lines count against the limit of the header; a transfer ends when 100 steps in a row bring neither header nor body bytes.

--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -18,6 +18,9 @@
 /** Request fields that libcurl adds by default. Setting them to an empty value suppresses them. */
 constexpr std::string_view suppressedDefaultFields[] = { "Accept", "Content-Type", "User-Agent" };
 
+/** Most steps of a transfer in a row in which bytes may arrive that are neither of a header nor of a body. */
+constexpr uint32_t maxIdleSteps = 100;
+
 /** Receive buffer of one transfer, in bytes. */
 constexpr long receiveBufferBytes = 32 << 10;
 
@@ -75,6 +78,9 @@
     curl_easy_setopt(this->curl, CURLOPT_READDATA, this);
     curl_easy_setopt(this->curl, CURLOPT_PREREQFUNCTION, &UpstreamAttempt::onBeforeSend);
     curl_easy_setopt(this->curl, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(this->curl, CURLOPT_XFERINFOFUNCTION, &UpstreamAttempt::onStep);
+    curl_easy_setopt(this->curl, CURLOPT_XFERINFODATA, this);
+    curl_easy_setopt(this->curl, CURLOPT_NOPROGRESS, 0L);
     if (isPartitionSimulated() && !this->request.relay)
         curl_easy_setopt(this->curl, CURLOPT_OPENSOCKETFUNCTION, &UpstreamAttempt::onOpenSocket);
     return true;
@@ -183,8 +189,13 @@
 
 bool UpstreamAttempt::processHeaderLine(std::string_view line)
 {
-    if (this->parser.complete())
-        return true; // Trailer fields are not forwarded.
+    this->receivedHeaderBytes += line.size();
+    if (this->parser.complete()) {
+        // Trailer fields are not forwarded.
+        this->receivedTrailerBytes += line.size();
+        this->isInvalid = this->receivedTrailerBytes > this->request.maxHeaderBytes;
+        return !this->isInvalid;
+    }
     if (!this->parser.hasReceivedBytes())
         this->firstByteTime = MillisecondClock::now();
     AnswerParser::Progress progress = this->parser.parseLine(line);
@@ -242,6 +253,17 @@
     return CURL_PREREQFUNC_OK;
 }
 
+int UpstreamAttempt::onStep(void* self, curl_off_t, curl_off_t, curl_off_t, curl_off_t sentBytes)
+{
+    auto* attempt = static_cast<UpstreamAttempt*>(self);
+    uint64_t passedBytes = attempt->receivedHeaderBytes + attempt->receivedBodyBytes + static_cast<uint64_t>(sentBytes);
+    bool hasProgress = passedBytes != std::exchange(attempt->passedBytes, passedBytes) || attempt->isReceivingPaused || attempt->isSendingPaused;
+    attempt->idleSteps = hasProgress ? 0 : attempt->idleSteps + 1;
+    // libcurl skips some bytes without a limit, such as those of a chunk extension.
+    attempt->isInvalid = attempt->isInvalid || attempt->idleSteps > maxIdleSteps;
+    return attempt->isInvalid ? 1 : 0;
+}
+
 curl_socket_t UpstreamAttempt::onOpenSocket(void*, curlsocktype, curl_sockaddr* address)
 {
     if (std::optional<SocketAddress> other = simulatedDestination(); other && other->size() <= sizeof(address->addr)) {
--- a/packages/transport/src/UpstreamAttempt.h
+++ b/packages/transport/src/UpstreamAttempt.h
@@ -41,6 +41,7 @@
     static size_t onBodyBytes(char* bytes, size_t size, size_t count, void* self);
     static size_t onReadBody(char* buffer, size_t size, size_t count, void* self);
     static curl_socket_t onOpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address);
+    static int onStep(void* self, curl_off_t downloadSize, curl_off_t downloadedBytes, curl_off_t uploadSize, curl_off_t sentBytes);
     static int onBeforeSend(void* self, char* primaryAddress, char* localAddress, int primaryPort, int localPort);
 
     /** Processes a header line. Returns false to abort the transfer. */
@@ -85,6 +86,10 @@
     curl_slist* relayHeaderLines = nullptr; ///< Header lines for the relay, owned by the attempt.
     curl_slist* headerLines = nullptr; ///< List of header lines, owned by the attempt.
     uint64_t sentBodyBytes = 0; ///< Body bytes passed to libcurl.
+    uint64_t receivedHeaderBytes = 0; ///< Bytes of header and trailer lines.
+    uint64_t receivedTrailerBytes = 0; ///< Bytes of trailer lines.
+    uint64_t passedBytes = 0; ///< Bytes of headers and bodies in both directions at the last step.
+    uint32_t idleSteps = 0; ///< Consecutive steps in which it did not change.
     uint64_t receivedBodyBytes = 0; ///< Body bytes passed to onData.
     bool isConnected = false; ///< A connection was ready to take the request.
     bool maybeSent = false; ///< The request may have been sent on it.
