Add: [Soak] Entry VMs are partitioned from all targets, beside all other faults

A relay's time to connect is shorter than that of the VM that asks, 80 ms instead of 200 ms, so that a silent target is not taken for a silent relay by probes, which wait 100 ms.

--- a/packages/transport/include/kingcup/RelayListener.h
+++ b/packages/transport/include/kingcup/RelayListener.h
@@ -16,7 +16,7 @@
     std::string address; ///< host:port; port 0 selects a free port.
     uint32_t maxConnections = 512; ///< Relayed connections at once. Beyond it the longest idle one is closed; if none is idle, new ones are refused.
     Milliseconds requestTimeout { 1000 }; ///< Longest time for the CONNECT request.
-    Milliseconds connectTimeout { 200 }; ///< Longest time to connect to the target; shorter than the connect timeout of the requesting VM.
+    Milliseconds connectTimeout { 80 }; ///< Longest time to connect to the target; shorter than the timeouts of the requesting VM, which can tell a silent target from a silent relay then.
     Milliseconds idleTimeout { 10000 }; ///< A connection on which nothing is awaited is closed after this time.
 };
 
--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <memory>
 #include <sstream>
 
 namespace kingcup::testing {
@@ -27,8 +28,9 @@
 
 } // namespace
 
-FaultInjector::FaultInjector(Deployment& deployment)
+FaultInjector::FaultInjector(Deployment& deployment, std::string partitionPrefix)
     : deployment(deployment)
+    , partitionPrefix(std::move(partitionPrefix))
 {
 }
 
@@ -42,6 +44,8 @@
         return this->hold(name) ? this->released(name, this->strikeTarget(target, fault)) : nullptr;
     }
     Vm* vm = this->chooseVm(fault);
+    if (vm && fault.kind == FaultKind::Divert)
+        return this->divert(*vm, fault.choice);
     bool losesData = fault.kind == FaultKind::Wipe;
     if (!vm || (losesData && this->wiped) || !this->hold(vm->name))
         return nullptr;
@@ -56,6 +60,17 @@
     return &vms[fault.choice % vms.size()];
 }
 
+/** Cuts an entry VM off from the targets, whatever other fault holds it. */
+std::function<void()> FaultInjector::divert(Vm& vm, uint64_t choice)
+{
+    std::string name = vm.name + " to targets";
+    if (!vm.process->running() || !this->hold(name))
+        return nullptr;
+    bool isRefused = choice / this->deployment.entryVms().size() % 2 == 0;
+    auto partition = std::make_shared<TargetPartition>(this->partitionPrefix, std::vector<Vm*> { &vm }, isRefused ? refusingAddress() : this->silentAddress.text());
+    return this->released(name, [partition]() mutable { partition.reset(); });
+}
+
 /** Returns the control VM that leads by its own word. Only VMs without a fault are asked, since others may not answer. */
 Vm* FaultInjector::freeLeader()
 {
--- a/soak/FaultInjector.h
+++ b/soak/FaultInjector.h
@@ -4,6 +4,7 @@
 #include "FaultSeries.h"
 
 #include "testing/Deployment.h"
+#include "testing/TargetPartition.h"
 
 #include <functional>
 #include <map>
@@ -17,7 +18,8 @@
 /** Strikes the processes and links of a deployment. At most one fault at a time holds a subject. */
 class FaultInjector {
 public:
-    explicit FaultInjector(Deployment& deployment);
+    /** @param partitionPrefix Value of KINGCUP_PARTITION_FILE of the processes. */
+    FaultInjector(Deployment& deployment, std::string partitionPrefix);
 
     /** Begins a fault. Returns the step that repairs it; empty when its subject is held by another fault or not there. */
     std::function<void()> strike(const Fault& fault);
@@ -34,6 +36,7 @@
     std::function<void()> strikeVm(Vm& vm, const Fault& fault);
     std::function<void()> strikeTarget(size_t target, const Fault& fault);
     std::function<void()> strikeEverything();
+    std::function<void()> divert(Vm& vm, uint64_t choice);
     std::function<void()> cut(Vm& vm, FaultKind kind);
     std::function<void()> stop(Vm& vm, const std::function<void()>& restart);
     void stopped(Vm& vm, bool starts);
@@ -46,6 +49,8 @@
     void noteEnd(Vm& vm);
 
     Deployment& deployment; ///< What is struck.
+    std::string partitionPrefix; ///< Value of KINGCUP_PARTITION_FILE of the processes.
+    SilentAddress silentAddress; ///< Where connections of partitioned VMs hang.
     std::set<std::string> held; ///< Subjects of faults that are not repaired.
     std::set<std::string> down; ///< VMs whose process a fault has ended, or whose end was noted.
     std::map<std::string, TimePoint> started; ///< When processes were started again.
--- a/soak/FaultSeries.cpp
+++ b/soak/FaultSeries.cpp
@@ -88,6 +88,23 @@
     return faults;
 }
 
+std::vector<Fault> drawPartitions(uint64_t seed, Milliseconds duration, double perSecond)
+{
+    constexpr uint64_t streamOfPartitions = 0x7061727469746e;
+    RandomSource random(seed ^ streamOfPartitions);
+    std::vector<Fault> faults(static_cast<size_t>(duration.count() / 1000 * perSecond));
+    for (Fault& fault : faults) {
+        fault.subject = FaultSubject::Entry;
+        fault.kind = FaultKind::Divert;
+        fault.choice = random.next();
+        fault.start = duration * random.fraction();
+        Milliseconds drawn(shortestMs + (longMs - shortestMs) * random.fraction());
+        fault.length = std::min(drawn, duration - fault.start);
+    }
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault& a, const Fault& b) { return a.start < b.start; });
+    return faults;
+}
+
 std::string describeFault(const Fault& fault)
 {
     char line[120];
--- a/soak/FaultSeries.h
+++ b/soak/FaultSeries.h
@@ -21,6 +21,7 @@
     Silence, ///< No bytes arrive.
     Delay, ///< Bytes arrive late.
     Reset, ///< All connections are reset, once.
+    Divert, ///< New connections from an entry VM to targets are refused, or hang.
     Truncate, ///< A connection is reset in the middle of an answer, once.
 };
 
@@ -34,6 +35,7 @@
     { FaultKind::Silence, "silence" },
     { FaultKind::Delay, "delay" },
     { FaultKind::Reset, "reset" },
+    { FaultKind::Divert, "divert" },
     { FaultKind::Truncate, "truncate" },
 };
 
@@ -73,6 +75,9 @@
  */
 std::vector<Fault> drawFaults(uint64_t seed, Milliseconds duration, double perSecond);
 
+/** Draws partitions between entry VMs and targets, which come on top of a series of the same seed and leave it as it is. */
+std::vector<Fault> drawPartitions(uint64_t seed, Milliseconds duration, double perSecond);
+
 /** Returns a fault as one line. */
 std::string describeFault(const Fault& fault);
 
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -5,7 +5,9 @@
 
 #include "testing/Scenario.h"
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 
 namespace kingcup::testing {
@@ -126,6 +128,18 @@
     repairUntil(Milliseconds::max());
 }
 
+/** Returns the faults of a plan in the order of their start. */
+std::vector<Fault> seriesOf(const SoakPlan& plan)
+{
+    constexpr double partitionShare = 0.25; ///< Partitions from targets for each other fault.
+    std::vector<Fault> series = drawFaults(plan.seed, plan.duration, plan.faultsPerSecond);
+    std::vector<Fault> partitions = drawPartitions(plan.seed, plan.duration, plan.faultsPerSecond * partitionShare);
+    std::vector<Fault> merged;
+    auto startsBefore = [](const Fault& a, const Fault& b) { return a.start < b.start; };
+    std::merge(series.begin(), series.end(), partitions.begin(), partitions.end(), std::back_inserter(merged), startsBefore);
+    return merged;
+}
+
 /** Returns whether a short load is answered without exception. */
 bool servesAll(const Deployment& deployment, const SoakPlan& plan, uint32_t number)
 {
@@ -163,18 +177,21 @@
 SoakResult runSoak(const SoakPlan& plan)
 {
     SoakResult result;
+    ScratchFolder partitions;
+    std::string partitionPrefix = partitions.path() + "/partition";
+    ScopedEnvironment environment("KINGCUP_PARTITION_FILE", partitionPrefix);
     Deployment deployment(deploymentOptions(plan));
     result.broken = startAll(deployment);
     if (!result.broken.empty())
         return result;
     ConfigurationObserver observer(deployment, deployment.entryVms());
-    FaultInjector injector(deployment);
+    FaultInjector injector(deployment, partitionPrefix);
     LoadGenerator load(soakLoad(deployment, plan));
     {
         PlatformBalancer balancer(deployment, deployment.entryVms(), load);
         ManifestWriter writer(deployment, deployment.entryVms());
         load.start();
-        runSeries(drawFaults(plan.seed, plan.duration, plan.faultsPerSecond), injector, result);
+        runSeries(seriesOf(plan), injector, result);
         load.join();
         writer.stop();
         result.manifest = writer.acknowledged();
--- a/soak/tests/FaultSeriesTest.cpp
+++ b/soak/tests/FaultSeriesTest.cpp
@@ -24,6 +24,11 @@
             EXPECT_TRUE(i == 0 || series[i - 1].start <= series[i].start);
         }
     });
+    section("partitions follow the same seed and leave the series as it is", [&] {
+        EXPECT_EQ(drawPartitions(7, duration, 0.5), drawPartitions(7, duration, 0.5));
+        EXPECT_EQ(drawPartitions(7, duration, 0.5).size(), 5u);
+        EXPECT_EQ(series, drawFaults(7, duration, 2));
+    });
     section("they overlap", [&] {
         size_t overlaps = 0;
         for (size_t i = 1; i < series.size(); ++i)
@@ -38,6 +43,8 @@
                 kinds.insert(fault.kind);
                 subjects.insert(fault.subject);
             }
+            for (const Fault& fault : drawPartitions(seed, duration, 0.5))
+                kinds.insert(fault.kind);
         }
         EXPECT_EQ(kinds.size(), std::size(faultKindNames));
         EXPECT_EQ(subjects.size(), std::size(faultSubjectNames));
--- a/tests/TargetPartitionTest.cpp
+++ b/tests/TargetPartitionTest.cpp
@@ -2,80 +2,23 @@
  * @file TargetPartitionTest.cpp Guards against an entry VM that is partitioned from all targets and fails its callers, although other VMs reach the targets.
  * Its new connections are refused or hang, while connections that were open before live on.
  */
+#include "testing/TargetPartition.h"
 #include "TestDeployment.h"
 #include "testing/MachineTime.h"
-#include "testing/Socket.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <filesystem>
 #include <gtest/gtest.h>
 #include <iostream>
-#include <sys/socket.h>
 
 using namespace kingcup;
 using namespace kingcup::testing;
 
 namespace {
 
-constexpr Milliseconds limit { 10000 };
 constexpr Milliseconds contact { 3000 }; ///< Time from the start of a partition until its callers must be served as others.
 constexpr Milliseconds loadDuration { 8000 };
 constexpr double maxFailedShare = 1.0 / 50; ///< Of the calls at partitioned VMs.
 
-/** Address whose connections are neither accepted nor refused. */
-class SilentAddress {
-public:
-    SilentAddress()
-        : listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in any {};
-        any.sin_family = AF_INET;
-        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bool isListening = ::bind(this->listener.handle(), reinterpret_cast<sockaddr*>(&any), sizeof(any)) == 0 && ::listen(this->listener.handle(), 0) == 0;
-        EXPECT_TRUE(isListening);
-        // A connection that is not accepted fills the queue; further ones get no answer.
-        this->filler = connectTo(this->text(), limit);
-    }
-
-    std::string text() const { return localAddress(this->listener); } ///< As host:port.
-
-private:
-    Socket listener; ///< Accepts nothing.
-    Socket filler; ///< Fills its queue.
-};
-
-/** Returns an address at which nothing listens. */
-std::string refusingAddress()
-{
-    return localAddress(listenOn("127.0.0.1:0"));
-}
-
-/** Diverts the new connections of entry VMs to targets while it exists. */
-class TargetPartition {
-public:
-    TargetPartition(const std::string& prefix, std::vector<Vm*> vms, const std::string& destination)
-    {
-        for (const Vm* vm : vms) {
-            this->files.push_back(prefix + "." + std::to_string(vm->process->pid()));
-            writeFile(this->files.back() + ".new", destination + "\n");
-            std::filesystem::rename(this->files.back() + ".new", this->files.back());
-        }
-    }
-
-    ~TargetPartition()
-    {
-        for (const std::string& file : this->files)
-            std::filesystem::remove(file);
-    }
-
-    TargetPartition(const TargetPartition&) = delete;
-    TargetPartition& operator=(const TargetPartition&) = delete;
-
-private:
-    std::vector<std::string> files; ///< One per process.
-};
-
 /** A deployment whose entry VMs can be partitioned from the targets. */
 struct PartitionedDeployment {
     /** @param hasRelays Whether VMs relay connections for others. */
