Fix: [Transport] A stop serves the connections that were made before the listener closed

Cause: the acceptor looked at its stop event first, and closing a listening socket resets what it has not accepted. Class: an end that does not wait for what was begun. Change: what is in the queue is accepted before the socket is closed.

--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -219,6 +219,8 @@
     uint64_t one = 1;
     [[maybe_unused]] ssize_t bytes = write(this->acceptorStopEvent, &one, sizeof(one));
     this->acceptor.join();
+    // Connections in the queue are reset when the socket is closed, and their callers may have sent requests.
+    while (this->acceptConnection()) { }
     close(std::exchange(this->acceptorStopEvent, -1));
     close(std::exchange(this->socket, -1));
 }
--- a/packages/transport/tests/HttpListenerTest.cpp
+++ b/packages/transport/tests/HttpListenerTest.cpp
@@ -256,3 +256,28 @@
         openExchange->abort();
     });
 }
+
+TEST(HttpListenerTest, servesConnectionsThatWereMadeBeforeItStopsAccepting)
+{
+    constexpr int rounds = 40;
+    constexpr int connectionsPerRound = 20;
+    int lost = 0;
+    for (int round = 0; round < rounds; ++round) {
+        HttpListener listener({ .address = "127.0.0.1:0" }, [](const std::shared_ptr<HttpExchange>& exchange) {
+            HttpAnswerHead head;
+            head.status = 200;
+            exchange->answer(std::move(head), "answer");
+        });
+        ASSERT_FALSE(listener.start());
+        std::vector<RawSocket> callers;
+        for (int i = 0; i < connectionsPerRound; ++i) {
+            callers.push_back(RawSocket::connectTo(listener.port()));
+            callers.back().send(getRequest);
+        }
+        listener.stopAccepting();
+        for (RawSocket& caller : callers)
+            lost += caller.receiveUntil("answer").empty() ? 1 : 0;
+        listener.stop();
+    }
+    EXPECT_EQ(lost, 0) << "of " << rounds * connectionsPerRound;
+}
