--- a/packages/coordination/src/RelayDirectory.cpp
+++ b/packages/coordination/src/RelayDirectory.cpp
@@ -83,10 +83,11 @@
     std::sort(ranked.rbegin(), ranked.rend());
     RelaySelection selection;
     auto take = [&](size_t limit, auto&& isWanted) {
-        for (const auto& [rank, offer] : ranked) {
-            bool isTaken = std::any_of(selection.relays.begin(), selection.relays.end(), [&](const wire::RelayOffer& taken) { return taken.vm() == offer->vm(); });
-            if (limit > 0 && !isTaken && isWanted(*offer)) {
-                selection.relays.push_back(*offer);
+        for (const auto& entry : ranked) {
+            const wire::RelayOffer& offer = *entry.second;
+            bool isTaken = std::any_of(selection.relays.begin(), selection.relays.end(), [&](const wire::RelayOffer& taken) { return taken.vm() == offer.vm(); });
+            if (limit > 0 && !isTaken && isWanted(offer)) {
+                selection.relays.push_back(offer);
                 --limit;
             }
         }
