--- a/packages/transport/tests/RelayListenerTest.cpp
+++ b/packages/transport/tests/RelayListenerTest.cpp
@@ -119,6 +119,14 @@
     section("a relay that is gone", [&] {
         expectUnsent({ closedAddress(), token }, target.address(), RelayFailure::Unreachable);
     });
+    section("a relay that takes the connection and does not answer, as a paused process does, costs the connect timeout", [&] {
+        RawServer paused([](RawSocket& socket, int) { socket.receiveAll(); });
+        Report report = startThrough(client, { paused.address(), token }, target.address(), [](UpstreamRequest& request) { request.connectTimeout = Milliseconds(250); })->wait();
+        EXPECT_EQ(report.result.outcome, UpstreamOutcome::ConnectFailed);
+        EXPECT_EQ(report.result.relayFailure, RelayFailure::Unreachable);
+        EXPECT_FALSE(report.result.maybeSent);
+        EXPECT_LT(report.result.duration.count(), 1000);
+    });
     section("a wrong token, as after a restart of the relay", [&] {
         expectUnsent({ relay.hop().address, "other" }, target.address(), RelayFailure::Refused);
     });
