Fix: [Coordination] A leader forgets the relays of VMs that ask no more

Seen in review, not by callers: the leader kept the selection of every VM name for as long as it led, about 2 KB for each replaced VM. A selection is dropped 10 s after its last use. RelayDirectoryTest fails without it (1001 selections kept).

--- a/packages/coordination/include/kingcup/RelayDirectory.h
+++ b/packages/coordination/include/kingcup/RelayDirectory.h
@@ -35,6 +35,9 @@
     /** Returns the relays of an entry VM: some in its own availability zone, some in others, and some control VMs. */
     const RelaySelection& select(const std::string& vm, const std::string& availabilityZone, TimePoint now);
 
+    /** Returns the number of entry VMs whose selections are kept. */
+    size_t keptSelections() const { return this->selections.size(); }
+
 private:
     struct Offer {
         wire::RelayOffer relay;
@@ -42,6 +45,7 @@
     };
     struct CachedSelection {
         uint64_t offersVersion = 0; ///< Version of the offers from which it was made.
+        TimePoint usedAt {}; ///< Time at which it was asked for last.
         RelaySelection selection;
     };
     RelaySelection makeSelection(const std::string& vm, const std::string& availabilityZone) const;
@@ -50,7 +54,7 @@
     Milliseconds offerLifetime; ///< Time after which an offer that is not repeated ends.
     std::map<std::string, Offer> offers; ///< By VM name.
     uint64_t offersVersion = 1; ///< Changes with the offers.
-    TimePoint nextExpiry {}; ///< Time of the next search for ended offers.
+    TimePoint nextExpiry {}; ///< Time of the next search for ended offers and unused selections.
     std::map<std::string, CachedSelection> selections; ///< By name of the entry VM.
 };
 
--- a/packages/coordination/src/RelayDirectory.cpp
+++ b/packages/coordination/src/RelayDirectory.cpp
@@ -12,6 +12,7 @@
 constexpr size_t entryRelays = 8; ///< Relays with the role entry, those of the own zone included.
 constexpr size_t controlRelays = 3;
 constexpr Milliseconds expiryInterval { 100 };
+constexpr Milliseconds selectionLifetime { 10000 }; ///< Of the selection of a VM that asks no more.
 
 bool isSameOffer(const wire::RelayOffer& one, const wire::RelayOffer& other)
 {
@@ -58,12 +59,14 @@
         return;
     this->nextExpiry = now + expiryInterval;
     this->offersVersion += std::erase_if(this->offers, [now](const auto& entry) { return entry.second.end <= now; });
+    std::erase_if(this->selections, [now](const auto& entry) { return entry.second.usedAt + selectionLifetime <= now; });
 }
 
 const RelaySelection& RelayDirectory::select(const std::string& vm, const std::string& availabilityZone, TimePoint now)
 {
     this->removeEnded(now);
     CachedSelection& cached = this->selections[vm];
+    cached.usedAt = now;
     if (cached.offersVersion != this->offersVersion) {
         cached.selection = this->makeSelection(vm, availabilityZone);
         cached.offersVersion = this->offersVersion;
--- a/packages/coordination/tests/RelayDirectoryTest.cpp
+++ b/packages/coordination/tests/RelayDirectoryTest.cpp
@@ -84,7 +84,13 @@
         ASSERT_EQ(directory.select("self", "a", timeAt(700)).relays.size(), 1u);
         EXPECT_TRUE(directory.select("self", "a", timeAt(1700)).relays.empty());
     });
+    section("nothing is kept for VMs that ask no more, as new names come with replaced VMs", [&] {
+        for (int number = 0; number < 1000; ++number)
+            directory.select("replaced-" + std::to_string(number), "a", timeAt(1700));
+        directory.select("self", "a", timeAt(12000));
+        EXPECT_EQ(directory.keptSelections(), 1u);
+    });
     section("an empty selection has a version too, so that it replaces an older one", [&] {
-        EXPECT_GT(directory.select("self", "a", timeAt(1700)).version, 0u);
+        EXPECT_GT(directory.select("self", "a", timeAt(12000)).version, 0u);
     });
 }
