--- a/packages/coordination/include/kingcup/RelayDirectory.h
+++ b/packages/coordination/include/kingcup/RelayDirectory.h
@@ -51,7 +51,7 @@
     RelaySelection makeSelection(const std::string& vm, const std::string& availabilityZone) const;
     void removeEnded(TimePoint now);
 
-    Milliseconds offerLifetime; ///< Time after which an offer that is not repeated ends.
+    Milliseconds offerLifetime; ///< As passed to the constructor.
     std::map<std::string, Offer> offers; ///< By VM name.
     uint64_t offersVersion = 1; ///< Changes with the offers.
     TimePoint nextExpiry {}; ///< Time of the next search for ended offers and unused selections.
--- a/packages/coordination/src/RelaySelector.cpp
+++ b/packages/coordination/src/RelaySelector.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Milliseconds pause { 1000 }; ///< About the time in which control tells of a change of the relays.
+constexpr Milliseconds failurePause { 1000 }; ///< About the time in which control tells of a change of the relays.
 constexpr int maxSilences = 2; ///< One alone may be due to its target.
 
 } // namespace
@@ -51,7 +51,7 @@
     relay->silences = result == RelayResult::Unreachable ? relay->silences + 1 : 0;
     if (result == RelayResult::Refused || relay->silences >= maxSilences) {
         relay->silences = 0;
-        relay->pausedUntil = now + pause;
+        relay->pausedUntil = now + failurePause;
     }
 }
 
--- a/packages/coordination/src/TargetReachability.cpp
+++ b/packages/coordination/src/TargetReachability.cpp
@@ -11,7 +11,7 @@
 
 constexpr size_t suspiciousTargets = 2; ///< Number of failed targets from which on the path is checked.
 constexpr size_t checksPerRound = 2;
-constexpr Milliseconds roundInterval { 250 };
+constexpr Milliseconds roundInterval { 250 }; ///< Bounds how late the end of a partition is noticed.
 
 } // namespace
 
--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -18,7 +18,7 @@
 /** Request fields that libcurl adds by default. Setting them to an empty value suppresses them. */
 constexpr std::string_view suppressedDefaultFields[] = { "Accept", "Content-Type", "User-Agent" };
 
-/** Most steps of a transfer in a row in which bytes may arrive that are neither of a header nor of a body. */
+/** Most calls of libcurl's progress callback in a row, one after each pass over the socket, in which no byte of a header or a body has arrived or was sent. */
 constexpr uint32_t maxIdleSteps = 100;
 
 /** Receive buffer of one transfer, in bytes. */
--- a/packages/transport/src/UpstreamAttempt.h
+++ b/packages/transport/src/UpstreamAttempt.h
@@ -88,8 +88,8 @@
     uint64_t sentBodyBytes = 0; ///< Body bytes passed to libcurl.
     uint64_t receivedHeaderBytes = 0; ///< Bytes of header and trailer lines.
     uint64_t receivedTrailerBytes = 0; ///< Bytes of trailer lines.
-    uint64_t passedBytes = 0; ///< Bytes of headers and bodies in both directions at the last step.
-    uint32_t idleSteps = 0; ///< Consecutive steps in which it did not change.
+    uint64_t passedBytes = 0; ///< Bytes of headers and bodies in both directions at the last call of the progress callback.
+    uint32_t idleSteps = 0; ///< Consecutive calls of the progress callback in which `passedBytes` did not change.
     uint64_t receivedBodyBytes = 0; ///< Body bytes passed to onData.
     bool isConnected = false; ///< A connection was ready to take the request.
     bool maybeSent = false; ///< The request may have been sent on it.
--- a/tests/TargetPartitionTest.cpp
+++ b/tests/TargetPartitionTest.cpp
@@ -52,7 +52,7 @@
     Deployment deployment; ///< Its processes.
 };
 
-/** Calls of one group of entry VMs that began at the `contact` time or later. */
+/** Results of the calls at one group of entry VMs. */
 struct GroupResult {
     size_t calls = 0;
     size_t answered = 0;
