--- a/packages/coordination/include/kingcup/EntryConfiguration.h
+++ b/packages/coordination/include/kingcup/EntryConfiguration.h
@@ -46,6 +46,8 @@
     std::string manifestDigest; ///< Digest of that manifest.
     std::map<std::string, std::shared_ptr<const Service>> services; ///< Services by name.
     std::map<std::string, std::shared_ptr<const Route>> routes; ///< Routes by document key.
+    std::map<std::string, std::shared_ptr<const Organisation>> organisations; ///< Organisations by document key; empty: requests need no key.
+    std::set<std::string> zonesOutOfUse; ///< Availability zones whose targets get no requests.
     std::shared_ptr<const CallerLimits> callerLimits; ///< Limits of the manifest; null: those of the settings apply.
     std::map<std::string, TargetList> targets; ///< Targets by service name, without those that are gone. No list is empty.
     std::map<std::pair<std::string, std::string>, wire::Quarantine> quarantines; ///< Suspicions and quarantines by service and fingerprint.
--- a/packages/protocol/include/kingcup/HttpRules.h
+++ b/packages/protocol/include/kingcup/HttpRules.h
@@ -13,6 +13,8 @@
 constexpr std::string_view headerLoad = "Kingcup-Load"; ///< From targets: load report.
 constexpr std::string_view headerLeaving = "Kingcup-Leaving"; ///< From targets: 1 in every answer of a target that leaves.
 constexpr std::string_view headerLimit = "Kingcup-Limit"; ///< From targets: requests a second that the target accepts from all entry VMs together, as a decimal number.
+constexpr std::string_view headerOrganisation = "Kingcup-Organisation"; ///< To targets: organisation that holds the API key of the request.
+constexpr std::string_view headerColdLeft = "Kingcup-Cold-Ms"; ///< From targets, in answers to health requests: time in milliseconds for which the target stays cold.
 constexpr std::string_view headerRetryAfter = "Retry-After"; ///< To callers: delay in whole seconds. From targets, with status 503: time in seconds, with fractions, for which the target accepts no requests from this VM.
 
 constexpr int maxCallDepth = 8; ///< Calls above this depth are refused with depth_exceeded.
--- a/packages/protocol/include/kingcup/ManifestTypes.h
+++ b/packages/protocol/include/kingcup/ManifestTypes.h
@@ -76,6 +76,8 @@
     ServiceLimits limits; ///< Queue, concurrency and size limits.
     MeasuringBudget measuringBudget; ///< Probe budget.
     std::string healthPath; ///< Path of the targets' health check; empty: none.
+    Milliseconds coldStart { 0 }; ///< Time for which a target stays cold after a start during operation; 0: not stated.
+    double coldRequestsPerSecond = 0; ///< Requests a second that a cold target bears from all entry VMs together; 0: not limited.
     uint32_t maxConnections = 0; ///< Connections that one target accepts from all entry VMs together; 0: not limited.
     std::vector<Kind> kinds; ///< Empty for a service that is reached only through routes.
 };
@@ -99,6 +101,7 @@
     std::string host; ///< Host header, compared without port.
     std::string pathPrefix; ///< Absolute path prefix; the longest match is used.
     RouteKind kind = RouteKind::Unsafe; ///< Whether requests may be repeated.
+    bool isPublic = false; ///< Whether requests need no API key.
     Kind rules; ///< Treatment of the requests; method and path are not used.
     std::vector<RouteShare> shares; ///< At least one.
 };
@@ -111,11 +114,21 @@
     Milliseconds idleTimeout { 60000 }; ///< Connections without a request are closed after this time.
 };
 
+/** Holder of API keys. While a manifest has organisations, requests need a key of one of them. */
+struct Organisation {
+    std::string name; ///< Unique among the organisations.
+    std::vector<std::string> keyHashes; ///< SHA-256 of each API key in hexadecimal; unique over all organisations.
+    std::optional<int> priority; ///< 0 (highest) to 9, in place of the priority of the kind; absent: that of the kind.
+    double requestsPerSecond = 0; ///< Usage cap over all entry VMs; 0: not limited.
+    double burst = 0; ///< Requests above the cap that may come at once.
+};
+
 /** A whole manifest. */
 struct Manifest {
     uint64_t number = 0; ///< Version number, chosen by the operators; it increases.
     std::vector<Service> services; ///< Ordered by name.
     std::vector<Route> routes; ///< Ordered by name.
+    std::vector<Organisation> organisations; ///< Ordered by name; empty: requests need no key.
     std::optional<CallerLimits> callerLimits; ///< Absent: the limits of the settings apply.
 };
 
--- a/packages/state/include/kingcup/ResultCode.h
+++ b/packages/state/include/kingcup/ResultCode.h
@@ -32,6 +32,8 @@
     SlowSender = 1018,
     DepthExceeded = 1019,
     NotRunByTarget = 1020,
+    ApiKeyUnknown = 1021,
+    UsageCapReached = 1022,
 
     // 2xxx: the request may have run.
     ConnectionLost = 2001,
--- a/packages/state/src/ResultCode.cpp
+++ b/packages/state/src/ResultCode.cpp
@@ -32,6 +32,8 @@
     { ResultCode::SlowSender, "slow_sender", 408, RunState::NotRun, false, "The request did not arrive in time." },
     { ResultCode::DepthExceeded, "depth_exceeded", 508, RunState::NotRun, false, "The call depth exceeds its limit." },
     { ResultCode::NotRunByTarget, "not_run_by_target", 503, RunState::NotRun, true, "The target answered with a status that promises it did not run the request." },
+    { ResultCode::ApiKeyUnknown, "api_key_unknown", 401, RunState::NotRun, false, "The API key is missing or no organisation holds it." },
+    { ResultCode::UsageCapReached, "usage_cap_reached", 429, RunState::NotRun, true, "The organisation has used up its usage cap." },
     { ResultCode::ConnectionLost, "connection_lost", 502, RunState::Unknown, true, "The connection to the target was lost after the request was sent." },
     { ResultCode::DeadlineAfterSend, "deadline_after_send", 504, RunState::Unknown, true, "The deadline passed after the request was sent." },
     { ResultCode::AnswerTruncated, "answer_truncated", 502, RunState::Unknown, true, "The answer of the target ended early." },
--- a/programs/kingcupswitchd/entry/RequestTable.h
+++ b/programs/kingcupswitchd/entry/RequestTable.h
@@ -33,6 +33,7 @@
     std::shared_ptr<ServiceRuntime> runtime; ///< Runtime state of the service; null when no service matches.
     const Kind* kind = nullptr; ///< Kind, which is part of `service` or `route`; null when no kind matches.
     std::shared_ptr<const Route> route; ///< Route; null when the request matches by host and path prefix of the service itself.
+    std::shared_ptr<const Organisation> organisation; ///< Holder of the request's API key; null: the request needs no key and has no known one.
 };
 
 /** Immutable table of all services and routes in force. */
--- a/programs/kingcupswitchd/process/Edge.h
+++ b/programs/kingcupswitchd/process/Edge.h
@@ -28,6 +28,8 @@
     std::string expectedInstance; ///< To targets: instance that the request is addressed to; any other instance rejects it with 421.
     std::string leaving { headerLeaving }; ///< From targets: "1" if the target leaves and must get no further request.
     std::string limit { headerLimit }; ///< From targets: requests a second that the target accepts from all entry VMs together.
+    std::string organisation { headerOrganisation }; ///< To targets: organisation that holds the API key of the request.
+    std::string coldLeft { headerColdLeft }; ///< From targets, in answers to health requests: time in ms for which the target stays cold.
     std::string notRun; ///< From targets: present if the target did not run the request.
 };
 
