--- a/packages/coordination/src/ControlStateMachine.cpp
+++ b/packages/coordination/src/ControlStateMachine.cpp
@@ -45,6 +45,7 @@
         bool anyDue = controlTables.manifest.anyDue(nowMs) || controlTables.targets.anyDue(nowMs) || controlTables.claims.anyDue(nowMs) || controlTables.suspicions.anyDue(nowMs);
         return anyDue ? acceptance() : acceptanceWithoutChange(0);
     }
+    case wire::Command::kChangeZone:
     case wire::Command::BODY_NOT_SET:
         break;
     }
@@ -80,6 +81,7 @@
     case wire::Command::kExpire:
         this->expire(index, nowMs);
         return;
+    case wire::Command::kChangeZone:
     case wire::Command::BODY_NOT_SET:
         return;
     }
