Fix: [Entry] Matches name all their fields

Cause: the new field for the organisation of a request was missing in two initializers, which -Werror refuses. Change: it is null until keys are checked.

--- a/programs/kingcupswitchd/entry/RequestTable.cpp
+++ b/programs/kingcupswitchd/entry/RequestTable.cpp
@@ -78,14 +78,14 @@
     std::string_view name = stripPort(host);
     if (const RouteRow* row = this->findRoute(name, path)) {
         const RequestTableRow& share = row->shares[row->split->next(row->route->shares)];
-        return { share.service, share.runtime, &row->route->rules, row->route };
+        return { share.service, share.runtime, &row->route->rules, row->route, nullptr };
     }
     for (const RequestTableRow& row : this->rows) {
         const Service& service = *row.service;
         if (service.kinds.empty() || (!service.host.empty() && !equalsIgnoreCase(service.host, name)))
             continue;
         if (hasPathPrefix(path, service.pathPrefix))
-            return { row.service, row.runtime, matchKind(service, method, path), nullptr };
+            return { row.service, row.runtime, matchKind(service, method, path), nullptr, nullptr };
     }
     return {};
 }
