Add: [Transport] Requests that must not be repeated may use a connection that was in use a moment ago

Cause: each such request opened a connection, because libcurl repeats a request on its own when a kept connection is lost, and because a target may have dropped an idle connection, on which the request would be lost with an unknown outcome. Change: libcurl's repetition is refused by the callback before the sending, which was there already. With the setting maxConnectionIdleMs the callback also refuses a kept connection whose latest exchange ended longer ago; nothing has been sent then, and the request goes out on a new connection. The probe of a target right before a request leaves such a connection. Ruled out: the age limit of libcurl, which counts in whole seconds while targets drop connections after 0.3 s.

--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -69,6 +69,7 @@
     NumberPolicy numberPolicy = NumberPolicy::Strict; ///< Rules for the numbers of new manifests.
     std::optional<RetryBudgetLimits> retryBudget; ///< Absent: the retryShare of each service in the manifest applies.
     MeasuringBudget routeMeasuringBudget; ///< Probe budget of services that are reached only through routes.
+    Milliseconds maxConnectionIdle { 0 }; ///< Longest time that a kept connection may have been idle when a request that must not be repeated is sent on it; 0: such requests open a connection each.
     Milliseconds suspicionWait { 500 }; ///< Longest time a retry waits until the leader has recorded a suspicion.
     Milliseconds tickInterval { 10 }; ///< Interval of the timers of links and control.
     std::string curvePublicKey; ///< CURVE public key of this process.
--- a/packages/protocol/src/Settings.cpp
+++ b/packages/protocol/src/Settings.cpp
@@ -190,6 +190,7 @@
     reader.milliseconds("sessionIntervalMs", settings.sessionInterval, Presence::Optional, 1, minuteMs);
     reader.milliseconds("targetLeaseMs", settings.targetLease, Presence::Optional, 10, hourMs);
     reader.integer("snapshotEntries", settings.snapshotEntries, Presence::Optional, 1, 1u << 24);
+    reader.milliseconds("maxConnectionIdleMs", settings.maxConnectionIdle, Presence::Optional, 0, minuteMs);
     reader.milliseconds("suspicionWaitMs", settings.suspicionWait, Presence::Optional, 0, minuteMs);
     reader.milliseconds("tickMs", settings.tickInterval, Presence::Optional, 1, 1000);
 }
--- a/packages/transport/include/kingcup/UpstreamClient.h
+++ b/packages/transport/include/kingcup/UpstreamClient.h
@@ -69,7 +69,8 @@
     bool hasBody = false; ///< Whether a body is sent.
     std::optional<uint64_t> bodyLength; ///< Length of a streamed body in bytes; empty for chunked encoding.
     bool connectsOnly = false; ///< Whether a new connection is opened and closed again, without a request. The attempt is complete once it is established.
-    bool isRepeatable = false; ///< Whether the request may be executed more than once. If not, it is sent once, on a new connection only, so that libcurl cannot repeat it.
+    bool isRepeatable = false; ///< Whether the request may be executed more than once. If not, it is sent once, on a new connection or as `maxConnectionIdle` permits.
+    Milliseconds maxConnectionIdle { 0 }; ///< A request that must not be repeated may use a kept connection whose latest exchange ended at most this long ago, since targets drop idle connections without notice; 0: a new connection only.
     Milliseconds connectTimeout { 1000 }; ///< Time limit for opening a connection.
     TimePoint deadline {}; ///< Time at which the attempt is ended; TimePoint {} for none.
     uint64_t maxHeaderBytes = 64u << 10; ///< Size limit of the answer header.
--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -58,9 +58,20 @@
     curl_slist_free_all(this->headerLines);
 }
 
-bool UpstreamAttempt::prepare(CURL* handle)
+bool UpstreamAttempt::prepareNewConnection()
+{
+    this->wasConnectionIdle = false;
+    this->forcesNewConnection = true;
+    curl_slist_free_all(std::exchange(this->relayHeaderLines, nullptr));
+    curl_slist_free_all(std::exchange(this->headerLines, nullptr));
+    curl_easy_reset(this->curl);
+    return this->prepare(this->curl, *this->ages);
+}
+
+bool UpstreamAttempt::prepare(CURL* handle, ConnectionAges& connectionAges)
 {
     this->curl = handle;
+    this->ages = &connectionAges;
     bool isWellFormed = isToken(this->request.method) && isOriginForm(this->request.target) && this->setHeaders();
     if (!isWellFormed || this->hasDeadlinePassed()) {
         this->isInvalid = !isWellFormed;
@@ -116,15 +127,30 @@
     curl_easy_setopt(this->curl, CURLOPT_CONNECTTIMEOUT_MS, wholeMilliseconds(this->request.connectTimeout));
     if (this->request.deadline != TimePoint {})
         curl_easy_setopt(this->curl, CURLOPT_TIMEOUT_MS, wholeMilliseconds(this->request.deadline - MillisecondClock::now()));
-    // libcurl repeats a request by itself if a reused connection closes before the answer. A streamed body cannot be
-    // repeated at all.
-    bool isStreamed = this->request.hasBody && !this->request.body;
-    if (this->request.isRepeatable && !isStreamed && !this->request.connectsOnly)
-        return;
-    curl_easy_setopt(this->curl, CURLOPT_FRESH_CONNECT, 1L);
+    if (!this->mayReuseConnection() || this->forcesNewConnection)
+        curl_easy_setopt(this->curl, CURLOPT_FRESH_CONNECT, 1L);
     // A connection that was opened for one request would stay in libcurl's cache. Up to the size of the cache, such idle
     // connections would accumulate at the targets, and libcurl searches a full cache for the oldest one at each request.
-    curl_easy_setopt(this->curl, CURLOPT_FORBID_REUSE, 1L);
+    if (!this->mayReuseConnection())
+        curl_easy_setopt(this->curl, CURLOPT_FORBID_REUSE, 1L);
+}
+
+bool UpstreamAttempt::mayReuseConnection() const
+{
+    // A target may drop an idle connection without notice. A request that must not be repeated would be lost on it, with an unknown
+    // outcome. A streamed body cannot be sent a second time at all.
+    bool isStreamed = this->request.hasBody && !this->request.body;
+    bool isLimited = this->request.maxConnectionIdle.count() > 0 && !this->request.relay;
+    return !isStreamed && !this->request.connectsOnly && (this->request.isRepeatable || isLimited);
+}
+
+bool UpstreamAttempt::mayUseConnection(int localPort)
+{
+    long newConnections = 0;
+    curl_easy_getinfo(this->curl, CURLINFO_NUM_CONNECTS, &newConnections);
+    if (newConnections > 0 || this->request.isRepeatable)
+        return true;
+    return this->ages->wasUsedWithin(localPort, this->request.maxConnectionIdle, MillisecondClock::now());
 }
 
 void UpstreamAttempt::setRelay()
@@ -242,9 +268,13 @@
     return static_cast<size_t>(given);
 }
 
-int UpstreamAttempt::onBeforeSend(void* self, char*, char*, int, int)
+int UpstreamAttempt::onBeforeSend(void* self, char*, char*, int, int localPort)
 {
     auto* attempt = static_cast<UpstreamAttempt*>(self);
+    attempt->wasConnectionIdle = !attempt->isConnected && !attempt->mayUseConnection(localPort);
+    if (attempt->wasConnectionIdle)
+        return CURL_PREREQFUNC_ABORT;
+    attempt->connectionPort = localPort;
     // libcurl would send a request again, to the same target, when a reused connection was lost before an answer. That
     // would hide from crash containment that the target was lost while it ran this request.
     if (std::exchange(attempt->isConnected, true) || attempt->request.connectsOnly)
@@ -315,6 +345,10 @@
 
 void UpstreamAttempt::end(CURLcode code)
 {
+    if (this->connectionPort && code == CURLE_OK && this->mayReuseConnection())
+        this->ages->recordUse(this->connectionPort, MillisecondClock::now());
+    else if (this->connectionPort)
+        this->ages->forget(this->connectionPort);
     this->endWith(this->outcomeOf(code));
 }
 
--- a/packages/transport/src/UpstreamAttempt.h
+++ b/packages/transport/src/UpstreamAttempt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "AnswerParser.h"
+#include "ConnectionAges.h"
 #include "kingcup/UpstreamClient.h"
 
 #include <curl/curl.h>
@@ -17,8 +18,17 @@
     UpstreamAttempt(const UpstreamAttempt&) = delete;
     UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
-    /** Sets all options of the transfer. Returns false if the request is malformed or its deadline has passed; nothing is sent then. */
-    bool prepare(CURL* handle);
+    /**
+     * Sets all options of the transfer. Returns false if the request is malformed or its deadline has passed; nothing is sent then.
+     * @param connectionAges Kept connections of the event loop.
+     */
+    bool prepare(CURL* handle, ConnectionAges& connectionAges);
+
+    /** Returns whether the transfer ended before anything was sent, because libcurl chose a connection that has been idle for too long. */
+    bool needsNewConnection() const { return this->wasConnectionIdle; }
+
+    /** Sets all options again, with a new connection, after a transfer for which needsNewConnection() holds. Returns false like prepare(). */
+    bool prepareNewConnection();
 
     /** Continues receiving after onData returned false. */
     void resumeReceiving();
@@ -62,6 +72,12 @@
     /** Returns the failure of the relay, if there is one. */
     RelayFailure relayFailure() const;
 
+    /** Returns whether the request may be sent on the connection that libcurl has chosen. @param localPort Port of the connection on this VM. */
+    bool mayUseConnection(int localPort);
+
+    /** Returns whether the request may be sent on a kept connection. */
+    bool mayReuseConnection() const;
+
     /** Builds the list of header fields. Returns false if one is malformed. */
     bool setHeaders();
 
@@ -83,6 +99,10 @@
     TimePoint startTime; ///< Time at which start() was called.
     TimePoint firstByteTime {}; ///< Time of the first byte of the answer; TimePoint {} before it.
     CURL* curl = nullptr; ///< Transfer handle, owned by the loop.
+    ConnectionAges* ages = nullptr; ///< Set by prepare().
+    int connectionPort = 0; ///< Local port of the connection; 0 before it is chosen.
+    bool wasConnectionIdle = false; ///< The chosen connection has been idle for too long.
+    bool forcesNewConnection = false; ///< A kept connection was idle for too long.
     curl_slist* relayHeaderLines = nullptr; ///< Header lines for the relay, owned by the attempt.
     curl_slist* headerLines = nullptr; ///< List of header lines, owned by the attempt.
     uint64_t sentBodyBytes = 0; ///< Body bytes passed to libcurl.
--- a/packages/transport/src/UpstreamLoop.cpp
+++ b/packages/transport/src/UpstreamLoop.cpp
@@ -167,7 +167,7 @@
         easy = this->idleHandles.back();
         this->idleHandles.pop_back();
     }
-    if (!attempt->prepare(easy)) {
+    if (!attempt->prepare(easy, this->ages)) {
         --this->openAttempts;
         attempt->end(CURLE_OPERATION_TIMEDOUT);
         this->recycleHandle(easy);
@@ -186,6 +186,8 @@
         CURLcode code = message->data.result;
         UpstreamAttempt* attempt = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &attempt);
+        if (this->restartOnNewConnection(*attempt))
+            continue;
         CURL* easy = attempt->easyHandle();
         std::unique_ptr<UpstreamAttempt> ended = this->removeAttempt(attempt->handle());
         ended->end(code);
@@ -193,6 +195,23 @@
     }
 }
 
+bool UpstreamLoop::restartOnNewConnection(UpstreamAttempt& attempt)
+{
+    if (!attempt.needsNewConnection())
+        return false;
+    curl_multi_remove_handle(this->multi, attempt.easyHandle());
+    if (attempt.prepareNewConnection()) {
+        curl_multi_add_handle(this->multi, attempt.easyHandle());
+        return true;
+    }
+    CURL* easy = attempt.easyHandle();
+    auto node = this->attempts.extract(attempt.handle());
+    --this->openAttempts;
+    node.mapped()->end(CURLE_OPERATION_TIMEDOUT);
+    this->recycleHandle(easy);
+    return true;
+}
+
 std::unique_ptr<UpstreamAttempt> UpstreamLoop::removeAttempt(UpstreamClient::AttemptHandle handle)
 {
     auto node = this->attempts.extract(handle);
--- a/packages/transport/src/UpstreamLoop.h
+++ b/packages/transport/src/UpstreamLoop.h
@@ -74,6 +74,9 @@
     /** Ends the attempts whose transfers libcurl reports as finished. */
     void endFinishedAttempts();
 
+    /** Starts the transfer of an attempt again, if libcurl chose a connection that had been idle for too long. Returns whether it did. */
+    bool restartOnNewConnection(UpstreamAttempt& attempt);
+
     /** Removes an attempt and its transfer from the loop. The caller of this function recycles the transfer handle. */
     std::unique_ptr<UpstreamAttempt> removeAttempt(UpstreamClient::AttemptHandle handle);
 
@@ -88,6 +91,7 @@
     int wakeDescriptor = -1; ///< eventfd for commands and stop().
     std::optional<TimePoint> timer; ///< Expiry of the libcurl timer, if it is set.
     std::unordered_map<UpstreamClient::AttemptHandle, std::unique_ptr<UpstreamAttempt>> attempts; ///< Running attempts by handle.
+    ConnectionAges ages; ///< Kept connections.
     std::vector<CURL*> idleHandles; ///< Transfer handles for reuse.
     std::atomic<uint64_t>& openAttempts; ///< Counter of the client.
     std::mutex mutex; ///< Guards the fields below.
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -99,6 +99,7 @@
     if (attempt->resumeOffset)
         addRangeHeaders(request.headers, *this->downloadResumePoint, *attempt->resumeOffset);
     request.isRepeatable = this->match.kind->repeatable;
+    request.maxConnectionIdle = this->gateway.maxConnectionIdle;
     request.connectTimeout = std::min(maxConnectTimeout, remaining);
     request.deadline = this->deadline;
     request.hasBody = !this->body->empty() || head.contentLength.has_value() || !this->isBodyComplete;
