--- a/packages/coordination/include/kingcup/ControlStateMachine.h
+++ b/packages/coordination/include/kingcup/ControlStateMachine.h
@@ -1,14 +1,18 @@
-/** @file ControlStateMachine.h State machine of the replicated log: manifest, targets, claims and quarantine of requests that crash targets. */
+/** @file ControlStateMachine.h State machine of the replicated log: manifest, targets, claims, quarantine of requests that crash targets, and zones out of use. */
 #pragma once
 
 #include "kingcup/ReplicatedLogTypes.h"
 #include "kingcup/ResultCode.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
 namespace kingcup {
 
+/** Availability zones out of use by name, with the log time in milliseconds of the command that took them out of use. */
+using ZonesOutOfUse = std::map<std::string, uint64_t>;
+
 /** Rules of the state machine. All are enabled except in tests, which disable one rule at a time; the history checker must then find a violation. */
 struct ControlRules {
     bool claimsAreExclusive = true; ///< A claim of a key that another attempt holds is refused.
@@ -55,6 +59,9 @@
     /** Returns all targets that are not gone. */
     std::vector<wire::TargetRecord> targets() const;
 
+    /** Returns the zones whose targets must get no requests. */
+    ZonesOutOfUse zonesOutOfUse() const;
+
     uint64_t logTimeMs() const; ///< Highest log time of the applied commands, in milliseconds.
     uint64_t manifestNumber() const; ///< Number of the manifest in force; 0 for none.
     const std::string& manifestDigest() const; ///< Digest of the manifest in force; empty for none.
--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -93,6 +93,9 @@
     /** Records the end of an attempt. @param latency Time from sending the request to the first byte of the answer. */
     void finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now);
 
+    /** Returns whether the target of a pick is still in use. A pick of a target that is not must be given to abandon() instead of being sent. */
+    bool isInUse(const Pick& pick) const;
+
     /** Records that the attempt was not sent, so that it does not count towards the limit that the target named. */
     void abandon(const Pick& pick, TimePoint now);
 
--- a/packages/coordination/src/ControlSnapshot.cpp
+++ b/packages/coordination/src/ControlSnapshot.cpp
@@ -133,9 +133,19 @@
     { "incarnation", FieldType::Uint64, &SuspectTargetRow::incarnation, 1, latestVersion },
 };
 
+constexpr uint32_t firstVersionWithZones = 4;
+
+constexpr Field<ZoneRow> zoneFields[] = {
+    { "zone", FieldType::String, &ZoneRow::zone, firstVersionWithZones, latestVersion },
+    { "isOutOfUse", FieldType::Bool, &ZoneRow::isOutOfUse, firstVersionWithZones, latestVersion },
+    { "changedAtMs", FieldType::Uint64, &ZoneRow::changedAtMs, firstVersionWithZones, latestVersion },
+    { "index", FieldType::Uint64, &ZoneRow::index, firstVersionWithZones, latestVersion },
+};
+
 static_assert(isConsistent(positionFields) && isConsistent(manifestIdFields) && isConsistent(acceptedFields));
 static_assert(isConsistent(serviceFields) && isConsistent(targetFields) && isConsistent(claimFields));
 static_assert(isConsistent(releaseFields) && isConsistent(entryVmFields) && isConsistent(suspicionFields) && isConsistent(suspectTargetFields));
+static_assert(isConsistent(zoneFields));
 
 /** Converts a target to its serialized form. */
 StoredTarget toStored(const TargetRow& row)
@@ -232,7 +242,8 @@
         && readRows(in, releaseFields, version, [&](const StoredRelease& row) { return tables.claims.restore(fromStored(row)); })
         && readRows(in, entryVmFields, version, [&](EntryVmRow row) { return tables.claims.restore(std::move(row)); })
         && readRows(in, suspicionFields, version, [&](SuspicionRow row) { return tables.suspicions.restore(std::move(row)); })
-        && readRows(in, suspectTargetFields, version, [&](const SuspectTargetRow& row) { return tables.suspicions.restore(row); });
+        && readRows(in, suspectTargetFields, version, [&](const SuspectTargetRow& row) { return tables.suspicions.restore(row); })
+        && (version < firstVersionWithZones || readRows(in, zoneFields, version, [&](ZoneRow row) { return tables.zones.restore(std::move(row)); }));
 }
 
 /** Returns the checksum of a body as bytes in big-endian order. */
@@ -267,6 +278,8 @@
         writeRows(out, entryVmFields, version, tables.claims.entryVms());
         writeRows(out, suspicionFields, version, tables.suspicions.suspicions());
         writeSuspectTargets(out, version, tables.suspicions.suspicions());
+        if (version >= firstVersionWithZones)
+            writeRows(out, zoneFields, version, tables.zones.zones());
     }
     return appendChecksum(body);
 }
--- a/packages/coordination/src/ControlSnapshot.h
+++ b/packages/coordination/src/ControlSnapshot.h
@@ -8,7 +8,7 @@
 
 namespace kingcup {
 
-constexpr uint32_t snapshotVersion = 3; ///< Format version that is written. Version 2 added the acceptance time of manifests, version 3 the instances of targets.
+constexpr uint32_t snapshotVersion = 4; ///< Format version that is written. Version 2 added the acceptance time of manifests, version 3 the instances of targets, version 4 the zones out of use.
 
 /** Returns the serialized state. @param version Format version; only tests write older ones. */
 std::string saveTables(const ControlTables& tables, uint32_t version = snapshotVersion);
--- a/packages/coordination/src/ControlStateMachine.cpp
+++ b/packages/coordination/src/ControlStateMachine.cpp
@@ -41,11 +41,12 @@
         return controlTables.suspicions.decide(nowMs, command.clear_suspicion());
     case wire::Command::kEntryVmGone:
         return controlTables.claims.decide(command.entry_vm_gone());
+    case wire::Command::kChangeZone:
+        return controlTables.zones.decide(command.change_zone());
     case wire::Command::kExpire: {
-        bool anyDue = controlTables.manifest.anyDue(nowMs) || controlTables.targets.anyDue(nowMs) || controlTables.claims.anyDue(nowMs) || controlTables.suspicions.anyDue(nowMs);
+        bool anyDue = controlTables.manifest.anyDue(nowMs) || controlTables.targets.anyDue(nowMs) || controlTables.claims.anyDue(nowMs) || controlTables.suspicions.anyDue(nowMs) || controlTables.zones.anyDue(nowMs);
         return anyDue ? acceptance() : acceptanceWithoutChange(0);
     }
-    case wire::Command::kChangeZone:
     case wire::Command::BODY_NOT_SET:
         break;
     }
@@ -69,6 +70,9 @@
     case wire::Command::kClearSuspicion:
         controlTables.suspicions.apply(index, nowMs, command.clear_suspicion());
         break;
+    case wire::Command::kChangeZone:
+        controlTables.zones.apply(index, nowMs, command.change_zone());
+        break;
     case wire::Command::kClaim:
         controlTables.claims.apply(index, nowMs, command.claim());
         return;
@@ -81,7 +85,6 @@
     case wire::Command::kExpire:
         this->expire(index, nowMs);
         return;
-    case wire::Command::kChangeZone:
     case wire::Command::BODY_NOT_SET:
         return;
     }
@@ -94,6 +97,7 @@
     this->tables.claims.expire(nowMs);
     this->recordDeletedTombstone(this->tables.manifest.expire(nowMs));
     this->recordDeletedTombstone(this->tables.targets.expire(nowMs));
+    this->recordDeletedTombstone(this->tables.zones.expire(nowMs));
     SuspicionTable::ExpiryResult expired = this->tables.suspicions.expire(index, nowMs);
     this->recordDeletedTombstone(expired.removedIndex);
     if (expired.hasCleared)
@@ -149,6 +153,7 @@
     controlTables.manifest.addChanges(index, full, changes);
     controlTables.targets.addChanges(index, full, changes);
     controlTables.suspicions.addChanges(index, full, changes);
+    controlTables.zones.addChanges(index, full, changes);
     return changes;
 }
 
@@ -198,6 +203,16 @@
     return records;
 }
 
+ZonesOutOfUse ControlStateMachine::zonesOutOfUse() const
+{
+    ZonesOutOfUse zones;
+    for (const auto& [name, row] : this->state->tables.zones.zones()) {
+        if (row.isOutOfUse)
+            zones[name] = row.changedAtMs;
+    }
+    return zones;
+}
+
 uint64_t ControlStateMachine::logTimeMs() const
 {
     return this->state->tables.position.logTimeMs;
@@ -249,6 +264,7 @@
         { "releasedAttempts", controlTables.claims.releasedAttempts().size() },
         { "entryVms", controlTables.claims.entryVms().size() },
         { "suspicions", controlTables.suspicions.suspicions().size() },
+        { "zonesOutOfUse", this->zonesOutOfUse() },
         { "stateDigest", this->stateDigest() },
     };
     return dump.dump();
--- a/packages/coordination/src/ControlTables.h
+++ b/packages/coordination/src/ControlTables.h
@@ -5,6 +5,7 @@
 #include "ManifestTable.h"
 #include "SuspicionTable.h"
 #include "TargetTable.h"
+#include "zones/ZoneTable.h"
 
 namespace kingcup {
 
@@ -25,6 +26,7 @@
     TargetTable targets;
     ClaimTable claims;
     SuspicionTable suspicions; ///< Suspected and quarantined requests.
+    ZoneTable zones; ///< Availability zones out of use.
 };
 
 } // namespace kingcup
--- a/packages/coordination/src/EntryConfiguration.cpp
+++ b/packages/coordination/src/EntryConfiguration.cpp
@@ -110,6 +110,17 @@
     }
 }
 
+/** Applies the changed zones. */
+void mergeZones(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
+{
+    for (const wire::ZoneState& zone : changes.zones()) {
+        if (zone.out_of_use())
+            snapshot.zonesOutOfUse.insert(zone.availability_zone());
+        else
+            snapshot.zonesOutOfUse.erase(zone.availability_zone());
+    }
+}
+
 } // namespace
 
 EntryConfiguration::EntryConfiguration(std::string entryVm, uint64_t incarnation, std::string availabilityZone, Milliseconds leaseTerm)
@@ -199,6 +210,7 @@
         return MergeResult::Refused;
     mergeTargets(changes, *next);
     mergeQuarantines(changes, *next);
+    mergeZones(changes, *next);
     this->current = std::move(next);
     return MergeResult::Changed;
 }
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -183,6 +183,12 @@
         this->state->tryEject(table, *entry->target, toMs(now));
 }
 
+bool Router::isInUse(const Pick& pick) const
+{
+    RcuReadGuard guard;
+    return State::find(this->state->table.read(guard), pick.address, pick.incarnation) != nullptr;
+}
+
 void Router::abandon(const Pick& pick, TimePoint now)
 {
     this->finish(pick, AttemptOutcome::Cancelled, Milliseconds(0), now);
