Add: [Entry, Control, Operators, Tool] Operators take availability zones out of use and restore them

Change: POST /v1/zones/evacuate and /v1/zones/restore, GET /v1/zones and kingcupctl zones; the zones also in status. Entry VMs and relaying control VMs leave out the targets of these zones. Before an attempt is sent, the call checks that its target is still in use, and otherwise picks another. Without slots the concurrency limit is 1, so calls of a service whose targets are all out of use would wait for those in flight; they are refused with no_target at once.

--- a/programs/kingcupctl/Commands.cpp
+++ b/programs/kingcupctl/Commands.cpp
@@ -10,9 +10,11 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <curl/curl.h>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <memory>
 #include <optional>
 #include <thread>
 
@@ -113,6 +115,10 @@
     std::cout << formatTable(memberColumns, body.value("members", json::array())) << "\n";
     const std::vector<Column> entryVmColumns = { { "ENTRY VM", "/vm" }, { "HELD INDEX", "/heldIndex" }, { "LEASE MS", "/leaseMs" } };
     std::cout << formatTable(entryVmColumns, body.value("entryVms", json::array()));
+    json zones = body.value("zonesOutOfUse", json::array());
+    if (!zones.empty())
+        std::cout << "\n"
+                  << formatTable({ { "ZONE OUT OF USE", "/zone" }, { "AGE MS", "/ageMs" } }, zones);
 }
 
 void printTargets(const json& body)
@@ -265,6 +271,37 @@
     return ExitCode::Refused;
 }
 
+/** Prints the zones out of use and the age of their commands. */
+void printZones(const json& body)
+{
+    std::cout << formatTable({ { "ZONE OUT OF USE", "/zone" }, { "AGE MS", "/ageMs" } }, body.value("zones", json::array()));
+}
+
+/** Runs `zones`. */
+ExitCode listZones(const CommandOptions& options, const std::string&)
+{
+    return sendAndReport(options, "/v1/zones", "", ResendRule::UntilDecided, printZones);
+}
+
+/** Sends a command for a zone to a path. */
+ExitCode changeZone(const CommandOptions& options, const std::string& path, const std::string& zone)
+{
+    std::unique_ptr<char, decltype(&curl_free)> encoded(curl_easy_escape(nullptr, zone.c_str(), static_cast<int>(zone.size())), &curl_free);
+    return sendAndReport(options, absl::StrCat(path, "?zone=", encoded ? encoded.get() : ""), "{}", ResendRule::UntilDecided, printOutcome);
+}
+
+/** Runs `zones evacuate`. */
+ExitCode evacuateZone(const CommandOptions& options, const std::string& argument)
+{
+    return changeZone(options, "/v1/zones/evacuate", argument);
+}
+
+/** Runs `zones restore`. */
+ExitCode restoreZone(const CommandOptions& options, const std::string& argument)
+{
+    return changeZone(options, "/v1/zones/restore", argument);
+}
+
 constexpr CommandRow commands[] = {
     { "bootstrap", "", "forms the control group of a new deployment", bootstrapGroup },
     { "manifest check", "FILE", "checks a manifest without any VM", checkManifest },
@@ -272,6 +309,9 @@
     { "manifest show", "", "shows the manifest in force", showManifest },
     { "status", "", "shows leader, members and entry VMs", showStatus },
     { "targets", "", "lists the targets", listTargets },
+    { "zones", "", "lists the availability zones out of use", listZones },
+    { "zones evacuate", "ZONE", "takes an availability zone out of use: its targets get no more requests", evacuateZone },
+    { "zones restore", "ZONE", "uses the targets of an availability zone again", restoreZone },
     { "dump", "", "prints the state of one VM's process as JSON", dumpState },
     { "explain", "ID", "prints the log lines of a request from --logs, by its id or by VM/CALL", explainRequest },
     { "replace-control", "ID", "makes a repaired control VM a voter in place of its old incarnation", replaceControlVm },
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -162,6 +162,9 @@
         if (target.state() == wire::TARGET_GONE)
             this->removeHeartbeat(target);
     }
+    bool hasZoneChanged = command.has_change_zone() && this->stateMachine.configurationIndex() == index;
+    if (hasZoneChanged && this->isLeader())
+        logLine(LogLevel::Info, "zone_changed", { { "zone", command.change_zone().availability_zone() }, { "state", command.change_zone().out_of_use() ? "out_of_use" : "in_use" }, { "index", index } });
     if (this->stateMachine.configurationIndex() == index)
         this->schedulePush();
     return result;
@@ -255,7 +258,8 @@
     }
     return { { "vm", this->settings.vm }, { "role", nameOf(logRoleNames, log.role()) }, { "leader", log.leader() }, { "term", log.term() }, { "commitIndex", log.commitIndex() },
         { "appliedIndex", this->driver->appliedIndex() }, { "bootstrapped", this->membershipManager->isBootstrapped() }, { "incarnation", this->incarnation() },
-        { "members", members }, { "entryVms", entryVms }, { "manifest", { { "number", this->stateMachine.manifestNumber() }, { "digest", this->stateMachine.manifestDigest() } } } };
+        { "members", members }, { "entryVms", entryVms }, { "manifest", { { "number", this->stateMachine.manifestNumber() }, { "digest", this->stateMachine.manifestDigest() } } },
+        { "zonesOutOfUse", this->zonesOutOfUse() } };
 }
 
 void ControlNode::report(Metrics& metrics) const
@@ -269,6 +273,7 @@
     metrics.setGauge("kingcup_log_applied_index", static_cast<double>(this->driver->appliedIndex()));
     metrics.setGauge("kingcup_log_syncs", static_cast<double>(this->driver->syncs()));
     metrics.setGauge("kingcup_targets", static_cast<double>(this->stateMachine.targets().size()));
+    metrics.setGauge("kingcup_zones_out_of_use", static_cast<double>(this->stateMachine.zonesOutOfUse().size()));
     metrics.setGauge("kingcup_live_entry_vms", this->isLeader() ? static_cast<double>(this->sessions->sessions().size()) : 0);
 }
 
--- a/programs/kingcupswitchd/control/ControlNode.h
+++ b/programs/kingcupswitchd/control/ControlNode.h
@@ -121,6 +121,7 @@
     ResultCode leaderCode() const;
     ResultCode softStateCode() const;
     nlohmann::json answerQuery(const std::string& subject) const;
+    nlohmann::json zonesOutOfUse() const;
     nlohmann::json manifestInForce() const;
     nlohmann::json manifestStatus(uint64_t number) const;
 
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -7,6 +7,7 @@
 #include "kingcup/ManifestParser.h"
 #include "kingcup/TargetStates.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace kingcup {
@@ -102,8 +103,9 @@
         return;
     if (LogIndex index = this->stateMachine.configurationIndex(); index != this->relayedIndex) {
         std::vector<std::string> addresses;
+        ZonesOutOfUse zones = this->stateMachine.zonesOutOfUse();
         for (const wire::TargetRecord& target : this->stateMachine.targets()) {
-            if (target.state() != wire::TARGET_GONE)
+            if (target.state() != wire::TARGET_GONE && !zones.contains(target.availability_zone()))
                 addresses.push_back(target.address());
         }
         this->gate->setTargets(std::move(addresses));
@@ -319,7 +321,7 @@
 
 /**
  * Returns the answer to a query as a JSON object.
- * @param subject "targets", "manifest", or "manifest:NUMBER" for the progress of that manifest on the entry VMs; "status" and
+ * @param subject "targets", "zones", "manifest", or "manifest:NUMBER" for the progress of that manifest on the entry VMs; "status" and
  * any other value return status().
  */
 nlohmann::json ControlNode::answerQuery(const std::string& subject) const
@@ -333,6 +335,8 @@
         }
         return { { "targets", targets } };
     }
+    if (subject == "zones")
+        return { { "zones", this->zonesOutOfUse() } };
     if (subject == "manifest")
         return this->manifestInForce();
     if (subject.starts_with(numberPrefix))
@@ -340,6 +344,16 @@
     return this->status();
 }
 
+/** Returns the zones out of use with the age of the command, in log time, which stands still while there is no leader. */
+nlohmann::json ControlNode::zonesOutOfUse() const
+{
+    nlohmann::json zones = nlohmann::json::array();
+    uint64_t nowMs = this->driver->logTimeMs(MillisecondClock::now());
+    for (const auto& [zone, changedAtMs] : this->stateMachine.zonesOutOfUse())
+        zones.push_back({ { "zone", zone }, { "ageMs", nowMs - std::min(nowMs, changedAtMs) } });
+    return zones;
+}
+
 /** Returns the manifest in force, with its source text if the state machine stores it. */
 nlohmann::json ControlNode::manifestInForce() const
 {
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -48,6 +48,10 @@
     // Attempts (CallAttempts.cpp).
     bool startAttempt(bool isHedge, std::optional<uint64_t> resumeOffset = std::nullopt);
     void sendAttempt(const AttemptPointer& attempt);
+    bool replacePick(const AttemptPointer& attempt);
+    void endUnsentAttempt(const AttemptPointer& attempt);
+    void endWithoutTarget(const AttemptPointer& attempt);
+    void failCall();
     std::optional<Pick> pickTarget(ContainmentVerdict verdict, TimePoint now);
     std::vector<std::string> excludedTargets(ContainmentVerdict verdict) const;
     UpstreamRequest createUpstreamRequest(const AttemptPointer& attempt);
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -44,6 +44,16 @@
 /** Sends the request to the target of an attempt; the first attempt also schedules the hedge. */
 void Call::sendAttempt(const AttemptPointer& attempt)
 {
+    if (!this->match.runtime->router.isInUse(attempt->pick)) {
+        if (!this->replacePick(attempt)) {
+            this->endUnsentAttempt(attempt);
+            return;
+        }
+        if (this->usesTargetSearch(attempt)) {
+            this->startSearch(attempt);
+            return;
+        }
+    }
     attempt->startTime = MillisecondClock::now();
     attempt->relay = this->gateway.relays.hopTo(attempt->pick.address);
     attempt->handle = this->gateway.upstream.start(this->createUpstreamRequest(attempt));
@@ -406,6 +416,12 @@
         return;
     if (this->takeRetry(this->lastFailure.mayHaveBeenSent, this->lastFailure.outcome) && this->startAttempt(false))
         return;
+    this->failCall();
+}
+
+/** Ends the call with the answer of an earlier attempt, if there is one, or with the last failure. */
+void Call::failCall()
+{
     // A target's statement that it did not run the request does not cover an attempt that was sent to another target.
     bool isStaleNotRun = this->fallback && this->mayHaveRun && this->isReportedNotRun(this->fallback->head);
     if (!this->fallback || isStaleNotRun) {
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -193,6 +193,55 @@
     attempt->mayHaveArrived = chosen.has_value();
 }
 
+/**
+ * Picks another target for an attempt whose target has gone out of use since it was picked, for instance with its availability zone. The
+ * attempt has not been sent, and nothing is recorded against the target. Returns false if no other target may get the request.
+ */
+bool Call::replacePick(const AttemptPointer& attempt)
+{
+    TimePoint now = MillisecondClock::now();
+    const std::string& service = this->match.service->name;
+    this->gateway.containment.recordEnd(service, this->fingerprint, attempt->pick.address);
+    this->match.runtime->router.abandon(attempt->pick, now);
+    this->gateway.metrics.incrementCounter("kingcup_picks_replaced_total", service);
+    ContainmentVerdict verdict = this->gateway.containment.verdict(service, this->fingerprint, this->gateway.logTimeMs());
+    std::optional<Pick> pick = verdict == ContainmentVerdict::Refuse ? std::nullopt : this->pickTarget(verdict, now);
+    if (!pick)
+        return false;
+    attempt->pick = *pick;
+    return true;
+}
+
+/**
+ * Ends an attempt that was not sent because no target may get the request. The call ends in a later step, since the caller of startAttempt()
+ * records the attempt after it returns.
+ */
+void Call::endUnsentAttempt(const AttemptPointer& attempt)
+{
+    attempt->hasEnded = true;
+    attempt->mayHaveArrived = false;
+    this->executor.post([self = this->shared_from_this(), attempt] { self->endWithoutTarget(attempt); });
+}
+
+/** Ends the call after an attempt that was not sent, unless another attempt is active or gives the answer. */
+void Call::endWithoutTarget(const AttemptPointer& attempt)
+{
+    if (this->hasEnded)
+        return;
+    if (this->selectedAttempt == attempt) {
+        if (this->isCallerPresent)
+            this->exchange->abort();
+        this->endCall(ResultCode::AnswerTruncated);
+        return;
+    }
+    if (this->selectedAttempt || this->hasActiveAttempt() || this->pendingSuspicionReports > 0)
+        return;
+    if (this->fallback)
+        this->failCall();
+    else
+        this->refuseWithoutTarget();
+}
+
 /** Refuses a request whose answer would come after its objective because all targets are full. This attempt was not sent. */
 void Call::refuseForLoad(const AttemptPointer& attempt, double cost)
 {
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "Call.h"
 
 #include "kingcup/JsonLog.h"
+#include "kingcup/ZonesOutOfUse.h"
 
 #include <absl/strings/ascii.h>
 #include <algorithm>
@@ -36,17 +37,6 @@
     return table;
 }
 
-/** Returns the addresses of all targets. */
-std::vector<std::string> addressesOf(const ConfigurationSnapshot& configuration)
-{
-    std::vector<std::string> addresses;
-    for (const auto& [service, targets] : configuration.targets) {
-        for (const wire::TargetRecord& target : targets)
-            addresses.push_back(target.address());
-    }
-    return addresses;
-}
-
 } // namespace
 
 Gateway::Gateway(const Settings& settings, const Edge& edge, LeaderClient& leader, ClaimClient& claims, Metrics& metrics, RelayGate& gate, std::function<void(PathState)> pathHook, uint64_t seed)
@@ -84,8 +74,9 @@
     this->addServices(*configuration, *next);
     this->addRoutes(*configuration, *next);
     this->containment.applySnapshot(*configuration);
-    this->paths.setTargets(addressesOf(*configuration));
-    this->gate.setTargets(addressesOf(*configuration));
+    this->paths.setTargets(addressesInUse(*configuration));
+    this->gate.setTargets(addressesInUse(*configuration));
+    this->reportZones(*configuration);
     next->configuration = std::move(configuration);
     logLine(LogLevel::Info, "configuration_in_force", { { "index", next->configuration->index }, { "manifest", next->configuration->manifestNumber } });
     this->metrics.setGauge("kingcup_manifest_number", static_cast<double>(next->configuration->manifestNumber));
@@ -153,6 +144,25 @@
     }
 }
 
+/** Logs the zones whose state differs from the configuration in force, and sets the gauge. */
+void Gateway::reportZones(const ConfigurationSnapshot& configuration) const
+{
+    std::shared_ptr<const ConfigurationSnapshot> previous;
+    {
+        RcuReadGuard guard;
+        previous = this->requestTable.read(guard).configuration;
+    }
+    auto logDifference = [](const std::set<std::string>& zones, const std::set<std::string>& others, std::string_view state) {
+        for (const std::string& zone : zones) {
+            if (!others.contains(zone))
+                logLine(LogLevel::Info, "zone_changed", { { "zone", zone }, { "state", state } });
+        }
+    };
+    logDifference(configuration.zonesOutOfUse, previous->zonesOutOfUse, "out_of_use");
+    logDifference(previous->zonesOutOfUse, configuration.zonesOutOfUse, "in_use");
+    this->metrics.setGauge("kingcup_zones_out_of_use", static_cast<double>(configuration.zonesOutOfUse.size()));
+}
+
 /** Adds the services. Those that are in the table in force keep their runtime, with its queue and estimates. */
 void Gateway::addServices(const ConfigurationSnapshot& configuration, RequestTable& next)
 {
@@ -164,9 +174,9 @@
         std::shared_ptr<ServiceRuntime>& runtime = runtimes[name];
         if (!runtime)
             runtime = std::make_shared<ServiceRuntime>(*service, this->entryVm, this->availabilityZone, this->retryBudget, this->assumedVms, this->seed ^ std::hash<std::string>()(name), this->timers);
-        auto targets = configuration.targets.find(name);
         const MeasuringBudget& budget = service->kinds.empty() ? this->routeMeasuringBudget : service->measuringBudget;
-        runtime->applyConfiguration(*service, budget, targets == configuration.targets.end() ? std::vector<wire::TargetRecord>() : targets->second, now, static_cast<uint64_t>(this->logTimeMs()));
+        runtime->applyConfiguration(*service, budget, targetsInUse(configuration, name), now, static_cast<uint64_t>(this->logTimeMs()));
+        runtime->setOnlyTargetsOutOfUse(hasOnlyTargetsOutOfUse(configuration, name));
         next.rows.push_back({ service, runtime });
     }
     std::sort(next.rows.begin(), next.rows.end(), isMoreSpecific);
@@ -306,7 +316,7 @@
         configuration = this->requestTable.read(guard).configuration;
     }
     return { { "services", services }, { "configurationIndex", configuration->index }, { "manifestNumber", configuration->manifestNumber },
-        { "manifestDigest", configuration->manifestDigest }, { "quarantines", configuration->quarantines.size() }, { "activeCalls", this->activeCalls.load() },
+        { "manifestDigest", configuration->manifestDigest }, { "quarantines", configuration->quarantines.size() }, { "zonesOutOfUse", configuration->zonesOutOfUse }, { "activeCalls", this->activeCalls.load() },
         { "leaseMs", this->leaseEndMs.load() - now.time_since_epoch().count() }, { "claimReportsOpen", this->claims.pendingReports() }, { "stopping", this->isStopping.load() } };
 }
 
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -9,6 +9,7 @@
 
 constexpr double maxSubsetImbalance = 2; ///< With rendezvous hashing, a target is in the subsets of at most about this many times the mean number of VMs.
 constexpr double typicalTimeQuantile = 0.4; ///< Low enough to leave out slow targets, high enough to leave out the shorter part of the work.
+constexpr Milliseconds outOfUseRetryAfter { 1000 }; ///< Zones are restored by operators, so an earlier retry has no better chance.
 constexpr uint64_t minTimeSamples = 10;
 constexpr Milliseconds maxTickDelay { 60000 }; ///< The timer runs at the latest after this time, also when the next event of the queue is later.
 
@@ -37,6 +38,23 @@
     this->refreshLimits(service, now);
 }
 
+void ServiceRuntime::setOnlyTargetsOutOfUse(bool areOutOfUse)
+{
+    // Without usable slots the concurrency limit is 1, so that requests would wait for the calls in flight.
+    std::map<uint64_t, AdmissionCallback> refused;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->hasOnlyTargetsOutOfUse = areOutOfUse;
+        if (!areOutOfUse)
+            return;
+        refused.swap(this->callbacks);
+        for (const auto& [id, callback] : refused)
+            this->admission.cancel(id);
+    }
+    for (const auto& [id, callback] : refused)
+        callback({ id, ResultCode::NoTarget, outOfUseRetryAfter });
+}
+
 void ServiceRuntime::refreshLimits(const Service& service, TimePoint now)
 {
     uint32_t usableSlots = this->router.usableSlots(now);
@@ -48,6 +66,11 @@
 void ServiceRuntime::admit(AdmissionRequest request, AdmissionCallback callback)
 {
     std::unique_lock<std::mutex> lock(this->mutex);
+    if (this->hasOnlyTargetsOutOfUse) {
+        lock.unlock();
+        callback({ request.id, ResultCode::NoTarget, outOfUseRetryAfter });
+        return;
+    }
     this->callbacks.emplace(request.id, std::move(callback));
     this->dispatchDecisions(this->admission.submitRequest(request, MillisecondClock::now()), std::move(lock));
 }
--- a/programs/kingcupswitchd/entry/ServiceRuntime.h
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.h
@@ -33,6 +33,12 @@
     /** Applies a new configuration. @param logTimeMs Log time in milliseconds. */
     void applyConfiguration(const Service& service, const MeasuringBudget& measuringBudget, const std::vector<wire::TargetRecord>& targets, TimePoint now, uint64_t logTimeMs);
 
+    /**
+     * Sets whether all targets of the service are in availability zones out of use. Until they are not, requests are refused with NoTarget
+     * without waiting; those that wait are refused at once.
+     */
+    void setOnlyTargetsOutOfUse(bool areOutOfUse);
+
     /** Adjusts the concurrency limit to the number of usable slots, which ejections and load reports change. */
     void refreshLimits(const Service& service, TimePoint now);
 
@@ -82,6 +88,7 @@
     ProbeBudget probeBudget; ///< Limits the probes that this VM sends.
     RecentLoad recentLoad; ///< Load in recent answers to probes.
     std::map<std::string, std::unique_ptr<LatencySketch>> processingTimes; ///< Time that targets took for requests, by kind.
+    bool hasOnlyTargetsOutOfUse = false; ///< Whether all targets are in availability zones out of use.
     std::map<uint64_t, AdmissionCallback> callbacks; ///< Callbacks of requests without a decision, by request id.
     TimerId tickTimer = 0; ///< Timer of the next admission tick; 0: none.
     TimePoint tickTime {}; ///< Time of that tick.
--- a/programs/kingcupswitchd/operators/OperatorApi.cpp
+++ b/programs/kingcupswitchd/operators/OperatorApi.cpp
@@ -6,6 +6,7 @@
 #include "kingcup/TargetStates.h"
 
 #include <absl/strings/str_split.h>
+#include <curl/curl.h>
 
 namespace kingcup {
 
@@ -59,6 +60,20 @@
     return {};
 }
 
+/** Returns the availability zone that a request names; empty if it is missing or malformed. */
+std::optional<std::string> zoneParameter(const std::string& requestTarget)
+{
+    constexpr size_t maxZoneBytes = 64;
+    std::string encoded = queryParameter(requestTarget, "zone");
+    int size = 0;
+    std::unique_ptr<char, decltype(&curl_free)> decoded(curl_easy_unescape(nullptr, encoded.c_str(), static_cast<int>(encoded.size()), &size), &curl_free);
+    std::string zone(decoded.get(), decoded ? static_cast<size_t>(size) : 0);
+    bool isPlain = zone.find_first_of("\"\\") == std::string::npos;
+    // The parser accepts neither control characters nor invalid UTF-8, which could not be listed in answers.
+    bool isText = isPlain && nlohmann::json::accept('"' + zone + '"');
+    return !zone.empty() && zone.size() <= maxZoneBytes && isText ? std::optional(zone) : std::nullopt;
+}
+
 HttpListenerOptions operatorListenerOptions(const Settings& settings)
 {
     HttpListenerOptions options;
@@ -84,6 +99,9 @@
     { "POST", "/v1/manifest", Access::Operator, &OperatorApi::applyManifest },
     { "POST", "/v1/bootstrap", Access::Operator, &OperatorApi::bootstrap },
     { "POST", "/v1/replace-control", Access::Operator, &OperatorApi::replaceControl },
+    { "GET", "/v1/zones", Access::Operator, &OperatorApi::answerZones },
+    { "POST", "/v1/zones/evacuate", Access::Operator, &OperatorApi::evacuateZone },
+    { "POST", "/v1/zones/restore", Access::Operator, &OperatorApi::restoreZone },
     { "POST", "/v1/targets/announce", Access::Target, &OperatorApi::announceTarget },
     { "POST", "/v1/targets/leave", Access::Target, &OperatorApi::removeTarget },
 };
@@ -325,6 +343,40 @@
     });
 }
 
+void OperatorApi::answerZones(const Exchange& exchange, const std::string&)
+{
+    this->forwardQuery(exchange, "zones");
+}
+
+void OperatorApi::evacuateZone(const Exchange& exchange, const std::string&)
+{
+    this->changeZone(exchange, true);
+}
+
+void OperatorApi::restoreZone(const Exchange& exchange, const std::string&)
+{
+    this->changeZone(exchange, false);
+}
+
+/** Takes the zone of the query out of use or restores it. Every failure of a well-formed command is answered 503, so that the operator repeats it. */
+void OperatorApi::changeZone(const Exchange& exchange, bool isOutOfUse)
+{
+    std::optional<std::string> zone = zoneParameter(exchange->head().target);
+    if (!zone) {
+        answerResult(exchange, ResultCode::CommandMalformed, "query parameter zone (name of the availability zone, 1 to 64 bytes) is missing or malformed");
+        return;
+    }
+    wire::Command command;
+    command.mutable_change_zone()->set_availability_zone(*zone);
+    command.mutable_change_zone()->set_out_of_use(isOutOfUse);
+    this->leaderClient.sendCommand(std::move(command), commandTimeout, [exchange](const wire::CommandResult& result) {
+        constexpr int statusUnavailable = 503;
+        ResultCode code = static_cast<ResultCode>(result.result_code());
+        bool isRepeatable = code == ResultCode::Ok || resultCodeRow(code).httpStatus == statusUnavailable;
+        answerResult(exchange, isRepeatable ? code : ResultCode::NoQuorum, result.detail());
+    });
+}
+
 void OperatorApi::announceTarget(const Exchange& exchange, const std::string& body)
 {
     Edge::Announcement parsed = this->edge.parseAnnouncement(body, queryParameter(exchange->head().target, "id"));
--- a/programs/kingcupswitchd/operators/OperatorApi.h
+++ b/programs/kingcupswitchd/operators/OperatorApi.h
@@ -72,11 +72,15 @@
     void applyManifest(const Exchange& exchange, const std::string& body);
     void bootstrap(const Exchange& exchange, const std::string& body);
     void replaceControl(const Exchange& exchange, const std::string& body);
+    void answerZones(const Exchange& exchange, const std::string& body);
+    void evacuateZone(const Exchange& exchange, const std::string& body);
+    void restoreZone(const Exchange& exchange, const std::string& body);
     void announceTarget(const Exchange& exchange, const std::string& body);
     void removeTarget(const Exchange& exchange, const std::string& body);
 
     void forwardQuery(const Exchange& exchange, const std::string& subject);
     void answerCurrentManifest(const Exchange& exchange, const std::string& text) const;
+    void changeZone(const Exchange& exchange, bool isOutOfUse);
     void recordDeparture(const Exchange& exchange, wire::TargetRecord target);
     void answerManifestResult(const Exchange& exchange, const wire::CommandResult& result);
 
