--- a/packages/coordination/include/kingcup/EntryConfiguration.h
+++ b/packages/coordination/include/kingcup/EntryConfiguration.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -92,6 +93,12 @@
 
     TimePoint leaseEnd() const; ///< End of the latest lease, which may have expired.
 
+    /**
+     * Returns when the latest session request was sent that a leader has answered and whose changes are merged; empty before the
+     * first one. The configuration holds every manifest that was acknowledged before this time.
+     */
+    std::optional<TimePoint> lastConfirmedRequest() const { return this->lastConfirmed; }
+
     const LogClock& logClock() const { return this->clock; } ///< Time of the replicated log, advanced by received changes.
 
 private:
@@ -109,6 +116,7 @@
     Milliseconds leaseTerm; ///< Upper limit for the duration of a lease.
     std::map<uint64_t, TimePoint> sentRequests; ///< Send times of session requests without an answer, by request id.
     TimePoint leaseEndTime {}; ///< End of the latest lease.
+    std::optional<TimePoint> lastConfirmed; ///< Send time of the latest confirmed session request.
     uint32_t liveVms = 0; ///< Number of live entry VMs in the answer that last extended the lease.
     std::shared_ptr<const ConfigurationSnapshot> current; ///< Configuration in force; never null.
     LogClock clock; ///< Time of the replicated log, by which quarantines expire.
--- a/packages/coordination/src/EntryConfiguration.cpp
+++ b/packages/coordination/src/EntryConfiguration.cpp
@@ -30,6 +30,8 @@
         return storeParsed(parseService(document.json()), snapshot.services[document.name()]);
     case DocumentType::Route:
         return storeParsed(parseRoute(document.json()), snapshot.routes[document.name()]);
+    case DocumentType::Organisation:
+        return storeParsed(parseOrganisation(document.json()), snapshot.organisations[document.name()]);
     case DocumentType::CallerLimits:
         return storeParsed(parseCallerLimits(document.json()), snapshot.callerLimits);
     case DocumentType::Source:
@@ -44,6 +46,7 @@
     for (const std::string& name : changes.removed_services()) {
         snapshot.services.erase(name);
         snapshot.routes.erase(name);
+        snapshot.organisations.erase(name);
         if (documentType(name) == DocumentType::CallerLimits)
             snapshot.callerLimits.reset();
     }
@@ -145,6 +148,7 @@
         return merged == MergeResult::Changed;
     Milliseconds granted = std::min(Milliseconds(static_cast<double>(answer.lease_ms())), this->leaseTerm);
     TimePoint end = sent->second + granted;
+    this->lastConfirmed = std::max(this->lastConfirmed.value_or(sent->second), sent->second);
     this->sentRequests.erase(sent);
     if (end > this->leaseEndTime && end > now) {
         this->leaseEndTime = end;
--- a/packages/protocol/include/kingcup/ManifestParser.h
+++ b/packages/protocol/include/kingcup/ManifestParser.h
@@ -35,6 +35,7 @@
 enum class DocumentType {
     Service, ///< One service.
     Route, ///< One route.
+    Organisation, ///< One organisation, with the hashes of its API keys.
     CallerLimits, ///< Limits for callers.
     Source, ///< Original text of the manifest. It is not distributed to entry VMs.
 };
@@ -53,7 +54,7 @@
 };
 
 /**
- * Parses and validates a manifest: syntax, unknown keys, types, ranges, overlapping services and kinds, services of routes.
+ * Parses and validates a manifest: syntax, unknown keys, types, ranges, overlapping services and kinds, services of routes, repeated API keys.
  * @param text JSON text, at most maxManifestBytes.
  */
 std::variant<CheckedManifest, DocumentError> parseManifest(std::string_view text, const ManifestPolicy& policy = {});
@@ -64,6 +65,9 @@
 /** Parses and validates a route document. It need not be in canonical form. */
 std::variant<Route, DocumentError> parseRoute(std::string_view text);
 
+/** Parses and validates an organisation document, with API keys or their hashes. It need not be in canonical form. */
+std::variant<Organisation, DocumentError> parseOrganisation(std::string_view text);
+
 /** Parses and validates the document of the limits for callers. It need not be in canonical form. */
 std::variant<CallerLimits, DocumentError> parseCallerLimits(std::string_view text);
 
--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -90,6 +90,7 @@
     Milliseconds heartbeatInterval { 100 }; ///< Interval of the leader's heartbeats to followers.
     Milliseconds leaseTerm { 2500 }; ///< Duration of the lease of an entry VM.
     Milliseconds sessionInterval { 500 }; ///< Interval of the session requests of an entry VM.
+    Milliseconds keyRevocation { 0 }; ///< Bound of the time after which no request with a withdrawn API key runs; 0: no bound.
     Milliseconds targetLease { 4000 }; ///< A target without a heartbeat for this time is considered gone.
     uint64_t snapshotEntries = 4096; ///< Number of applied log entries between two snapshots.
 };
--- a/packages/protocol/src/JsonReader.cpp
+++ b/packages/protocol/src/JsonReader.cpp
@@ -90,6 +90,13 @@
     return value.type() == type;
 }
 
+/** Returns the message of a parser error without the text that the parser quotes, which may be part of an API key. */
+std::string syntaxErrorText(const json::exception& failure)
+{
+    std::string_view text = failure.what();
+    return std::string(text.substr(0, text.find("; last read")));
+}
+
 } // namespace
 
 const TextRule printableText = { 1, 4096, isPrintable, "printable ASCII" };
@@ -109,7 +116,7 @@
         if (check.problem.empty())
             return document;
     } catch (const json::exception& failure) {
-        check.problem = check.problem.empty() ? failure.what() : check.problem;
+        check.problem = check.problem.empty() ? syntaxErrorText(failure) : check.problem;
     }
     return DocumentError { codes.syntax, "", check.problem };
 }
--- a/packages/protocol/src/ManifestParser.cpp
+++ b/packages/protocol/src/ManifestParser.cpp
@@ -2,6 +2,7 @@
 #include "kingcup/ManifestParser.h"
 
 #include "ManifestText.h"
+#include "OrganisationParser.h"
 #include "RouteParser.h"
 #include "kingcup/ManifestDigest.h"
 
@@ -322,6 +323,7 @@
     for (size_t i = 0; services && reader.good() && i < services->size(); i++)
         manifest.services.push_back(readService((*services)[i], absl::StrCat("/services/", i), codes, error));
     readRoutes(reader, manifest, error);
+    readOrganisations(reader, manifest, error);
     if (const json* limits = reader.object("callerLimits", Presence::Optional))
         manifest.callerLimits = readCallerLimits(*limits, reader.pointerOf("callerLimits"), codes, error);
     reader.finish();
@@ -340,6 +342,8 @@
         documents.emplace_back(documentKey(DocumentType::Service, service.name), writeService(service));
     for (const Route& route : manifest.routes)
         documents.emplace_back(documentKey(DocumentType::Route, route.name), writeRoute(route));
+    for (const Organisation& organisation : manifest.organisations)
+        documents.emplace_back(documentKey(DocumentType::Organisation, organisation.name), writeOrganisation(organisation));
     if (manifest.callerLimits)
         documents.emplace_back(documentKey(DocumentType::CallerLimits), writeCallerLimits(*manifest.callerLimits));
     return documents;
@@ -363,6 +367,7 @@
 constexpr EnumName<DocumentType> documentPrefixes[] = {
     { DocumentType::Service, "" },
     { DocumentType::Route, "route/" },
+    { DocumentType::Organisation, "organisation/" },
     { DocumentType::CallerLimits, "callerLimits/" },
     { DocumentType::Source, "source/" },
 };
@@ -399,6 +404,7 @@
     auto byName = [](const auto& a, const auto& b) { return a.name < b.name; };
     std::sort(checked.manifest.services.begin(), checked.manifest.services.end(), byName);
     std::sort(checked.manifest.routes.begin(), checked.manifest.routes.end(), byName);
+    std::sort(checked.manifest.organisations.begin(), checked.manifest.organisations.end(), byName);
     checked.documents = canonicalDocuments(checked.manifest);
     if (policy.keepSource)
         checked.documents.emplace_back(documentKey(DocumentType::Source), text);
@@ -420,6 +426,11 @@
     return parseDocument<Route>(text, readRoute);
 }
 
+std::variant<Organisation, DocumentError> parseOrganisation(std::string_view text)
+{
+    return parseDocument<Organisation>(text, readOrganisation);
+}
+
 std::variant<CallerLimits, DocumentError> parseCallerLimits(std::string_view text)
 {
     return parseDocument<CallerLimits>(text, readCallerLimits);
--- a/packages/protocol/src/RouteParser.cpp
+++ b/packages/protocol/src/RouteParser.cpp
@@ -104,6 +104,7 @@
     Route route;
     JsonReader reader(value, pointer, codes, error);
     describeRoute(reader, route);
+    reader.flag("public", route.isPublic, Presence::Optional);
     route.shares = readShares(reader, error);
     reader.finish();
     if (route.rules.objective.count() >= route.rules.deadline.count() + objectiveSlackMs)
@@ -120,6 +121,9 @@
     for (const RouteShare& share : route.shares)
         split.push_back({ { "service", share.service }, { "weight", share.weight } });
     writer.set("split", std::move(split));
+    // Left out by default, so that the digests of manifests without public routes stay as they are.
+    if (route.isPublic)
+        writer.set("public", true);
     return writer.object.dump();
 }
 
--- a/packages/protocol/src/Settings.cpp
+++ b/packages/protocol/src/Settings.cpp
@@ -188,6 +188,7 @@
     reader.milliseconds("heartbeatIntervalMs", settings.heartbeatInterval, Presence::Optional, 1, minuteMs);
     reader.milliseconds("leaseTermMs", settings.leaseTerm, Presence::Optional, 10, minuteMs);
     reader.milliseconds("sessionIntervalMs", settings.sessionInterval, Presence::Optional, 1, minuteMs);
+    reader.milliseconds("keyRevocationMs", settings.keyRevocation, Presence::Optional, 0, hourMs);
     reader.milliseconds("targetLeaseMs", settings.targetLease, Presence::Optional, 10, hourMs);
     reader.integer("snapshotEntries", settings.snapshotEntries, Presence::Optional, 1, 1u << 24);
     reader.milliseconds("suspicionWaitMs", settings.suspicionWait, Presence::Optional, 0, minuteMs);
@@ -216,6 +217,8 @@
         reader.fail(settingsCodes.outOfRange, "heartbeatIntervalMs", "must be at most half of electionTimeoutMs");
     if (settings.sessionInterval * 2 > settings.leaseTerm)
         reader.fail(settingsCodes.outOfRange, "sessionIntervalMs", "must be at most half of leaseTermMs");
+    if (settings.keyRevocation.count() > 0 && settings.sessionInterval * 2 > settings.keyRevocation)
+        reader.fail(settingsCodes.outOfRange, "sessionIntervalMs", "must be at most half of keyRevocationMs");
 }
 
 } // namespace
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -25,6 +25,15 @@
         || announced.availability_zone() != recorded->availability_zone() || announced.instance() != recorded->instance();
 }
 
+/** Returns an organisation for operators: without the hashes of its keys, from which weak keys could be guessed, but with their number. */
+nlohmann::json describeOrganisation(const std::string& document)
+{
+    nlohmann::json organisation = nlohmann::json::parse(document);
+    organisation["keys"] = organisation["keyHashes"].size();
+    organisation.erase("keyHashes");
+    return organisation;
+}
+
 /** Returns whether a command only repeats a departure that is recorded already, as many entry VMs may report the same one. */
 bool isRecordedDeparture(const wire::Command& command, const ControlStateMachine& stateMachine)
 {
@@ -352,6 +361,9 @@
         case DocumentType::Route:
             manifest["routes"].push_back(nlohmann::json::parse(document.json()));
             break;
+        case DocumentType::Organisation:
+            manifest["organisations"].push_back(describeOrganisation(document.json()));
+            break;
         case DocumentType::CallerLimits:
             manifest["callerLimits"] = nlohmann::json::parse(document.json());
             break;
--- a/tests/DocumentsTest.cpp
+++ b/tests/DocumentsTest.cpp
@@ -139,6 +139,7 @@
         { "suspicionWaitMs", settings.suspicionWait.count() },
         { "tickMs", settings.tickInterval.count() },
         { "targetLeaseMs", settings.targetLease.count() },
+        { "keyRevocationMs", settings.keyRevocation.count() },
         { "snapshotEntries", settings.snapshotEntries },
     };
 }
@@ -171,6 +172,7 @@
     std::string page = sourceText("docs/MANIFEST.md");
     std::set<std::string> keys = keysOfParser("packages/protocol/src/ManifestParser.cpp");
     keys.merge(keysOfParser("packages/protocol/src/RouteParser.cpp"));
+    keys.merge(keysOfParser("packages/protocol/src/OrganisationParser.cpp"));
     EXPECT_EQ(firstCells(page, "key"), keys);
     section("the example is valid", [&] {
         for (const std::string& example : codeBlocks(page, "json"))
@@ -217,7 +219,7 @@
         EXPECT_TRUE(defaults.empty());
     });
     section("ranges are those that the parser enforces", [&] {
-        EXPECT_EQ(checkRanges(page, json::parse(examples[0]), checkWith(parseSettings)), 21u);
+        EXPECT_EQ(checkRanges(page, json::parse(examples[0]), checkWith(parseSettings)), 22u);
     });
 }
 
