Add: [Entry, Transport] Enforcement of API keys, with a lease that ends withdrawn keys within a bound

Cause: while a manifest has organisations, only requests with a key of one of them may run, and none after its key was withdrawn, on any entry VM. Change: a call is checked on arrival, in sendAttempt before each attempt, and in libcurl's pre-request callback once the connection is open. 401 api_key_unknown for a missing or unknown key, 503 isolated without a key lease; public routes are served. The lease counts from the sending of the last session request that the leader answered, and is stored after the table that it covers. Targets get the organisation in a header of this VM and never the key; a value of the caller is removed, also when its name is written with `_`. The priority of an organisation takes precedence over that of the kind. The claim of an idempotency key depends on the organisation, so that none gets the recorded answer of another one.

--- a/packages/transport/include/kingcup/UpstreamClient.h
+++ b/packages/transport/include/kingcup/UpstreamClient.h
@@ -74,6 +74,7 @@
     TimePoint deadline {}; ///< Time at which the attempt is ended; TimePoint {} for none.
     uint64_t maxHeaderBytes = 64u << 10; ///< Size limit of the answer header.
     bool acceptsUnframedAnswer = false; ///< Whether the end of the connection may delimit an answer without length; a connection reset makes the answer truncated.
+    std::function<bool()> maySend; ///< Optional check right before the request is sent on an established connection, on the event-loop thread; if it returns false, nothing is sent and the attempt is cancelled.
     std::function<bool(const HttpAnswerHead&)> isExpectedAnswer; ///< Optional check whether the answer belongs to this request; if it returns false, the answer is invalid and the connection is closed.
 
     std::function<void(const HttpAnswerHead&)> onHead; ///< Called with the header of the final answer; interim answers (1xx) are skipped.
--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -249,6 +249,9 @@
     // would hide from crash containment that the target was lost while it ran this request.
     if (std::exchange(attempt->isConnected, true) || attempt->request.connectsOnly)
         return CURL_PREREQFUNC_ABORT;
+    attempt->isSendRefused = attempt->request.maySend && !attempt->request.maySend();
+    if (attempt->isSendRefused)
+        return CURL_PREREQFUNC_ABORT;
     attempt->maybeSent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -298,7 +301,7 @@
 
 UpstreamOutcome UpstreamAttempt::outcomeOf(CURLcode code) const
 {
-    if (this->isBodyAborted)
+    if (this->isBodyAborted || this->isSendRefused)
         return UpstreamOutcome::Cancelled;
     if (this->request.connectsOnly)
         return this->isConnected ? UpstreamOutcome::Complete : UpstreamOutcome::ConnectFailed;
--- a/packages/transport/src/UpstreamAttempt.h
+++ b/packages/transport/src/UpstreamAttempt.h
@@ -94,6 +94,7 @@
     bool isConnected = false; ///< A connection was ready to take the request.
     bool maybeSent = false; ///< The request may have been sent on it.
     bool isInvalid = false; ///< The answer is malformed.
+    bool isSendRefused = false; ///< maySend returned false.
     bool isBodyAborted = false; ///< The body source failed or did not match the announced length.
     bool isReceivingPaused = false; ///< onData returned false.
     bool isSendingPaused = false; ///< bodySource returned bodyPause.
--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -15,7 +15,6 @@
 constexpr Milliseconds defaultRetryAfter { 1000 };
 constexpr Milliseconds assumedCallDuration { 5000 }; ///< Of a caller that states no deadline, before its kind is known.
 constexpr Milliseconds stoppingRetryAfter { 10 }; ///< Short, since the other VMs serve as usual.
-constexpr Milliseconds isolatedRetryAfter { 250 }; ///< Short, since other VMs may have the configuration, and this VM receives it as soon as there is a leader.
 
 /** Returns the retry delay for a call that fails the initial checks. */
 Milliseconds retryAfterOf(ResultCode code)
@@ -105,6 +104,8 @@
     const Kind& kind = *this->match.kind;
     if (isIsolated && kind.whenIsolated == WhenIsolated::Refuse)
         return ResultCode::Isolated;
+    if (ResultCode code = this->checkKey(); code != ResultCode::Ok)
+        return code;
     if (this->parameters.code != ResultCode::Ok)
         return this->parameters.code;
     if (kind.keyRequired && this->parameters.idempotencyKey.empty())
@@ -185,7 +186,8 @@
     }
     AdmissionRequest request;
     request.id = this->id;
-    request.priority = this->match.kind->priority;
+    const std::shared_ptr<const Organisation>& organisation = this->match.organisation;
+    request.priority = organisation ? organisation->priority.value_or(this->match.kind->priority) : this->match.kind->priority;
     request.deadline = this->deadline;
     request.maxWait = this->match.kind->mayWait;
     request.mayBeRefused = this->match.kind->mayRefuse;
@@ -227,7 +229,7 @@
         self->executor.post([self, result] { self->handleClaimResult(result); });
     };
     checkFailPoint("claim.before_send");
-    this->gateway.claims.claimKey(this->claimTicket, this->fingerprint, limits.claimRetention, timeout, onResult);
+    this->gateway.claims.claimKey(this->claimTicket, this->claimFingerprint(), limits.claimRetention, timeout, onResult);
 }
 
 void Call::handleClaimResult(const wire::CommandResult& result)
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -15,6 +15,8 @@
 
 namespace kingcup {
 
+constexpr Milliseconds isolatedRetryAfter { 250 }; ///< Short, since other VMs may have the configuration, and this VM receives it as soon as there is a leader.
+
 /**
  * One call: checks, request body, admission, claim, attempts, answer. All events of a call run one after another in its
  * serial executor. The hooks of the listener and of the upstream client own a reference to the call, so it lives until they
@@ -45,6 +47,13 @@
     void sendRecordedAnswer(const wire::CommandResult& result);
     void handleCallerDisconnect();
 
+    // API keys (CallKeys.cpp).
+    ResultCode checkKey();
+    std::function<bool()> createSendCheck() const;
+    void abandonWithoutKey(const AttemptPointer& attempt, ResultCode code);
+    void endWithoutKey(const AttemptPointer& attempt, ResultCode code);
+    Fingerprint claimFingerprint() const;
+
     // Attempts (CallAttempts.cpp).
     bool startAttempt(bool isHedge, std::optional<uint64_t> resumeOffset = std::nullopt);
     void sendAttempt(const AttemptPointer& attempt);
@@ -63,6 +72,8 @@
     void reportSuspicion(const AttemptPointer& attempt);
     void logSuspicion(const wire::CommandResult& result) const;
     void retryOrFail();
+    void recordFailure(const AttemptFailure& failure);
+    void answerFailure();
     bool takeRetry(bool mayHaveBeenSent, AttemptOutcome outcome);
     bool retryAfterErrorStatus(const AttemptPointer& attempt);
     bool hasActiveAttempt() const;
@@ -111,6 +122,8 @@
     TimePoint deadline {}; ///< Deadline of the whole call, set by checkRequest().
     RequestMatch match; ///< Service and kind of the request; empty when none matches.
     uint64_t manifestNumber = 0; ///< Number of the manifest by which the request was matched.
+    std::shared_ptr<const KeyTable> keys; ///< API keys of the last check; null before it.
+    std::optional<ApiKeyHash> apiKey; ///< Hash of the caller's key, read by checkKey(); empty: none.
     CallParameters parameters; ///< Parsed from the request header.
     Fingerprint fingerprint; ///< Identifies the request for crash containment and claims.
     std::shared_ptr<std::string> body; ///< Body bytes that were read before the first attempt.
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -44,6 +44,11 @@
 /** Sends the request to the target of an attempt; the first attempt also schedules the hedge. */
 void Call::sendAttempt(const AttemptPointer& attempt)
 {
+    // The request may have waited since its key was checked last.
+    if (ResultCode code = this->checkKey(); code != ResultCode::Ok) {
+        this->abandonWithoutKey(attempt, code);
+        return;
+    }
     attempt->startTime = MillisecondClock::now();
     attempt->relay = this->gateway.relays.hopTo(attempt->pick.address);
     attempt->handle = this->gateway.upstream.start(this->createUpstreamRequest(attempt));
@@ -95,7 +100,9 @@
     request.relay = attempt->relay;
     request.method = head.method;
     request.target = head.target;
-    request.headers = targetHeaders(head, this->gateway.edge.headers, remaining, this->parameters.depth, attempt->pick.instance);
+    CallerIdentity caller { this->keys->isKeyRequired(), this->match.organisation ? this->match.organisation->name : "" };
+    request.headers = targetHeaders(head, this->gateway.edge.headers, remaining, this->parameters.depth, attempt->pick.instance, caller);
+    request.maySend = this->createSendCheck();
     if (attempt->resumeOffset)
         addRangeHeaders(request.headers, *this->downloadResumePoint, *attempt->resumeOffset);
     request.isRepeatable = this->match.kind->repeatable;
@@ -380,6 +387,12 @@
 void Call::handleAttemptFailure(const AttemptPointer& attempt, const UpstreamResult& result)
 {
     this->isOverloaded = this->isOverloaded || result.outcome == UpstreamOutcome::TimedOut;
+    if (result.outcome == UpstreamOutcome::Cancelled && !result.maybeSent) {
+        if (ResultCode code = this->checkKey(); code != ResultCode::Ok) {
+            this->endWithoutKey(attempt, code);
+            return;
+        }
+    }
     AttemptFailure failure;
     failure.code = failureCode(result);
     failure.outcome = routerOutcome(result, *attempt);
@@ -389,6 +402,12 @@
 
 /** Records a failure, then retries or answers with an error. */
 void Call::continueAfterFailure(const AttemptFailure& failure)
+{
+    this->recordFailure(failure);
+    this->retryOrFail();
+}
+
+void Call::recordFailure(const AttemptFailure& failure)
 {
     ResultCode previousCode = this->lastFailure.code;
     this->lastFailure = failure;
@@ -396,7 +415,6 @@
     if (this->mayHaveRun && !failure.mayHaveBeenSent)
         this->lastFailure.code = previousCode;
     this->mayHaveRun = this->mayHaveRun || failure.mayHaveBeenSent;
-    this->retryOrFail();
 }
 
 /** Starts another attempt if retry policy, retry budget and containment allow it; otherwise answers at once. Waits for active attempts and pending suspicion reports. */
@@ -406,6 +424,12 @@
         return;
     if (this->takeRetry(this->lastFailure.mayHaveBeenSent, this->lastFailure.outcome) && this->startAttempt(false))
         return;
+    this->answerFailure();
+}
+
+/** Answers with the answer that an earlier attempt got, or with the last failure. */
+void Call::answerFailure()
+{
     // A target's statement that it did not run the request does not cover an attempt that was sent to another target.
     bool isStaleNotRun = this->fallback && this->mayHaveRun && this->isReportedNotRun(this->fallback->head);
     if (!this->fallback || isStaleNotRun) {
--- a/programs/kingcupswitchd/entry/CallHeaders.cpp
+++ b/programs/kingcupswitchd/entry/CallHeaders.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+constexpr std::string_view authorizationField = "Authorization";
+constexpr std::string_view bearerScheme = "Bearer";
+
 /** Returns whether a list of field names contains a name, ignoring case. */
 bool containsName(std::initializer_list<std::string_view> names, std::string_view name)
 {
@@ -30,6 +33,25 @@
     }
 }
 
+/** Returns whether some targets take two field names for the same: in their environment variables, `-` and `_` do not differ. */
+bool isTakenForField(std::string_view name, std::string_view field)
+{
+    std::string plainName(name);
+    std::string plainField(field);
+    std::replace(plainName.begin(), plainName.end(), '_', '-');
+    std::replace(plainField.begin(), plainField.end(), '_', '-');
+    return equalsIgnoreCase(plainName, plainField);
+}
+
+/** Removes the fields by which a caller could pass for an organisation, and the API key. */
+void removeIdentity(HttpHeaders& headers, const HeaderNames& names, const CallerIdentity& caller)
+{
+    std::erase_if(headers.fields, [&](const HttpHeader& field) {
+        bool isForged = !names.organisation.empty() && isTakenForField(field.name, names.organisation);
+        return isForged || (caller.hidesAuthorization && isTakenForField(field.name, authorizationField));
+    });
+}
+
 /** Returns the value of a field. @param name Empty when this edge does not use the field. */
 std::optional<std::string_view> findIfNamed(const HttpHeaders& headers, const std::string& name)
 {
@@ -69,6 +91,19 @@
     return parameters;
 }
 
+std::optional<ApiKeyHash> parseApiKey(const HttpHeaders& headers)
+{
+    auto isAuthorization = [](const HttpHeader& field) { return equalsIgnoreCase(field.name, authorizationField); };
+    if (std::count_if(headers.fields.begin(), headers.fields.end(), isAuthorization) != 1)
+        return std::nullopt;
+    std::string_view value = *headers.find(authorizationField);
+    size_t space = value.find(' ');
+    size_t start = value.find_first_not_of(' ', std::min(space, value.size()));
+    if (start == std::string_view::npos || !equalsIgnoreCase(value.substr(0, space), bearerScheme))
+        return std::nullopt;
+    return hashApiKey(value.substr(start));
+}
+
 HttpHeaders probeHeaders(const HeaderNames& names, const std::string& address, const std::string& instance)
 {
     HttpHeaders headers;
@@ -78,10 +113,13 @@
     return headers;
 }
 
-HttpHeaders targetHeaders(const HttpRequestHead& head, const HeaderNames& names, Milliseconds remaining, uint32_t depth, const std::string& instance)
+HttpHeaders targetHeaders(const HttpRequestHead& head, const HeaderNames& names, Milliseconds remaining, uint32_t depth, const std::string& instance, const CallerIdentity& caller)
 {
     HttpHeaders headers;
     copyEndToEnd(head.headers, { names.deadline, names.depth, names.expectedInstance, names.forwardedFor, "Content-Length", "Expect" }, headers);
+    removeIdentity(headers, names, caller);
+    if (!caller.organisation.empty())
+        addIfNamed(headers, names.organisation, caller.organisation);
     addIfNamed(headers, names.deadline, std::to_string(static_cast<int64_t>(std::max(0.0, remaining.count()))));
     addIfNamed(headers, names.depth, std::to_string(depth + 1));
     if (!instance.empty())
--- a/programs/kingcupswitchd/entry/CallHeaders.h
+++ b/programs/kingcupswitchd/entry/CallHeaders.h
@@ -3,6 +3,7 @@
 
 #include "Edge.h"
 
+#include "kingcup/ApiKey.h"
 #include "kingcup/HttpTypes.h"
 #include "kingcup/MillisecondClock.h"
 #include "kingcup/ResultCode.h"
@@ -24,8 +25,17 @@
 /** Parses the deadline, depth, idempotency key and request id of a request. Errors are returned in `code`. */
 CallParameters parseCallParameters(const HttpHeaders& headers, const HeaderNames& names);
 
-/** Returns the header fields for the target: the caller's end-to-end fields, the remaining deadline, the depth plus one and the expected instance. */
-HttpHeaders targetHeaders(const HttpRequestHead& head, const HeaderNames& names, Milliseconds remaining, uint32_t depth, const std::string& instance);
+/** What a target is told about the sender of a request. */
+struct CallerIdentity {
+    bool hidesAuthorization = false; ///< Whether the Authorization field holds an API key, which targets do not get.
+    std::string organisation; ///< Organisation that holds the key; empty: none.
+};
+
+/** Returns the hash of the API key in `Authorization: Bearer KEY`; empty if there is none, or more than one such field. */
+std::optional<ApiKeyHash> parseApiKey(const HttpHeaders& headers);
+
+/** Returns the header fields for the target: the caller's end-to-end fields, the remaining deadline, the depth plus one, the expected instance and the organisation. */
+HttpHeaders targetHeaders(const HttpRequestHead& head, const HeaderNames& names, Milliseconds remaining, uint32_t depth, const std::string& instance, const CallerIdentity& caller = {});
 
 /** Returns the header fields of a load probe. They name the expected instance, because a later instance on the same address must not answer in its place. */
 HttpHeaders probeHeaders(const HeaderNames& names, const std::string& address, const std::string& instance);
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -37,6 +37,7 @@
           settings, edge, leader, this->claims, metrics, gate, [this](PathState) { this->hub.post([this] { this->handlePathChange(); }); }, seed)
     , prober(this->gateway)
     , configuration(settings.vm, incarnation, settings.availabilityZone, settings.leaseTerm)
+    , keyLease(settings.keyRevocation)
     , listener(
           listenerOptions(settings), [this](std::shared_ptr<HttpExchange> exchange) { this->gateway.handleRequest(std::move(exchange)); },
           [this](ResultCode code) { this->metrics.countCall("", "", code); })
@@ -75,12 +76,15 @@
     this->leader.setControlVms({ answer.control_vms().begin(), answer.control_vms().end() });
     this->gateway.relays.receiveRelays(answer);
     bool hasChanged = this->configuration.receiveAnswer(envelope.request_id(), answer, now);
+    this->keyLease.renew(this->configuration.lastConfirmedRequest());
     // Calls that wait for the first configuration are checked against the lease when it is published.
     this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
     if (hasChanged) {
         this->publishConfiguration();
         this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
         this->sendSessionRequest(now);
+    } else {
+        this->gateway.setKeyLease(this->keyLease.end());
     }
     return true;
 }
@@ -105,13 +109,14 @@
     this->hasManifest.store(snapshot->manifestNumber > 0);
     this->servesIsolated.store(!snapshot->routes.empty());
     this->gateway.setLogClock(this->configuration.logClock());
-    this->gateway.applyConfiguration(std::move(snapshot));
+    this->gateway.applyConfiguration(std::move(snapshot), this->keyLease.end());
     this->updateGate();
 }
 
 void EntryNode::tick(TimePoint now)
 {
     this->metrics.setGauge("kingcup_lease_valid", this->gateway.isLeaseValid() ? 1 : 0);
+    this->metrics.setGauge("kingcup_key_lease_valid", this->keyLease.isValid(now) ? 1 : 0);
     if (now < this->nextSessionRequest)
         return;
     if (this->pendingSessionVm)
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -8,6 +8,7 @@
 
 #include "kingcup/EntryConfiguration.h"
 #include "kingcup/HttpListener.h"
+#include "kingcup/KeyLease.h"
 #include "kingcup/Settings.h"
 
 #include <atomic>
@@ -74,6 +75,7 @@
     Gateway gateway; ///< Serves callers' requests.
     Prober prober; ///< Probes the load of targets.
     EntryConfiguration configuration; ///< Merged configuration and lease; used on the thread of the hub only.
+    KeyLease keyLease; ///< Permission to use API keys; used on the thread of the hub only.
     HttpListener listener; ///< Accepts callers' connections.
     TimePoint nextSessionRequest {}; ///< Time of the next session request.
     uint32_t pendingSessionVm = 0; ///< Control VM whose answer to the last session request is pending; 0: none.
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -33,6 +33,7 @@
 {
     auto table = std::make_unique<RequestTable>();
     table->configuration = std::make_shared<ConfigurationSnapshot>();
+    table->keys = std::make_shared<const KeyTable>();
     return table;
 }
 
@@ -77,12 +78,15 @@
     call->start();
 }
 
-void Gateway::applyConfiguration(std::shared_ptr<const ConfigurationSnapshot> configuration)
+void Gateway::applyConfiguration(std::shared_ptr<const ConfigurationSnapshot> configuration, TimePoint keyLeaseEnd)
 {
     std::lock_guard<std::mutex> lock(this->configurationMutex);
     auto next = std::make_unique<RequestTable>();
     this->addServices(*configuration, *next);
     this->addRoutes(*configuration, *next);
+    next->keys = this->keys();
+    if (!next->keys->isBuiltFrom(configuration->organisations))
+        next->keys = std::make_shared<const KeyTable>(configuration->organisations);
     this->containment.applySnapshot(*configuration);
     this->paths.setTargets(addressesOf(*configuration));
     this->gate.setTargets(addressesOf(*configuration));
@@ -91,6 +95,8 @@
     this->metrics.setGauge("kingcup_manifest_number", static_cast<double>(next->configuration->manifestNumber));
     bool hasManifest = next->configuration->manifestNumber > 0;
     this->requestTable.replace(std::move(next));
+    // Between the table that the lease covers and the waiting calls, whose keys are checked at once.
+    this->setKeyLease(keyLeaseEnd);
     if (hasManifest)
         this->releaseWaitingCalls();
 }
@@ -210,6 +216,12 @@
         row.runtime->setLiveVms(liveVms, this->leaseTerm, now);
 }
 
+std::shared_ptr<const KeyTable> Gateway::keys() const
+{
+    RcuReadGuard guard;
+    return this->requestTable.read(guard).keys;
+}
+
 std::vector<RequestTableRow> Gateway::services() const
 {
     RcuReadGuard guard;
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -38,8 +38,8 @@
     /** Starts a call for a request that the listener received. */
     void handleRequest(std::shared_ptr<HttpExchange> exchange);
 
-    /** Puts a configuration in force for new calls. Calls in flight keep the one they started with. */
-    void applyConfiguration(std::shared_ptr<const ConfigurationSnapshot> configuration);
+    /** Puts a configuration in force for new calls. Calls in flight keep the one they started with, except for the API keys. @param keyLeaseEnd End of the key lease with this configuration. */
+    void applyConfiguration(std::shared_ptr<const ConfigurationSnapshot> configuration, TimePoint keyLeaseEnd);
 
     /**
      * Makes a call wait for the first configuration of this VM. Returns false if the call must be refused at once.
@@ -56,6 +56,15 @@
     /** Returns whether this VM holds a lease that has not expired. */
     bool isLeaseValid() const { return MillisecondClock::now().time_since_epoch().count() < this->leaseEndMs.load(); }
 
+    /** Sets the end of the key lease. The configuration that it covers must be in force. */
+    void setKeyLease(TimePoint end) { this->keyLeaseEndMs.store(end.time_since_epoch().count()); }
+
+    /** Returns the end of the key lease. It must be read before the table from keys(), which is then at least as recent as the configuration that the lease covers. */
+    TimePoint keyLeaseEnd() const { return TimePoint(Milliseconds(this->keyLeaseEndMs.load())); }
+
+    /** Returns the API keys in force. */
+    std::shared_ptr<const KeyTable> keys() const;
+
     /** Sets the clock of the replicated log, by which quarantines expire. */
     void setLogClock(const LogClock& clock);
 
@@ -141,6 +150,7 @@
     LogClock logClock; ///< Clock of the replicated log.
     std::atomic<double> stopEndMs { std::numeric_limits<double>::infinity() }; ///< Time by which this VM stops, in milliseconds of the monotonic clock; infinite while no stop has begun.
     std::atomic<double> leaseEndMs { 0 }; ///< End of the lease, in milliseconds of the monotonic clock; 0: no lease yet.
+    std::atomic<double> keyLeaseEndMs { 0 }; ///< End of the key lease, in milliseconds of the monotonic clock; 0: none yet.
     mutable std::mutex configurationMutex; ///< Serialises applyConfiguration().
     std::mutex startupMutex; ///< Guards the members below.
     StartupQueue startupQueue; ///< Decides which calls wait for the first configuration.
--- a/programs/kingcupswitchd/entry/RequestTable.h
+++ b/programs/kingcupswitchd/entry/RequestTable.h
@@ -4,6 +4,7 @@
 #include "ServiceRuntime.h"
 
 #include "kingcup/EntryConfiguration.h"
+#include "kingcup/KeyTable.h"
 #include "kingcup/WeightedSplit.h"
 
 #include <map>
@@ -39,6 +40,7 @@
 /** Immutable table of all services and routes in force. */
 struct RequestTable {
     std::shared_ptr<const ConfigurationSnapshot> configuration; ///< Configuration that the table was built from; never null in a table in force.
+    std::shared_ptr<const KeyTable> keys; ///< API keys; never null in a table in force. Consecutive tables share it until an organisation changes.
     std::vector<RequestTableRow> rows; ///< Services in the order of matching: those with a host first, then by descending length of the path prefix.
     std::map<std::string, std::vector<RouteRow>> routes; ///< Routes by lower-case host, in descending length of the path prefix.
 
--- a/testing/FakeTarget.cpp
+++ b/testing/FakeTarget.cpp
@@ -228,11 +228,22 @@
     std::string wanted = request.find("X-Answer-Bytes");
     size_t size = wanted.empty() ? defaultAnswerBytes : std::strtoull(wanted.c_str(), nullptr, 10);
     HttpMessage answer = this->makeAnswer(200, makeEchoBody(request.find("X-Call-Id"), request.body, size));
+    if (!request.find("X-Echo-Fields").empty())
+        answer.body = listFields(request).dump();
     answer.add("X-Call-Id", request.find("X-Call-Id"));
     answer.add("X-Target", this->options.listen);
     return answer;
 }
 
+/** Returns the names and values of all fields of a request, in order of arrival. */
+nlohmann::json FakeTarget::listFields(const HttpMessage& request)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    for (const HttpField& field : request.fields)
+        fields.push_back({ field.name, field.value });
+    return fields;
+}
+
 /** Waits until a slot is free and takes it. */
 void FakeTarget::waitForSlot(std::unique_lock<std::mutex>& lock)
 {
--- a/testing/FakeTarget.h
+++ b/testing/FakeTarget.h
@@ -119,6 +119,7 @@
     HttpMessage shedRequest(std::string body);
     HttpMessage answerProbe();
     HttpMessage runRequest(const HttpMessage& request);
+    static nlohmann::json listFields(const HttpMessage& request);
     void waitForSlot(std::unique_lock<std::mutex>& lock);
     size_t recordStart(const HttpMessage& request);
     void recordEnd(size_t execution, Milliseconds elapsed);
