--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -253,7 +253,7 @@
     if (this->selectedAttempt || this->hasActiveAttempt() || this->pendingSuspicionReports > 0)
         return;
     if (this->fallback)
-        this->failCall();
+        this->answerFailure();
     else
         this->refuseWithoutTarget();
 }
