Add: [Coordination] Requests to cold targets of a service with a limit need a permit

Cause: the cold state of a target only raised the expected duration of a request. The router picks a known cold target only with a permit and takes one for a target that a probe finds cold (takeColdPermit). Records apply to known incarnations once per value. A search does not count cold targets and goes on past its latest start while it has found only cold ones. usableSlots counts what the permitted requests occupy, timeUntilAccepted the next permit. isColdAgain decides what the leader records. Services without coldRequestsPerSecond are served as before.

--- a/packages/coordination/include/kingcup/ControlStateMachine.h
+++ b/packages/coordination/include/kingcup/ControlStateMachine.h
@@ -60,6 +60,9 @@
     const std::string& manifestDigest() const; ///< Digest of the manifest in force; empty for none.
     std::vector<wire::ServiceDocument> serviceDocuments() const; ///< Documents of the manifest in force, ordered by name.
 
+    /** Returns the text of a document in force, or null. The next apply() or load() invalidates the pointer. */
+    const std::string* findDocument(const std::string& name) const;
+
     /** Returns a summary of the state as JSON, with counts in place of long lists. */
     std::string dump() const;
 
--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -68,6 +68,7 @@
     std::string instance; ///< Name of the incarnation; empty: it has none.
     uint64_t ticket = 0; ///< Identifies the attempt in finish().
     bool hasPermit = false; ///< Whether the attempt counts towards the limit that the target named.
+    bool hasColdPermit = false; ///< Whether the attempt counts towards the requests that a cold target can handle.
     PickReason reason;
 };
 
@@ -93,7 +94,7 @@
     /** Records the end of an attempt. @param latency Time from sending the request to the first byte of the answer. */
     void finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now);
 
-    /** Records that the attempt was not sent, so that it does not count towards the limit that the target named. */
+    /** Records that the attempt was not sent, so that it does not count towards the limits of the target. */
     void abandon(const Pick& pick, TimePoint now);
 
     /** Stops using a target, because another instance answers at its address, until update() brings the new incarnation. */
@@ -118,13 +119,29 @@
     /** Records that a target named no limit in an answer. */
     void clearLimit(const std::string& address, uint64_t incarnation);
 
+    /**
+     * Records how long a target stays cold by its answer to a probe; 0: it is not cold. Longer times are cut to the cold start of the service, or to
+     * 60 s without one. Ignored if the service does not limit the requests to cold targets. While the target is cold, it gets no request beyond the
+     * share of this VM.
+     */
+    void recordCold(const std::string& address, uint64_t incarnation, Milliseconds coldLeft, TimePoint now);
+
+    /**
+     * Takes the permit that a request to a picked target needs if the target has become cold since it was picked. Returns false if the request
+     * must not be sent because none is due.
+     */
+    bool takeColdPermit(Pick& pick, TimePoint now);
+
+    /** Returns the number of cold targets in use whose requests are limited. */
+    uint32_t coldTargets(TimePoint now) const;
+
     /** Sets the number of entry VMs that may use the same target, this one included; below 1: unknown, which keeps the earlier number. */
     void setVmsPerTarget(double vms);
 
     /** Returns the incarnation of the target in use at an address; empty if there is none. */
     std::optional<uint64_t> incarnationOf(const std::string& address) const;
 
-    /** Returns the time until the first target accepts requests again; empty if none has asked for a delay or named a limit. */
+    /** Returns the time until the first target accepts requests again; empty if none has asked for a delay, has named a limit or is cold with a limit. */
     std::optional<Milliseconds> timeUntilAccepted(TimePoint now) const;
 
     /** Records a load report; ignored for an unknown address or if a newer report is stored. @param age Age of the report on arrival. */
@@ -136,7 +153,7 @@
     /** Returns the attempts of this VM that are in flight. */
     uint32_t outstanding() const;
 
-    /** Returns the slots of the serving targets in the subset of this VM, without those of ejected targets. */
+    /** Returns the slots of the serving targets in the subset of this VM, without those of ejected targets. A cold target counts with the slots that its permitted requests occupy. */
     uint32_t usableSlots(TimePoint now) const;
 
     /** Returns up to `count` addresses of serving targets for probing, those with the oldest load report first. Targets that leave, accept no requests for a time or have reached their limit are left out. */
--- a/packages/coordination/include/kingcup/TargetSearch.h
+++ b/packages/coordination/include/kingcup/TargetSearch.h
@@ -74,6 +74,9 @@
     /** Records that a target must not get the request, because its answer to the probe says that it leaves or accepts no requests for a time. */
     SearchStep recordUnavailable(size_t position, TimePoint now);
 
+    /** Records that a target must not get the request, because it is cold and no permit is due. It does not count towards the targets of the round. */
+    SearchStep recordColdTarget(size_t position, TimePoint now);
+
     /** Returns whether at least one target may get the request. */
     bool hasAvailableTarget() const;
 
@@ -113,8 +116,10 @@
         bool hasNoFreeSlot = false; ///< It has no free slot, by its answer or by the load assumed for it.
         bool isUnprobed = false; ///< The probe budget allowed no probe.
         bool isUnavailable = false; ///< It must not get the request.
+        bool isCold = false; ///< It must not get the request because it is cold.
     };
     bool hasPendingProbe(TimePoint now) const;
+    bool mayProbeAnother(TimePoint now) const;
     bool meetsObjective(double cost, TimePoint now) const;
     bool isBestTolerable(TimePoint now) const;
     bool isEndedByProbeBudget(TimePoint now) const;
--- a/packages/coordination/src/ControlStateMachine.cpp
+++ b/packages/coordination/src/ControlStateMachine.cpp
@@ -213,6 +213,13 @@
     return this->state->tables.manifest.current().digest;
 }
 
+const std::string* ControlStateMachine::findDocument(const std::string& name) const
+{
+    const std::map<std::string, ServiceRow>& rows = this->state->tables.manifest.services();
+    auto found = rows.find(name);
+    return found == rows.end() || found->second.removedAtMs ? nullptr : &found->second.json;
+}
+
 std::vector<wire::ServiceDocument> ControlStateMachine::serviceDocuments() const
 {
     std::vector<wire::ServiceDocument> documents;
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr size_t counterStripeCount = 8;
+constexpr double msPerSecond = 1000;
 constexpr double observationLifetimeMs = 5000;
 constexpr Milliseconds maxRetryAfter { 60000 }; ///< Limit for the delay that a target may state, so that a wrong value does not take it out of use for good.
 
@@ -73,6 +74,12 @@
     /** Returns the entry of an incarnation in use, or null. */
     static const RoutingEntry* find(const RoutingTable& routingTable, const std::string& address, uint64_t incarnation);
 
+    /** Takes the permits that a request to a target needs; stores in the pick which ones. Returns false and takes none if one is not due. */
+    static bool takePermits(const Choice& choice, TargetEstimate& target, Pick& pick);
+
+    /** Returns a random number in [0, 1), for the first permit of a limit. */
+    double randomPhase();
+
     /** Ejects a target, unless this would exceed the configured share of ejected targets. */
     void tryEject(const RoutingTable& routingTable, TargetEstimate& target, double nowMs);
 
@@ -109,6 +116,26 @@
     return entry && entry->target->incarnation == incarnation ? entry : nullptr;
 }
 
+bool Router::State::takePermits(const Choice& choice, TargetEstimate& target, Pick& pick)
+{
+    pick.hasPermit = target.rateLimit.isSet();
+    if (pick.hasPermit && !target.rateLimit.takePermit(choice.vmsPerTarget, choice.nowMs))
+        return false;
+    pick.hasColdPermit = choice.coldIntervalMs > 0 && target.isCold(choice.nowMs);
+    if (!pick.hasColdPermit || target.coldPermits.takePermit(choice.coldIntervalMs, choice.nowMs))
+        return true;
+    if (pick.hasPermit)
+        target.rateLimit.returnPermit();
+    return false;
+}
+
+double Router::State::randomPhase()
+{
+    constexpr size_t phases = 1 << 20;
+    ChoiceRandom random(this->seed, this->nextChoice.fetch_add(1, relaxed));
+    return static_cast<double>(random.below(phases)) / phases;
+}
+
 void Router::State::tryEject(const RoutingTable& routingTable, TargetEstimate& target, double nowMs)
 {
     std::lock_guard<std::mutex> lock(this->ejectionMutex);
@@ -149,23 +176,23 @@
     ChoiceRandom random(this->state->seed, number);
     this->state->fleetAverages.refresh(table, toMs(now));
     double vms = this->state->vmsPerTarget.load(relaxed);
-    Choice choice { table, excluded, this->state->fleetAverages, random, number, toMs(now), vms };
+    Choice choice { table, excluded, this->state->fleetAverages, random, number, toMs(now), vms, table.coldIntervalMs(vms) };
     const RoutingEntry* entry = nullptr;
-    bool hasPermit = false;
-    for (bool isTaken = false; !isTaken;) {
+    Pick pick;
+    do {
         entry = this->state->choose(choice);
         if (!entry)
             return std::nullopt;
         // Another thread may take the permit after the choice; the target is not eligible then.
-        TargetRateLimit& limit = entry->target->rateLimit;
-        hasPermit = limit.isSet();
-        isTaken = !hasPermit || limit.takePermit(vms, toMs(now));
-    }
-    PickReason reason = pickReason(this->state->policy, choice, *entry);
+    } while (!State::takePermits(choice, *entry->target, pick));
+    pick.address = entry->target->address;
+    pick.incarnation = entry->target->incarnation;
+    pick.instance = entry->target->instance;
+    pick.ticket = static_cast<uint64_t>(entry->target->serial) << 32 | (number & 0xffffffff);
+    pick.reason = pickReason(this->state->policy, choice, *entry);
     entry->target->recordStart(toMs(now));
     this->state->outstanding.add(1);
-    uint64_t ticket = static_cast<uint64_t>(entry->target->serial) << 32 | (number & 0xffffffff);
-    return Pick { entry->target->address, entry->target->incarnation, entry->target->instance, ticket, hasPermit, reason };
+    return pick;
 }
 
 void Router::finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now)
@@ -186,12 +213,14 @@
 void Router::abandon(const Pick& pick, TimePoint now)
 {
     this->finish(pick, AttemptOutcome::Cancelled, Milliseconds(0), now);
-    if (!pick.hasPermit)
+    if (!pick.hasPermit && !pick.hasColdPermit)
         return;
     RcuReadGuard guard;
     const RoutingEntry* entry = State::find(this->state->table.read(guard), pick.address, pick.incarnation);
-    if (entry)
+    if (entry && pick.hasPermit)
         entry->target->rateLimit.returnPermit();
+    if (entry && pick.hasColdPermit)
+        entry->target->coldPermits.returnPermit();
 }
 
 void Router::markInstanceGone(const Pick& pick)
@@ -223,10 +252,7 @@
     const RoutingEntry* entry = State::find(this->state->table.read(guard), address, incarnation);
     if (!entry)
         return;
-    ChoiceRandom random(this->state->seed, this->state->nextChoice.fetch_add(1, relaxed));
-    constexpr size_t phases = 1 << 20;
-    double phase = static_cast<double>(random.below(phases)) / phases;
-    entry->target->rateLimit.setLimit(requestsPerSecond, phase, toMs(now));
+    entry->target->rateLimit.setLimit(requestsPerSecond, this->state->randomPhase(), toMs(now));
 }
 
 void Router::clearLimit(const std::string& address, uint64_t incarnation)
@@ -237,6 +263,38 @@
         entry->target->rateLimit.clear();
 }
 
+void Router::recordCold(const std::string& address, uint64_t incarnation, Milliseconds coldLeft, TimePoint now)
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    const RoutingEntry* entry = State::find(table, address, incarnation);
+    if (entry && table.coldRequestsPerSecond > 0)
+        entry->target->recordCold(toMs(now) + std::min(coldLeft, table.maxCold).count(), this->state->randomPhase(), toMs(now));
+}
+
+bool Router::takeColdPermit(Pick& pick, TimePoint now)
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    const RoutingEntry* entry = State::find(table, pick.address, pick.incarnation);
+    double intervalMs = table.coldIntervalMs(this->state->vmsPerTarget.load(relaxed));
+    if (pick.hasColdPermit || !entry || intervalMs <= 0 || !entry->target->isCold(toMs(now)))
+        return true;
+    pick.hasColdPermit = entry->target->coldPermits.takePermit(intervalMs, toMs(now));
+    pick.reason.coldFactor = entry->target->coldFactor(toMs(now));
+    return pick.hasColdPermit;
+}
+
+uint32_t Router::coldTargets(TimePoint now) const
+{
+    RcuReadGuard guard;
+    const RoutingTable& table = this->state->table.read(guard);
+    if (table.coldRequestsPerSecond <= 0)
+        return 0;
+    auto end = table.entries.begin() + static_cast<ptrdiff_t>(table.servingCount);
+    return static_cast<uint32_t>(std::count_if(table.entries.begin(), end, [&](const RoutingEntry& entry) { return entry.target->isCold(toMs(now)); }));
+}
+
 void Router::setVmsPerTarget(double vms)
 {
     if (vms >= 1)
@@ -255,13 +313,16 @@
     RcuReadGuard guard;
     const RoutingTable& table = this->state->table.read(guard);
     double vms = this->state->vmsPerTarget.load(relaxed);
+    double coldIntervalMs = table.coldIntervalMs(vms);
     std::optional<Milliseconds> shortest;
     for (size_t i = 0; i < table.servingCount; ++i) {
         const TargetEstimate& target = *table.entries[i].target;
-        bool isLimited = target.rateLimit.isSet();
+        bool isCold = coldIntervalMs > 0 && target.isCold(toMs(now));
+        bool isLimited = target.rateLimit.isSet() || isCold;
         if (target.isReplaced() || target.isLeaving() || (!target.isDeclining(toMs(now)) && !isLimited))
             continue;
-        Milliseconds delay(std::max({ target.declinedUntil(), target.rateLimit.nextPermitAt(vms), toMs(now) }) - toMs(now));
+        double coldPermitAt = isCold ? std::min(target.coldPermits.nextPermitAt(coldIntervalMs, toMs(now)), target.coldUntil()) : neverMs;
+        Milliseconds delay(std::max({ target.declinedUntil(), target.rateLimit.nextPermitAt(vms), coldPermitAt, toMs(now) }) - toMs(now));
         shortest = std::min(shortest.value_or(delay), delay);
     }
     return shortest;
@@ -292,10 +353,17 @@
 {
     RcuReadGuard guard;
     const RoutingTable& table = this->state->table.read(guard);
-    uint32_t slots = 0;
-    for (size_t i = 0; i < table.servingCount; ++i)
-        slots += table.entries[i].target->isEjected(toMs(now)) ? 0 : table.entries[i].slots;
-    return slots;
+    double latencyMs = this->state->fleetAverages.latencyMs.load(relaxed);
+    double slots = 0;
+    for (size_t i = 0; i < table.servingCount; ++i) {
+        const RoutingEntry& entry = table.entries[i];
+        if (entry.target->isEjected(toMs(now)))
+            continue;
+        bool isLimited = table.coldRequestsPerSecond > 0 && latencyMs > 0 && entry.target->isCold(toMs(now));
+        double occupied = isLimited ? table.coldRequestsPerSecond * latencyMs * entry.target->coldFactor(toMs(now)) / msPerSecond : entry.slots;
+        slots += std::min<double>(occupied, entry.slots);
+    }
+    return static_cast<uint32_t>(std::ceil(slots));
 }
 
 std::vector<std::string> Router::leastRecentlyReported(size_t count, TimePoint now) const
@@ -365,6 +433,7 @@
             { "recentFailures", target.recentFailures(toMs(now)) },
             { "ejected", target.isEjected(toMs(now)) },
             { "limitPerSecond", target.rateLimit.isSet() ? nlohmann::json(target.rateLimit.limit()) : nlohmann::json() },
+            { "coldMs", std::max(0.0, target.coldUntil() - toMs(now)) },
             { "ramp", target.slowStartShare(toMs(now)) },
             { "reportedInFlight", target.reportedInFlight.load(relaxed) },
             { "reportAgeMs", std::min(toMs(now) - target.reportedAtMs.load(relaxed), 1e9) } });
--- a/packages/coordination/src/RoutingTable.cpp
+++ b/packages/coordination/src/RoutingTable.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double localShareOfSubset = 0.7; ///< The rest are targets of other zones, which take the load when the own zone is busy.
+constexpr double msPerSecond = 1000;
+constexpr Milliseconds maxColdWithoutStart { 60000 }; ///< Longest cold time that is taken from one statement if the service states no coldStartSeconds.
 
 /** A target and its rank in the subset selection of one VM. */
 struct RankedTarget {
@@ -38,10 +40,32 @@
         return *former;
     // Without a previous table this VM has just started: its targets are new to it, but may have been running for long.
     double coldSinceMs = previous.entries.empty() ? neverMs : time.nowMs;
-    auto estimate = std::make_shared<TargetEstimate>(record, ++lastSerial, coldSinceMs);
-    if (record.cold_until_log_ms() > time.logTimeMs && time.logTimeMs)
-        estimate->setColdUntil(time.nowMs + static_cast<double>(record.cold_until_log_ms() - time.logTimeMs));
-    return estimate;
+    return std::make_shared<TargetEstimate>(record, ++lastSerial, coldSinceMs);
+}
+
+/** Returns a number in [0, 1) that differs from VM to VM, so that their permits for the same target are due at different times. */
+double coldPhase(const SubsetOwner& owner, const wire::TargetRecord& record)
+{
+    constexpr uint64_t phases = 1 << 20;
+    uint64_t seed = XXH3_64bits_withSeed(owner.entryVm.data(), owner.entryVm.size(), record.cold_until_log_ms());
+    return static_cast<double>(XXH3_64bits_withSeed(record.address().data(), record.address().size(), seed) % phases) / phases;
+}
+
+/**
+ * Applies the cold time of a record that has not been applied yet. A repeated one must not replace what the target has stated since.
+ * Without a limit on requests to cold targets, only the record of a new target is applied.
+ */
+void applyRecordedCold(TargetEstimate& target, bool isNew, const wire::TargetRecord& record, const SubsetOwner& owner, const RoutingTable& table, const TableTime& time)
+{
+    bool isLimited = table.coldRequestsPerSecond > 0;
+    if (!time.logTimeMs || record.cold_until_log_ms() == target.recordedColdUntilMs || !(isNew || isLimited))
+        return;
+    target.recordedColdUntilMs = record.cold_until_log_ms();
+    if (record.cold_until_log_ms() <= time.logTimeMs)
+        return;
+    auto coldLeftMs = static_cast<double>(record.cold_until_log_ms() - time.logTimeMs);
+    double untilMs = time.nowMs + (isLimited ? std::min(coldLeftMs, table.maxCold.count()) : coldLeftMs);
+    target.recordCold(std::max(untilMs, target.coldUntil()), coldPhase(owner, record), time.nowMs);
 }
 
 /** Takes over the targets of the previous table that are not in the next one and whose statements still hold. */
@@ -49,7 +73,8 @@
 {
     auto keep = [&](const std::shared_ptr<TargetEstimate>& target) {
         const RoutingEntry* entry = next.find(target->address);
-        if (!(entry && entry->target == target) && target->hasCurrentStatement(nowMs))
+        bool isColdLimited = next.coldRequestsPerSecond > 0 && target->isCold(nowMs);
+        if (!(entry && entry->target == target) && (isColdLimited || target->hasCurrentStatement(nowMs)))
             next.formerTargets.push_back(target);
     };
     for (const std::shared_ptr<TargetEstimate>& target : previous.formerTargets)
@@ -66,6 +91,11 @@
     return found == this->indexByAddress.end() ? nullptr : &this->entries[found->second];
 }
 
+double RoutingTable::coldIntervalMs(double vms) const
+{
+    return this->coldRequestsPerSecond > 0 ? msPerSecond * std::max(vms, 1.0) / this->coldRequestsPerSecond : 0;
+}
+
 std::vector<const wire::TargetRecord*> chooseSubset(const SubsetOwner& owner, const Service& service, const std::vector<wire::TargetRecord>& targets)
 {
     bool prefersOwnZone = service.zonePreference == ZonePreference::Own;
@@ -95,6 +125,8 @@
     table->service = service.name;
     table->limits = service.limits;
     table->zonePreference = service.zonePreference;
+    table->coldRequestsPerSecond = service.coldRequestsPerSecond;
+    table->maxCold = service.coldStart.count() > 0 ? service.coldStart : maxColdWithoutStart;
     std::vector<const wire::TargetRecord*> used = chooseSubset(owner, service, targets);
     for (const wire::TargetRecord& record : targets) {
         table->serviceServingCount += record.state() == wire::TARGET_SERVING;
@@ -104,7 +136,9 @@
     }
     for (const wire::TargetRecord* record : used) {
         bool isLocal = record->availability_zone() == owner.zone;
+        uint32_t previousSerial = lastSerial;
         std::shared_ptr<TargetEstimate> estimate = findOrCreateEstimate(*record, previous, lastSerial, time);
+        applyRecordedCold(*estimate, lastSerial != previousSerial, *record, owner, *table, time);
         table->entries.push_back({ std::move(estimate), std::max(record->slots(), 1u), isLocal, record->state() });
     }
     auto sortKey = [](const RoutingEntry& entry) { return entry.state != wire::TARGET_SERVING ? 2 : entry.isLocal ? 0
--- a/packages/coordination/src/RoutingTable.h
+++ b/packages/coordination/src/RoutingTable.h
@@ -23,6 +23,8 @@
     std::string service; ///< Name of the service.
     ServiceLimits limits;
     ZonePreference zonePreference = ZonePreference::Own;
+    double coldRequestsPerSecond = 0; ///< Requests a second that a cold target can handle from all entry VMs together; 0: not limited.
+    Milliseconds maxCold { 0 }; ///< Longest cold time that is taken from one statement of a target.
     std::vector<RoutingEntry> entries;
     std::vector<std::shared_ptr<TargetEstimate>> formerTargets; ///< Targets out of use whose statements still hold if they return.
     size_t localCount = 0; ///< Local serving targets, which are the first entries.
@@ -32,6 +34,9 @@
 
     /** Returns the entry with an address; null if there is none. */
     const RoutingEntry* find(const std::string& address) const;
+
+    /** Returns the time between two permits of this VM for a cold target; 0: requests to cold targets are not limited. @param vms Entry VMs that may use the same target. */
+    double coldIntervalMs(double vms) const;
 };
 
 /** Time at which a table is built, by both clocks. */
--- a/packages/coordination/src/TargetChooser.cpp
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -178,7 +178,7 @@
 bool Choice::isEligible(const RoutingEntry& entry) const
 {
     const TargetEstimate& target = *entry.target;
-    if (target.isReplaced() || target.isDeclining(this->nowMs) || !target.rateLimit.hasPermit(this->vmsPerTarget, this->nowMs) || (!this->mayUseEjected && target.isEjected(this->nowMs)))
+    if (target.isReplaced() || target.isDeclining(this->nowMs) || !target.rateLimit.hasPermit(this->vmsPerTarget, this->nowMs) || !target.hasColdPermit(this->coldIntervalMs, this->nowMs) || (!this->mayUseEjected && target.isEjected(this->nowMs)))
         return false;
     if (target.isLeaving() && !(this->mayUseLeaving && target.isLeavingLastResort(this->nowMs)))
         return false;
--- a/packages/coordination/src/TargetChooser.h
+++ b/packages/coordination/src/TargetChooser.h
@@ -40,10 +40,11 @@
     uint64_t number; ///< Number of the choice within the router, which is also the position of the round robin.
     double nowMs;
     double vmsPerTarget = 1; ///< Entry VMs that may use the same target.
+    double coldIntervalMs = 0; ///< Time between two permits of this VM for a cold target; 0: requests to cold targets are not limited.
     bool mayUseEjected = false; ///< Ejected targets are eligible; set if no other target is left.
     bool mayUseLeaving = false; ///< Targets that began to leave a moment ago are eligible; set if not even an ejected one is left.
 
-    /** Returns whether an entry may be chosen: not excluded, replaced, declining or at its limit, and leaving or ejected only as permitted by the flags. */
+    /** Returns whether an entry may be chosen: not excluded, replaced, declining, at its limit or cold without a permit, and leaving or ejected only as permitted by the flags. */
     bool isEligible(const RoutingEntry& entry) const;
 
     /** Returns a random eligible entry with an index in [begin, end); null if there is none. */
--- a/packages/coordination/src/TargetEstimate.cpp
+++ b/packages/coordination/src/TargetEstimate.cpp
@@ -135,9 +135,16 @@
     return std::clamp(elapsedMs / slowStartMs, minSlowStartShare, 1.0);
 }
 
+void TargetEstimate::recordCold(double untilMs, double phase, double nowMs)
+{
+    if (!this->isCold(nowMs))
+        this->coldPermits.start(phase, nowMs);
+    this->coldUntilMs.store(untilMs, relaxed);
+}
+
 double TargetEstimate::coldFactor(double nowMs) const
 {
-    return nowMs < this->coldUntilMs.load(relaxed) ? coldStartFactor : 1;
+    return this->isCold(nowMs) ? coldStartFactor : 1;
 }
 
 double TargetEstimate::latency(double fleetLatencyMs, double nowMs) const
--- a/packages/coordination/src/TargetEstimate.h
+++ b/packages/coordination/src/TargetEstimate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "TargetRateLimit.h"
+#include "placement/ColdPermits.h"
 
 #include "kingcup/Router.h"
 
@@ -68,8 +69,19 @@
     /** Returns the share of its slots that a target may use during the slow start after it joined or was ejected, in (0, 1]. */
     double slowStartShare(double nowMs) const;
 
-    /** Sets the end of the cold start, in which the target is slow by its own statement. */
-    void setColdUntil(double untilMs) { this->coldUntilMs.store(untilMs, std::memory_order_relaxed); }
+    /**
+     * Records that the target stated that it is cold, so that it is slow and may get few requests. A time that is not after `nowMs` ends the cold state.
+     * @param phase Random number in [0, 1) for the first permit of a cold period.
+     */
+    void recordCold(double untilMs, double phase, double nowMs);
+
+    bool isCold(double nowMs) const { return nowMs < this->coldUntilMs.load(std::memory_order_relaxed); }
+
+    /** Returns the end of the cold state; neverMs: none stated. */
+    double coldUntil() const { return this->coldUntilMs.load(std::memory_order_relaxed); }
+
+    /** Returns whether a request may be sent as far as the cold state is concerned. @param coldIntervalMs As by RoutingTable::coldIntervalMs(). */
+    bool hasColdPermit(double coldIntervalMs, double nowMs) const { return coldIntervalMs <= 0 || !this->isCold(nowMs) || this->coldPermits.hasPermit(coldIntervalMs, nowMs); }
 
     /** Returns the time per request relative to the usual one, because the target has just started. */
     double coldFactor(double nowMs) const;
@@ -105,6 +117,8 @@
     std::atomic<double> reportedLatencyMs { 0 }; ///< Milliseconds, from the newest report; 0: not stated.
     std::atomic<uint32_t> picksSinceReport { 0 }; ///< Own attempts started since the newest report arrived.
     TargetRateLimit rateLimit; ///< Limit that the target named in its answers.
+    ColdPermits coldPermits; ///< Permits while the target is cold, if its service limits the requests to cold targets.
+    uint64_t recordedColdUntilMs = 0; ///< End of the cold state in the latest record that was applied, in log time. Accessed by Router::update() only.
 
 private:
     static constexpr double foreverMs = std::numeric_limits<double>::infinity(); ///< End of a permanent ejection.
--- a/packages/coordination/src/TargetSearch.cpp
+++ b/packages/coordination/src/TargetSearch.cpp
@@ -94,6 +94,12 @@
     return this->nextStep(now);
 }
 
+SearchStep TargetSearch::recordColdTarget(size_t position, TimePoint now)
+{
+    this->targets[position].isCold = true;
+    return this->recordUnavailable(position, now);
+}
+
 bool TargetSearch::hasAvailableTarget() const
 {
     return std::any_of(this->targets.begin(), this->targets.end(), [](const Candidate& target) { return !target.isUnavailable; });
@@ -111,6 +117,17 @@
     return std::any_of(this->targets.begin(), this->targets.end(), [&](const Candidate& target) { return !target.cost && now - target.probedAt < this->limits.probeTimeout; });
 }
 
+/**
+ * Returns whether the round may probe a further target. A zone of cold targets must not use up the round: cold ones don't count, and while no other
+ * one was found the latest start doesn't apply. Each cold target that a probe finds is not picked again soon, so this ends.
+ */
+bool TargetSearch::mayProbeAnother(TimePoint now) const
+{
+    auto coldTargets = static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const Candidate& target) { return target.isCold; }));
+    bool isInTime = now < this->limits.latestStart || (coldTargets > 0 && !this->hasAvailableTarget());
+    return !this->isExhausted && this->targets.size() - coldTargets < this->limits.maxProbes && isInTime;
+}
+
 /** Returns whether a request of this cost that is sent now meets the objective; true if the usual service time is unknown. */
 bool TargetSearch::meetsObjective(double cost, TimePoint now) const
 {
@@ -156,7 +173,7 @@
         return this->isExhausted ? SearchStep::Refuse : SearchStep::Probe;
     if (this->hasPendingProbe(now))
         return SearchStep::Wait;
-    if (!this->isExhausted && this->targets.size() < this->limits.maxProbes && now < this->limits.latestStart)
+    if (this->mayProbeAnother(now))
         return SearchStep::Probe;
     if (this->isEndedByProbeBudget(now))
         return SearchStep::Send;
