Add: [Entry, Control, Protocol] Cold targets get no more requests than coldRequestsPerSecond

Change: service keys coldStartSeconds and coldRequestsPerSecond, left out of canonical documents if absent, so that documents and digests of earlier versions do not change. The header headers.coldLeft in answers to probes (search and background prober) sets and ends the cold state; a target without a permit is excluded from the search, also when it turns cold between probe and send. The leader records a known target that is cold again. DocumentsTest checks the ranges of two more keys. DocumentsTest not run yet.

--- a/packages/protocol/include/kingcup/ManifestTypes.h
+++ b/packages/protocol/include/kingcup/ManifestTypes.h
@@ -76,8 +76,8 @@
     ServiceLimits limits; ///< Queue, concurrency and size limits.
     MeasuringBudget measuringBudget; ///< Probe budget.
     std::string healthPath; ///< Path of the targets' health check; empty: none.
-    Milliseconds coldStart { 0 }; ///< Time for which a target stays cold after a start during operation; 0: not stated.
-    double coldRequestsPerSecond = 0; ///< Requests a second that a cold target bears from all entry VMs together; 0: not limited.
+    Milliseconds coldStart { 0 }; ///< Time for which a target stays cold after a start during operation; 0: not stated. Longer statements of targets are cut to it.
+    double coldRequestsPerSecond = 0; ///< Requests a second that a cold target can handle from all entry VMs together; 0: not limited.
     uint32_t maxConnections = 0; ///< Connections that one target accepts from all entry VMs together; 0: not limited.
     std::vector<Kind> kinds; ///< Empty for a service that is reached only through routes.
 };
--- a/packages/protocol/src/ManifestParser.cpp
+++ b/packages/protocol/src/ManifestParser.cpp
@@ -32,6 +32,7 @@
 constexpr size_t maxRoutes = 100000; ///< Limit per manifest.
 constexpr size_t maxKinds = 200; ///< Limit per service; the overlap check is quadratic.
 constexpr size_t maxNotRunStatuses = 32; ///< Limit per kind.
+constexpr double msPerSecond = 1000;
 
 /** Returns whether a service's prefix is a plain path, or absent. */
 bool isServicePrefix(std::string_view text)
@@ -105,6 +106,20 @@
     visitor.integer("maxConnections", service.maxConnections, Presence::Optional, 0, 1000000);
 }
 
+/** Rules for cold targets, in the units of the manifest. */
+struct ColdRules {
+    double startSeconds = 0;
+    double requestsPerSecond = 0;
+};
+
+/** Passes the rules for cold targets to a JsonReader or JsonWriter. */
+template <typename Visitor, typename Rules>
+void describeCold(Visitor& visitor, Rules& rules)
+{
+    visitor.number("coldStartSeconds", rules.startSeconds, Presence::Optional, 0, 3600);
+    visitor.number("coldRequestsPerSecond", rules.requestsPerSecond, Presence::Optional, 0, 1000000);
+}
+
 /** Reads the HTTP statuses that guarantee that the target did not run the request. */
 void readStatuses(JsonReader& reader, Kind& kind)
 {
@@ -197,6 +212,10 @@
     Service service;
     JsonReader reader(value, pointer, codes, error);
     describeService(reader, service);
+    ColdRules cold;
+    describeCold(reader, cold);
+    service.coldStart = Milliseconds(cold.startSeconds * msPerSecond);
+    service.coldRequestsPerSecond = cold.requestsPerSecond;
     readNested(reader, "limits", error, [&](JsonReader& nested) { describeLimits(nested, service.limits); });
     readNested(reader, "measuringBudget", error, [&](JsonReader& nested) { describeBudget(nested, service.measuringBudget); });
     const json* kinds = reader.array("kinds", Presence::Optional, 0, maxKinds);
@@ -226,7 +245,7 @@
     return std::move(writer.object);
 }
 
-/** Writes the canonical document of a service: all members, ordered by key, without whitespace. It includes defaults, so that a version with other defaults reads the same values. */
+/** Writes the canonical document of a service: all members, ordered by key, without whitespace. It includes defaults, so that a version with other defaults reads the same values. The rules for cold targets are left out if not stated, so that documents and digests of earlier versions stay valid. */
 std::string writeService(const Service& service)
 {
     JsonWriter limits;
@@ -235,6 +254,12 @@
     describeLimits(limits, service.limits);
     describeBudget(budget, service.measuringBudget);
     describeService(writer, service);
+    const ColdRules cold { service.coldStart.count() / msPerSecond, service.coldRequestsPerSecond };
+    describeCold(writer, cold);
+    for (const char* key : { "coldStartSeconds", "coldRequestsPerSecond" }) {
+        if (writer.object[key] == 0)
+            writer.object.erase(key);
+    }
     writer.set("limits", std::move(limits.object));
     writer.set("measuringBudget", std::move(budget.object));
     json kinds = json::array();
--- a/packages/protocol/tests/RouteParserTest.cpp
+++ b/packages/protocol/tests/RouteParserTest.cpp
@@ -5,6 +5,7 @@
 #include "testing/Story.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <nlohmann/json.hpp>
 
 using namespace kingcup;
@@ -68,6 +69,23 @@
     });
 }
 
+// Documents of earlier versions have no rules for cold targets. A manifest without these rules must keep its digest when the version changes.
+TEST(RouteParserTest, readsRulesForColdTargets)
+{
+    json manifest = routedManifest();
+    manifest["services"][0]["coldStartSeconds"] = 2.5;
+    manifest["services"][0]["coldRequestsPerSecond"] = 5.8;
+    auto parsed = parseManifest(manifest.dump());
+    ASSERT_TRUE(std::holds_alternative<CheckedManifest>(parsed)) << std::get<DocumentError>(parsed).text;
+    std::map<std::string, std::string> documents(std::get<CheckedManifest>(parsed).documents.begin(), std::get<CheckedManifest>(parsed).documents.end());
+    Service stored = std::get<Service>(parseService(documents["matters"]));
+    EXPECT_EQ(stored.coldStart, Milliseconds(2500));
+    EXPECT_EQ(stored.coldRequestsPerSecond, 5.8);
+    EXPECT_EQ(documents["ledger"].find("cold"), std::string::npos);
+    EXPECT_EQ(std::get<Service>(parseService(documents["ledger"])).coldRequestsPerSecond, 0);
+    EXPECT_EQ(errorOf("/services/0/coldRequestsPerSecond", -1).code, ResultCode::ManifestOutOfRange);
+}
+
 TEST(RouteParserTest, refusesInvalidRoutes)
 {
     section("a route to an unknown service", [] { EXPECT_EQ(errorOf("/routes/1/service", "nobody").code, ResultCode::ManifestOutOfRange); });
--- a/packages/transport/src/TargetNotice.cpp
+++ b/packages/transport/src/TargetNotice.cpp
@@ -34,6 +34,9 @@
     notice.isWithoutLimit = !limit;
     if (limit)
         notice.requestsPerSecond = parseNumber(*limit);
+    std::optional<std::string_view> coldLeft = fields.coldLeft.empty() ? std::nullopt : head.headers.find(fields.coldLeft);
+    if (std::optional<double> coldLeftMs = coldLeft ? parseNumber(*coldLeft) : std::nullopt)
+        notice.coldLeft = Milliseconds(*coldLeftMs);
     std::optional<std::string_view> delay = head.headers.find(headerRetryAfter);
     std::optional<double> seconds = head.status == statusUnavailable && delay ? parseNumber(*delay) : std::nullopt;
     if (seconds && *seconds > 0)
--- a/packages/transport/tests/TargetNoticeTest.cpp
+++ b/packages/transport/tests/TargetNoticeTest.cpp
@@ -16,7 +16,7 @@
     HttpAnswerHead head;
     head.status = status;
     head.headers.add(name, value);
-    return parseTargetNotice(head, { "Kingcup-Leaving", "Kingcup-Limit" });
+    return parseTargetNotice(head, { "Kingcup-Leaving", "Kingcup-Limit", "Kingcup-Cold-Ms" });
 }
 
 } // namespace
@@ -68,3 +68,14 @@
         }
     });
 }
+
+// An answer without the field says nothing about the cold state, so that other answers do not end it.
+TEST(TargetNoticeTest, parsesColdTimes)
+{
+    EXPECT_EQ(noticeOf(200, "kingcup-cold-ms", "2500").coldLeft, Milliseconds(2500));
+    EXPECT_EQ(noticeOf(503, "Kingcup-Cold-Ms", "0").coldLeft, Milliseconds(0));
+    EXPECT_EQ(noticeOf(200, "Kingcup-Load", "inflight=1").coldLeft, std::nullopt);
+    EXPECT_EQ(noticeOf(421, "Kingcup-Cold-Ms", "2500").coldLeft, std::nullopt) << "another instance answers";
+    for (const char* value : { "", "-1", "nan", "inf", "soon" })
+        EXPECT_EQ(noticeOf(200, "Kingcup-Cold-Ms", value).coldLeft, std::nullopt) << value;
+}
--- a/programs/kingcupswitchd/control/ControlNode.h
+++ b/programs/kingcupswitchd/control/ControlNode.h
@@ -106,7 +106,8 @@
     void answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result);
     void proposeManifest(const std::string& text, int attempt, LogDriver::Done done);
     void recordAnnouncement(wire::TargetLoad load, TimePoint now);
-    void proposeTargetIfChanged(const wire::TargetRecord& target);
+    void proposeTargetIfChanged(const wire::TargetLoad& load, TimePoint now);
+    bool hasBecomeCold(const wire::TargetLoad& load, const wire::TargetRecord& recorded, TimePoint now) const;
     bool completeTargetChange(wire::ChangeTarget& change);
     void proposeReplacedTargetsGone(const wire::TargetRecord& target);
     void proposeTarget(const wire::TargetRecord& target);
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -2,6 +2,7 @@
 #include "ControlNode.h"
 
 #include "kingcup/ApplyManifest.h"
+#include "kingcup/ColdAnnouncement.h"
 #include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
 #include "kingcup/ManifestParser.h"
@@ -250,19 +251,34 @@
     if (load.cold_left_ms())
         load.mutable_target()->set_cold_until_log_ms(this->driver->logTimeMs(now) + load.cold_left_ms());
     this->sessions->recordHeartbeat(load, now);
-    this->proposeTargetIfChanged(load.target());
+    this->proposeTargetIfChanged(load, now);
 }
 
 /** Proposes a change of the target's record if its announcement differs from it. */
-void ControlNode::proposeTargetIfChanged(const wire::TargetRecord& target)
+void ControlNode::proposeTargetIfChanged(const wire::TargetLoad& load, TimePoint now)
 {
-    if (this->departedInstances.contains(target.instance()) || !differsFromRecord(target, this->stateMachine.findTarget(target.service(), target.address())))
+    const wire::TargetRecord& target = load.target();
+    const wire::TargetRecord* recorded = this->stateMachine.findTarget(target.service(), target.address());
+    bool hasChanged = differsFromRecord(target, recorded) || (recorded && this->hasBecomeCold(load, *recorded, now));
+    if (this->departedInstances.contains(target.instance()) || !hasChanged)
         return;
     this->proposeReplacedTargetsGone(target);
     if (!this->pendingTargets.contains({ target.service(), target.address() }))
         this->proposeTarget(target);
 }
 
+/** Returns whether a known target announces that it is cold again, so that entry VMs must learn it. They use it only if the service limits the requests to cold targets. */
+bool ControlNode::hasBecomeCold(const wire::TargetLoad& load, const wire::TargetRecord& recorded, TimePoint now) const
+{
+    if (recorded.state() == wire::TARGET_GONE || !isColdAgain(load.cold_left_ms(), recorded.cold_until_log_ms(), this->driver->logTimeMs(now)))
+        return false;
+    const std::string* document = this->stateMachine.findDocument(load.target().service());
+    if (!document)
+        return false;
+    std::variant<Service, DocumentError> service = parseService(*document);
+    return std::holds_alternative<Service>(service) && std::get<Service>(service).coldRequestsPerSecond > 0;
+}
+
 /** Proposes to mark targets of other services as gone that have the address of this newer target. */
 void ControlNode::proposeReplacedTargetsGone(const wire::TargetRecord& target)
 {
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -76,6 +76,8 @@
     void handleProbeHead(const AttemptPointer& attempt, const std::shared_ptr<TargetSearchRound>& round, size_t position, const HttpAnswerHead& head);
     void handleProbeResult(const AttemptPointer& attempt, const std::shared_ptr<TargetSearchRound>& round, size_t position, const std::optional<LoadReport>& load);
     void performSearchStep(const AttemptPointer& attempt, SearchStep step);
+    SearchStep skipColdTarget(const AttemptPointer& attempt, size_t position);
+    void sendToBestTarget(const AttemptPointer& attempt);
     void startSearchRound(const AttemptPointer& attempt);
     void releasePicks(TargetSearchRound& searchRound, std::optional<size_t> chosen);
     void endSearch(const AttemptPointer& attempt, std::optional<size_t> chosen);
--- a/programs/kingcupswitchd/entry/CallAttempt.h
+++ b/programs/kingcupswitchd/entry/CallAttempt.h
@@ -35,6 +35,7 @@
     std::shared_ptr<TargetSearchRound> searchRound; ///< Current search round; null when no search is active.
     double searchCost = 0; ///< Expected time as a multiple of the usual time, as computed by the search; 0 without a search.
     size_t probeCount = 0; ///< Number of probes sent, in all rounds.
+    bool hasSkippedColdTarget = false; ///< Whether the search excluded a cold target, for which no permit was due.
     size_t searchRoundCount = 1; ///< Number of search rounds; 1 also without a search.
     UpstreamClient::AttemptHandle handle = 0; ///< Handle in the upstream client; 0 before the request is sent.
     TimePoint startTime {}; ///< When the request was sent to the upstream client.
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -98,6 +98,8 @@
     TimePoint now = MillisecondClock::now();
     TargetNotice notice = this->gateway.parseNotice(head);
     this->recordTargetNotice(round->picks[position], notice, now);
+    if (notice.coldLeft)
+        this->match.runtime->router.recordCold(round->picks[position].address, round->picks[position].incarnation, *notice.coldLeft, now);
     if (this->isMisdirectedAnswer(head))
         this->removeReplacedTarget(attempt, round->picks[position]);
     if (notice.isUnavailable()) {
@@ -121,6 +123,10 @@
     // A probe may be answered after its round has ended.
     if (attempt->searchRound != round)
         return;
+    if (!this->match.runtime->router.takeColdPermit(searchRound.picks[position], now)) {
+        this->performSearchStep(attempt, this->skipColdTarget(attempt, position));
+        return;
+    }
     this->performSearchStep(attempt, load ? searchRound.search.recordAnswer(position, *load, searchRound.picks[position].reason.coldFactor, now) : searchRound.search.recordFailure(position, now));
 }
 
@@ -148,9 +154,7 @@
         this->startSearchRound(attempt);
         return;
     case SearchStep::Send:
-        attempt->searchCost = searchRound.search.bestCost();
-        this->endSearch(attempt, searchRound.search.best());
-        this->sendAttempt(attempt);
+        this->sendToBestTarget(attempt);
         return;
     case SearchStep::Refuse:
         this->refuseForLoad(attempt, searchRound.search.bestCost());
@@ -158,6 +162,29 @@
     }
 }
 
+/** Excludes a cold target from the round, because no permit is due. Returns the next step. */
+SearchStep Call::skipColdTarget(const AttemptPointer& attempt, size_t position)
+{
+    if (!attempt->hasSkippedColdTarget)
+        this->gateway.metrics.incrementCounter("kingcup_cold_refusals_total", this->match.service->name);
+    attempt->hasSkippedColdTarget = true;
+    return attempt->searchRound->search.recordColdTarget(position, MillisecondClock::now());
+}
+
+/** Sends the request to the best target of the round. A target that has become cold since it was probed or skipped by the probe budget needs a permit. */
+void Call::sendToBestTarget(const AttemptPointer& attempt)
+{
+    TargetSearchRound& searchRound = *attempt->searchRound;
+    size_t best = searchRound.search.best();
+    if (!this->match.runtime->router.takeColdPermit(searchRound.picks[best], MillisecondClock::now())) {
+        this->performSearchStep(attempt, this->skipColdTarget(attempt, best));
+        return;
+    }
+    attempt->searchCost = searchRound.search.bestCost();
+    this->endSearch(attempt, best);
+    this->sendAttempt(attempt);
+}
+
 /** Starts another round, in which every target may be probed again. */
 void Call::startSearchRound(const AttemptPointer& attempt)
 {
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -233,7 +233,7 @@
 
 TargetNotice Gateway::parseNotice(const HttpAnswerHead& head) const
 {
-    return parseTargetNotice(head, { this->edge.headers.leaving, this->edge.headers.limit });
+    return parseTargetNotice(head, { this->edge.headers.leaving, this->edge.headers.limit, this->edge.headers.coldLeft });
 }
 
 bool Gateway::recordTargetNotice(const RequestTableRow& service, const std::string& address, uint64_t incarnation, const TargetNotice& notice, TimePoint now)
--- a/programs/kingcupswitchd/entry/Prober.cpp
+++ b/programs/kingcupswitchd/entry/Prober.cpp
@@ -65,6 +65,8 @@
         TargetNotice notice = this->gateway.parseNotice(head);
         if (incarnation && this->gateway.recordTargetNotice(row, address, *incarnation, notice, now))
             logLine(LogLevel::Info, "target_leaving", { { "service", row.service->name }, { "target", address } });
+        if (incarnation && notice.coldLeft)
+            row.runtime->router.recordCold(address, *incarnation, *notice.coldLeft, now);
         std::optional<std::string_view> value = head.headers.find(headerLoad);
         std::optional<LoadReport> load = value ? parseLoadReport(*value) : std::nullopt;
         if (load)
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -153,6 +153,7 @@
 void ServiceRuntime::updateGauges(const std::string& service, Metrics& metrics, TimePoint now)
 {
     metrics.setGauge("kingcup_usable_slots", this->router.usableSlots(now), service);
+    metrics.setGauge("kingcup_cold_targets", this->router.coldTargets(now), service);
     metrics.setGauge("kingcup_outstanding_attempts", this->router.outstanding(), service);
     std::lock_guard<std::mutex> lock(this->mutex);
     metrics.setGauge("kingcup_queue_length", this->admission.queueLength(), service);
--- a/tests/DocumentsTest.cpp
+++ b/tests/DocumentsTest.cpp
@@ -193,7 +193,7 @@
     section("ranges are those that the parser enforces", [&] {
         service["kinds"][0]["deadlineMs"] = 86400000;
         service["kinds"][0]["mayWaitMs"] = 0;
-        EXPECT_EQ(checkRanges(page, service, checkWith(parseService)), 21u);
+        EXPECT_EQ(checkRanges(page, service, checkWith(parseService)), 23u);
     });
 }
 
