--- a/programs/kingcupswitchd/entry/CallAdvanceProbe.cpp
+++ b/programs/kingcupswitchd/entry/CallAdvanceProbe.cpp
@@ -46,6 +46,8 @@
     TimePoint now = MillisecondClock::now();
     TargetNotice notice = this->gateway.parseNotice(head);
     this->recordTargetNotice(pick, notice, now);
+    if (notice.coldLeft)
+        this->match.runtime->router.recordCold(pick.address, pick.incarnation, *notice.coldLeft, now);
     std::optional<std::string_view> value = head.headers.find(this->gateway.edge.headers.load);
     bool isUsable = !notice.isUnavailable() && !this->isMisdirectedAnswer(head) && head.status == statusOk && value;
     std::optional<LoadReport> load = isUsable ? this->gateway.edge.parseLoad(*value) : std::nullopt;
