--- a/packages/transport/tests/UpstreamClientTest.cpp
+++ b/packages/transport/tests/UpstreamClientTest.cpp
@@ -128,6 +128,22 @@
         EXPECT_TRUE(report.result.maybeSent);
         EXPECT_GE(report.result.duration.count(), 50);
     });
+    section("the check right before sending refuses, on a new connection and on a kept one", [&] {
+        std::atomic<int> requests = 0;
+        RawServer target([&](RawSocket& socket, int) {
+            while (!socket.receiveMessage().empty()) {
+                ++requests;
+                socket.send(answerText("ok"));
+            }
+        });
+        auto checked = [](bool maySend) { return [maySend](UpstreamRequest& request) { request.isRepeatable = true; request.maySend = [maySend] { return maySend; }; }; };
+        for (bool maySend : { false, true, false, true }) {
+            Report report = Attempt(client, target.address(), checked(maySend)).wait();
+            EXPECT_EQ(report.result.outcome, maySend ? UpstreamOutcome::Complete : UpstreamOutcome::Cancelled);
+            EXPECT_EQ(report.result.maybeSent, maySend);
+        }
+        EXPECT_EQ(requests, 2);
+    });
     section("a header field that would split the request", [&] {
         RawServer target([](RawSocket& socket, int) { socket.receiveMessage(); });
         Report report = Attempt(client, target.address(), [](UpstreamRequest& request) { request.headers.add("X", "a\r\nY: b"); }).wait();
