Add: [Tests] Cold targets with real processes

Cause: nothing showed that entry VMs read the header of a target in answers to probes and keep to the limit together.

--- a/testing/FakeTarget.cpp
+++ b/testing/FakeTarget.cpp
@@ -296,6 +296,8 @@
         answer.add("Kingcup-Leaving", this->currentFaults.leavingHeader);
     if (!this->currentFaults.limitHeader.empty())
         answer.add("Kingcup-Limit", this->currentFaults.limitHeader);
+    if (!this->currentFaults.coldHeader.empty())
+        answer.add("Kingcup-Cold-Ms", this->currentFaults.coldHeader);
     answer.body = std::move(body);
     return answer;
 }
--- a/testing/FakeTarget.h
+++ b/testing/FakeTarget.h
@@ -41,6 +41,7 @@
     std::string shedRetryAfter; ///< Retry-After of answers by shedShare; empty: none.
     std::string leavingHeader; ///< Kingcup-Leaving of every answer; empty: none.
     std::string limitHeader; ///< Kingcup-Limit of every answer; empty: none.
+    std::string coldHeader; ///< Kingcup-Cold-Ms of every answer; empty: none.
     double closeShare = 0; ///< Requests that run and whose connection is closed without an answer.
     bool closeOnlyReused = false; ///< Whether closeShare applies to kept-alive connections only.
     double truncateShare = 0; ///< Answers cut in the middle.
--- a/testing/FakeTargetControl.cpp
+++ b/testing/FakeTargetControl.cpp
@@ -35,6 +35,7 @@
         { "shedRetryAfter", faults.shedRetryAfter },
         { "leavingHeader", faults.leavingHeader },
         { "limitHeader", faults.limitHeader },
+        { "coldHeader", faults.coldHeader },
         { "closeShare", faults.closeShare },
         { "closeOnlyReused", faults.closeOnlyReused },
         { "truncateShare", faults.truncateShare },
@@ -55,6 +56,7 @@
     take(json, "shedRetryAfter", faults.shedRetryAfter);
     take(json, "leavingHeader", faults.leavingHeader);
     take(json, "limitHeader", faults.limitHeader);
+    take(json, "coldHeader", faults.coldHeader);
     take(json, "closeShare", faults.closeShare);
     take(json, "closeOnlyReused", faults.closeOnlyReused);
     take(json, "truncateShare", faults.truncateShare);
