Add: [Coordination, Protocol] Entry VMs decide by load reports which requests leave the zone

Cause: a fixed penalty of 2 ms for targets of other zones neither knows the price of traffic between zones nor whether the own zone has enough targets. Change: ZoneTransfer moves a share of choices that consider other zones by the expected waits of both sides, from load reports, less the cost of leaving (settings object zoneTransfer). Later choices of a request count the busy targets that it has found. The router applies it for policy Adaptive; without the object its choices are those of the version before. Nothing sets the object in the router yet.

--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -5,6 +5,7 @@
 #include "kingcup/MillisecondClock.h"
 #include "kingcup/RandomSource.h"
 #include "kingcup/ReplicatedLogTypes.h"
+#include "kingcup/ZoneTransfer.h"
 
 #include <functional>
 #include <memory>
@@ -58,6 +59,7 @@
     double reportAgeMs = 0; ///< Age of the newest load report; infinite without one.
     int32_t outstanding = 0; ///< Own calls in flight at the target, without this one.
     uint32_t candidates = 0; ///< Serving targets in the routing table.
+    ZoneReason zone = ZoneReason::Local;
     double coldFactor = 1; ///< Time per request relative to the usual one, because the target has just started.
 };
 
@@ -84,6 +86,15 @@
      */
     void update(const Service& service, const std::vector<wire::TargetRecord>& targets, TimePoint now, uint64_t logTimeMs = 0);
 
+    /** Lets ZoneTransfer decide which requests leave the zone, in place of a fixed penalty. Must precede the first pick(). */
+    void setZoneTransfer(const ZoneTransferCosts& costs);
+
+    /** Counts the bytes of one request and its answer, for the cost of leaving the zone. */
+    void recordTransferBytes(uint64_t bytes);
+
+    /** Returns the state of ZoneTransfer; empty if it does not decide. */
+    std::optional<ZoneTransferState> zoneTransfer() const;
+
     /**
      * Chooses a target and counts an attempt in flight on it; finish() or abandon() must follow. Empty if no serving target remains that
      * may get a request now. @param excluded Addresses that must not be chosen.
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -3,6 +3,7 @@
 
 #include "RoutingTable.h"
 #include "TargetChooser.h"
+#include "placement/ZonePlacement.h"
 
 #include "kingcup/Rcu.h"
 
@@ -81,6 +82,7 @@
     const uint64_t seed; ///< Seed of the random choices.
     RcuPointer<RoutingTable> table;
     FleetAverages fleetAverages;
+    std::unique_ptr<ZonePlacement> zonePlacement; ///< Null: a fixed penalty applies to targets of other zones.
     alignas(64) std::atomic<uint64_t> nextChoice { 0 }; ///< Number of the next choice.
     StripedCounter outstanding; ///< Attempts in flight.
     std::atomic<double> vmsPerTarget { 1 }; ///< Entry VMs that may use the same target.
@@ -141,6 +143,22 @@
     this->state->table.replace(std::move(next));
 }
 
+void Router::setZoneTransfer(const ZoneTransferCosts& costs)
+{
+    this->state->zonePlacement = std::make_unique<ZonePlacement>(costs);
+}
+
+void Router::recordTransferBytes(uint64_t bytes)
+{
+    if (this->state->zonePlacement)
+        this->state->zonePlacement->recordBytes(static_cast<double>(bytes));
+}
+
+std::optional<ZoneTransferState> Router::zoneTransfer() const
+{
+    return this->state->zonePlacement ? std::optional(this->state->zonePlacement->state()) : std::nullopt;
+}
+
 std::optional<Pick> Router::pick(std::span<const std::string> excluded, TimePoint now)
 {
     RcuReadGuard guard;
@@ -150,6 +168,10 @@
     this->state->fleetAverages.refresh(table, toMs(now));
     double vms = this->state->vmsPerTarget.load(relaxed);
     Choice choice { table, excluded, this->state->fleetAverages, random, number, toMs(now), vms };
+    if (this->state->zonePlacement) {
+        this->state->zonePlacement->refresh(table, this->state->fleetAverages.latencyMs.load(relaxed), toMs(now));
+        this->state->zonePlacement->apply(choice);
+    }
     const RoutingEntry* entry = nullptr;
     bool hasPermit = false;
     for (bool isTaken = false; !isTaken;) {
@@ -162,6 +184,7 @@
         isTaken = !hasPermit || limit.takePermit(vms, toMs(now));
     }
     PickReason reason = pickReason(this->state->policy, choice, *entry);
+    reason.zone = zoneReasonOf(choice, *entry);
     entry->target->recordStart(toMs(now));
     this->state->outstanding.add(1);
     uint64_t ticket = static_cast<uint64_t>(entry->target->serial) << 32 | (number & 0xffffffff);
@@ -369,7 +392,10 @@
             { "reportedInFlight", target.reportedInFlight.load(relaxed) },
             { "reportAgeMs", std::min(toMs(now) - target.reportedAtMs.load(relaxed), 1e9) } });
     }
-    return nlohmann::json({ { "service", table.service }, { "outstanding", this->outstanding() }, { "vmsPerTarget", this->state->vmsPerTarget.load(relaxed) }, { "targets", targets } }).dump();
+    nlohmann::json result { { "service", table.service }, { "outstanding", this->outstanding() }, { "vmsPerTarget", this->state->vmsPerTarget.load(relaxed) }, { "targets", targets } };
+    if (this->state->zonePlacement)
+        result["zoneTransfer"] = this->state->zonePlacement->dump();
+    return result.dump();
 }
 
 } // namespace kingcup
--- a/packages/coordination/src/RoutingTable.cpp
+++ b/packages/coordination/src/RoutingTable.cpp
@@ -98,6 +98,7 @@
     std::vector<const wire::TargetRecord*> used = chooseSubset(owner, service, targets);
     for (const wire::TargetRecord& record : targets) {
         table->serviceServingCount += record.state() == wire::TARGET_SERVING;
+        table->serviceLocalCount += record.state() == wire::TARGET_SERVING && record.availability_zone() == owner.zone;
         // Targets that stop serving stay in the table, so that the ends of their attempts are recorded.
         if (record.state() != wire::TARGET_SERVING && previous.find(record.address()))
             used.push_back(&record);
--- a/packages/coordination/src/RoutingTable.h
+++ b/packages/coordination/src/RoutingTable.h
@@ -28,6 +28,7 @@
     size_t localCount = 0; ///< Local serving targets, which are the first entries.
     size_t servingCount = 0; ///< Serving targets in use, local and remote.
     size_t serviceServingCount = 0; ///< Serving targets of the service, including those that only other VMs use.
+    size_t serviceLocalCount = 0; ///< Those of them in the zone of this VM.
     absl::flat_hash_map<std::string, uint32_t> indexByAddress; ///< Index in `entries`.
 
     /** Returns the entry with an address; null if there is none. */
--- a/packages/coordination/src/TargetChooser.cpp
+++ b/packages/coordination/src/TargetChooser.cpp
@@ -17,7 +17,6 @@
 constexpr double minLatencyMs = 1;
 constexpr int localSampleCount = 4;
 constexpr int remoteSampleCount = 2;
-constexpr double remotePenaltyMs = 2; ///< Twice the round-trip time, so that of equal targets the local one is chosen.
 constexpr double failurePenaltyFactor = 8;
 
 /** Returns the eligible entry with the lowest cost. Scans from a random position, so that ties are broken at random. */
@@ -108,7 +107,7 @@
     double latency = target.latency(std::max(choice.fleetAverages.latencyMs.load(relaxed), minLatencyMs), choice.nowMs);
     double cost = latency * (1 + utilisation) * (1 + failurePenaltyFactor * target.recentFailures(choice.nowMs));
     bool isRemote = choice.table.zonePreference == ZonePreference::Own && !entry.isLocal;
-    return isRemote ? cost + remotePenaltyMs : cost;
+    return isRemote ? cost + choice.remotePenaltyMs : cost;
 }
 
 const RoutingEntry* chooseAdaptive(const Choice& choice)
@@ -126,7 +125,8 @@
     };
     for (int i = 0; i < localSampleCount; ++i)
         consider(choice.sample(0, choice.table.localCount));
-    for (int i = 0; i < remoteSampleCount; ++i)
+    const RoutingEntry* localBest = best;
+    for (int i = 0; i < remoteSampleCount && (choice.considersRemote || !localBest); ++i)
         consider(choice.sample(choice.table.localCount, choice.table.servingCount));
     return best;
 }
--- a/packages/coordination/src/TargetChooser.h
+++ b/packages/coordination/src/TargetChooser.h
@@ -41,6 +41,8 @@
     double nowMs;
     double vmsPerTarget = 1; ///< Entry VMs that may use the same target.
     bool mayUseEjected = false; ///< Ejected targets are eligible; set if no other target is left.
+    bool considersRemote = true; ///< Targets of other zones are compared with local ones; otherwise they are used only if no local one is eligible.
+    double remotePenaltyMs = 2; ///< Added to the cost of a target of another zone: twice the round-trip time, so that of equal targets the local one is chosen.
     bool mayUseLeaving = false; ///< Targets that began to leave a moment ago are eligible; set if not even an ejected one is left.
 
     /** Returns whether an entry may be chosen: not excluded, replaced, declining or at its limit, and leaving or ejected only as permitted by the flags. */
--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -45,6 +45,13 @@
     Milliseconds window { 10000 }; ///< Length of the sliding window.
 };
 
+/** What it costs to send a request to a target of another availability zone. */
+struct ZoneTransferCosts {
+    double roundTripMs = 0; ///< Round trip between zones, in milliseconds.
+    double costPerGigabyte = 0; ///< Price of 1e9 bytes between zones, in any currency.
+    double valuePerSecond = 1; ///< Worth of one second less of waiting for one request, in the same currency.
+};
+
 /** Settings of one process. */
 struct Settings {
     std::string deployment; ///< Deployment id; messages of another deployment are dropped.
@@ -68,6 +75,7 @@
     ManifestPolicy manifestPolicy; ///< Options for parsing manifests.
     NumberPolicy numberPolicy = NumberPolicy::Strict; ///< Rules for the numbers of new manifests.
     std::optional<RetryBudgetLimits> retryBudget; ///< Absent: the retryShare of each service in the manifest applies.
+    std::optional<ZoneTransferCosts> zoneTransfer; ///< Absent: targets of other zones are compared with a fixed penalty.
     MeasuringBudget routeMeasuringBudget; ///< Probe budget of services that are reached only through routes.
     Milliseconds suspicionWait { 500 }; ///< Longest time a retry waits until the leader has recorded a suspicion.
     Milliseconds tickInterval { 10 }; ///< Interval of the timers of links and control.
--- a/packages/protocol/src/Settings.cpp
+++ b/packages/protocol/src/Settings.cpp
@@ -134,6 +134,21 @@
     nested.finish();
 }
 
+/** Reads the cost of leaving the zone. */
+void readZoneTransfer(JsonReader& reader, Settings& settings, DocumentError& error)
+{
+    const json* object = reader.object("zoneTransfer", Presence::Optional);
+    if (!object)
+        return;
+    ZoneTransferCosts& costs = settings.zoneTransfer.emplace();
+    JsonReader nested(*object, reader.pointerOf("zoneTransfer"), settingsCodes, error);
+    nested.number("roundTripMs", costs.roundTripMs, Presence::Required, 0, minuteMs);
+    nested.number("costPerGigabyte", costs.costPerGigabyte, Presence::Optional, 0, 1e9);
+    // Without a value of time, a price has no equivalent in milliseconds.
+    nested.number("valuePerSecond", costs.valuePerSecond, requiredIf(costs.costPerGigabyte > 0), 1e-9, 1e9);
+    nested.finish();
+}
+
 /** Reads the probe budget of services that are reached only through routes. */
 void readMeasuringBudget(JsonReader& reader, Settings& settings, DocumentError& error)
 {
@@ -233,6 +248,7 @@
     readSeeds(reader, settings);
     readIdentity(reader, settings);
     readRetryBudget(reader, settings, error);
+    readZoneTransfer(reader, settings, error);
     readMeasuringBudget(reader, settings, error);
     readControlVms(reader, settings, error);
     readLimits(reader, settings);
--- a/packages/protocol/tests/SettingsTest.cpp
+++ b/packages/protocol/tests/SettingsTest.cpp
@@ -83,3 +83,23 @@
         });
     }
 }
+
+TEST(SettingsTest, costOfLeavingTheZone)
+{
+    json document = plainSettings();
+    section("without the object, nothing decides", [&] {
+        EXPECT_FALSE(std::get<Settings>(parseSettings(document.dump())).zoneTransfer);
+    });
+    section("the round trip is enough", [&] {
+        document["zoneTransfer"] = { { "roundTripMs", 1.8 } };
+        EXPECT_EQ(std::get<Settings>(parseSettings(document.dump())).zoneTransfer->roundTripMs, 1.8);
+    });
+    section("a price needs the value of time", [&] {
+        document["zoneTransfer"]["costPerGigabyte"] = 0.02;
+        EXPECT_EQ(errorOf(document).code, ResultCode::SettingsMissingKey);
+        document["zoneTransfer"]["valuePerSecond"] = 0;
+        EXPECT_EQ(errorOf(document).pointer, "/zoneTransfer/valuePerSecond");
+        document["zoneTransfer"]["valuePerSecond"] = 0.0001;
+        EXPECT_EQ(errorOf(document).code, ResultCode::Ok);
+    });
+}
