--- a/packages/coordination/include/kingcup/ZoneTransfer.h
+++ b/packages/coordination/include/kingcup/ZoneTransfer.h
@@ -66,6 +66,9 @@
     /** Counts the bytes of one request and its answer. */
     void recordBytes(double bytes);
 
+    /** Counts a first choice that considered targets of other zones. @param isRemote Whether it led to one. */
+    void recordConsidered(bool isRemote);
+
     /** Moves the share by the newest load reports. @param nowMs Time of a monotonic clock. */
     void update(const ZoneTransferInput& input, double nowMs);
 
@@ -94,6 +97,7 @@
 
     const ZoneTransferCosts costs;
     std::atomic<double> bytesPerRequest { 0 };
+    std::atomic<double> remoteOfConsidered { 1 }; ///< Share of the choices that considered targets of other zones and led to one.
     Side local;
     Side remote;
     std::atomic<double> share { 0 };
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -185,6 +185,8 @@
     }
     PickReason reason = pickReason(this->state->policy, choice, *entry);
     reason.zone = zoneReasonOf(choice, *entry);
+    if (this->state->zonePlacement)
+        this->state->zonePlacement->recordChoice(choice, *entry);
     entry->target->recordStart(toMs(now));
     this->state->outstanding.add(1);
     uint64_t ticket = static_cast<uint64_t>(entry->target->serial) << 32 | (number & 0xffffffff);
--- a/packages/coordination/src/placement/ZonePlacement.cpp
+++ b/packages/coordination/src/placement/ZonePlacement.cpp
@@ -68,6 +68,12 @@
     choice.remotePenaltyMs = this->transfer.costMs();
 }
 
+void ZonePlacement::recordChoice(const Choice& choice, const RoutingEntry& entry)
+{
+    if (choice.considersRemote && choice.excluded.empty() && choice.table.zonePreference == ZonePreference::Own)
+        this->transfer.recordConsidered(!entry.isLocal);
+}
+
 nlohmann::json ZonePlacement::dump() const
 {
     ZoneTransferState state = this->state();
--- a/packages/coordination/src/placement/ZonePlacement.h
+++ b/packages/coordination/src/placement/ZonePlacement.h
@@ -27,6 +27,9 @@
     /** Sets in a choice whether targets of other zones are considered, and at which cost. */
     void apply(Choice& choice) const;
 
+    /** Records the target to which a choice led. */
+    void recordChoice(const Choice& choice, const RoutingEntry& entry);
+
     void recordBytes(double bytes) { this->transfer.recordBytes(bytes); }
 
     ZoneTransferState state() const { return this->transfer.state(); }
--- a/packages/coordination/src/placement/ZoneTransfer.cpp
+++ b/packages/coordination/src/placement/ZoneTransfer.cpp
@@ -12,13 +12,15 @@
 
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr double bytesWeight = 0.02;
-constexpr double waitSmoothingMs = 600; ///< With 200 ms the share swings under steady load: the six remote targets of a subset give a wait that jumps.
+constexpr double consideredWeight = 0.02;
+constexpr double minRemoteOfConsidered = 0.1; ///< Bounds the share of choices that a short run of local ones allows.
+constexpr double waitSmoothingMs = 800; ///< With 200 ms the share swings under steady load: the six remote targets of a subset give a wait that jumps.
 constexpr double maxStepMs = 200; ///< Limit for the time that one update accounts for, so that a VM that was paused makes no large step.
 constexpr int choicesPerRequest = 3; ///< Targets that a search probes before it accepts a busy one.
 constexpr double busyCost = 1.3; ///< Relative duration above which a search goes on to another target.
-constexpr double fullSpeedGain = 0.5; ///< Advantage, as a share of the work, from which the share moves at full speed.
-constexpr double risePerSecond = 0.7; ///< A quarter of a wave of 13 s takes 3.25 s.
-constexpr double fallPerSecond = 0.5;
+constexpr double fullSpeedGain = 1; ///< Advantage, as a share of the work, from which the share moves at full speed. With 0.5 it swings when two zones have too few targets.
+constexpr double risePerSecond = 1; ///< A quarter of a wave of 13 s takes 3.25 s.
+constexpr double fallPerSecond = 0.3;
 constexpr double minFallSpeed = 0.2; ///< A cost that is small against the work would otherwise take a minute to bring the share down.
 constexpr double hysteresis = 0.5; ///< Share of the cost by which leaving must have become too expensive before the share falls.
 constexpr double priorTargets = 4; ///< Weight of the reports, in targets, against those that a request has found busy itself.
@@ -79,6 +81,11 @@
     this->bytesPerRequest.store(average > 0 ? average + bytesWeight * (bytes - average) : bytes, relaxed);
 }
 
+void ZoneTransfer::recordConsidered(bool isRemote)
+{
+    moveTowards(this->remoteOfConsidered, isRemote ? 1 : 0, consideredWeight);
+}
+
 double ZoneTransfer::costMs() const
 {
     constexpr double bytesPerGigabyte = 1e9;
@@ -117,14 +124,16 @@
     moveTowards(side.callsPerTarget, calls / count, weight);
 }
 
-/** Returns the share of the demand of the own zone that fits into the free slots of the others. */
+/** Returns the share of choices for which the demand of the own zone that leaves fits into the free slots of the others. */
 double ZoneTransfer::shareForFreeSlots(const ZoneTransferInput& input) const
 {
     double slotsPerTarget = 0;
     for (const ReportedTarget& target : input.remote.targets)
         slotsPerTarget += target.slots / static_cast<double>(input.remote.targets.size());
     double freeSlots = this->remote.freeShare.load(relaxed) * slotsPerTarget * static_cast<double>(input.remote.serviceTargets);
-    double demand = this->local.callsPerTarget.load(relaxed) * static_cast<double>(input.local.serviceTargets);
+    // Of the choices that consider other zones, only a part leads there.
+    double leaving = std::max(this->remoteOfConsidered.load(relaxed), minRemoteOfConsidered);
+    double demand = leaving * this->local.callsPerTarget.load(relaxed) * static_cast<double>(input.local.serviceTargets);
     return demand > freeSlots ? freeSlots / demand : 1;
 }
 
