Add: [Entry] zoneTransfer in the settings lets entry VMs decide how many requests leave their zone

Cause: the router could decide, but nothing gave it the cost of leaving the zone and the bytes of requests. Change: each service runtime gets the settings object, and the bytes of each complete request and answer with 1000 bytes for headers. Measured: build of kingcupswitchd with -Werror; integration_DocumentsTest 5 of 5 and protocol_SettingsTest 2 of 2 pass.

--- a/packages/transport/include/kingcup/Metrics.h
+++ b/packages/transport/include/kingcup/Metrics.h
@@ -23,6 +23,9 @@
     /** Increments a counter. Metric names are listed in docs/OPERATIONS.md. */
     void incrementCounter(const std::string& name, const std::string& label = {}, double amount = 1);
 
+    /** Increments a counter with the labels "of" and "reason". */
+    void incrementReasonCounter(const std::string& name, const std::string& label, const std::string& reason);
+
     /** Sets a gauge. @param label Value of the label "of"; empty for a metric without labels. */
     void setGauge(const std::string& name, double value, const std::string& label = {});
 
--- a/packages/transport/src/Metrics.cpp
+++ b/packages/transport/src/Metrics.cpp
@@ -23,6 +23,7 @@
     prometheus::Registry registry; ///< Owns all metrics.
     mutable std::mutex mutex; ///< Guards the maps; the metrics themselves are atomic.
     std::map<std::pair<std::string, std::string>, prometheus::Counter*> counters; ///< By name and label.
+    std::map<std::pair<std::string, std::pair<std::string, std::string>>, prometheus::Counter*> reasonCounters; ///< By name, label and reason.
     std::map<std::pair<std::string, std::string>, prometheus::Gauge*> gauges; ///< By name and label.
     std::map<std::pair<std::string, std::string>, prometheus::Histogram*> histograms; ///< By name and service.
     std::map<std::pair<std::string, std::pair<std::string, ResultCode>>, prometheus::Counter*> calls; ///< By service, kind and result.
@@ -85,6 +86,17 @@
     counter->Increment(amount);
 }
 
+void Metrics::incrementReasonCounter(const std::string& name, const std::string& label, const std::string& reason)
+{
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    prometheus::Counter*& entry = this->state->reasonCounters[{ name, { label, reason } }];
+    if (!entry) {
+        auto& family = prometheus::BuildCounter().Name(name).Help("See docs/OPERATIONS.md.").Register(this->state->registry);
+        entry = &family.Add({ { "of", label }, { "reason", reason } });
+    }
+    entry->Increment();
+}
+
 void Metrics::setGauge(const std::string& name, double value, const std::string& label)
 {
     prometheus::Gauge* gauge = nullptr;
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -59,6 +59,7 @@
     void handleData(const AttemptPointer& attempt, const std::string& data);
     void handleAttemptEnd(const AttemptPointer& attempt, const UpstreamResult& result);
     void handleAttemptFailure(const AttemptPointer& attempt, const UpstreamResult& result);
+    uint64_t transferredBytes(const AttemptPointer& attempt) const;
     void recordAttemptEnd(const AttemptPointer& attempt, const UpstreamResult& result);
     void reportSuspicion(const AttemptPointer& attempt);
     void logSuspicion(const wire::CommandResult& result) const;
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -46,6 +46,7 @@
 {
     attempt->startTime = MillisecondClock::now();
     attempt->relay = this->gateway.relays.hopTo(attempt->pick.address);
+    this->match.runtime->countZone(this->match.service->name, attempt->pick.reason.zone, this->gateway.metrics);
     attempt->handle = this->gateway.upstream.start(this->createUpstreamRequest(attempt));
     if (this->hasClaim)
         checkFailPoint("attempt.started");
@@ -284,6 +285,15 @@
     this->gateway.upstream.cancel(attempt->handle);
 }
 
+/** Returns the bytes of a request and its answer, with an estimate for their headers. */
+uint64_t Call::transferredBytes(const AttemptPointer& attempt) const
+{
+    constexpr uint64_t headerBytes = 1000;
+    uint64_t requestBytes = std::max<uint64_t>(this->exchange->head().contentLength.value_or(0), this->body->size());
+    uint64_t answerBytes = this->selectedAttempt == attempt ? this->deliveredBytes : 0;
+    return headerBytes + requestBytes + std::max<uint64_t>(answerBytes, attempt->bufferedBody.size());
+}
+
 /** Records the end of an attempt in the router, the retry policy and crash containment. Must be called once per attempt. */
 void Call::recordAttemptEnd(const AttemptPointer& attempt, const UpstreamResult& result)
 {
@@ -298,6 +308,7 @@
     this->match.runtime->router.finish(attempt->pick, outcome, result.timeToFirstByte, now);
     const std::string& service = this->match.service->name;
     if (result.outcome == UpstreamOutcome::Complete && !attempt->isMisdirected) {
+        this->match.runtime->router.recordTransferBytes(this->transferredBytes(attempt));
         this->match.runtime->retryPolicy.recordLatency(result.duration, now);
         if (outcome == AttemptOutcome::Answered)
             this->match.runtime->recordProcessingTime(this->match.kind->name, result.timeToFirstByte / std::max(attempt->searchCost, 1.0), now);
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -66,6 +66,7 @@
     , assumedVms(assumedEntryVms)
     , seed(seed)
     , retryBudget(settings.retryBudget)
+    , zoneTransfer(settings.zoneTransfer)
     , routeMeasuringBudget(settings.routeMeasuringBudget)
     , startupQueue(MillisecondClock::now(), RandomSource(seed))
 {
@@ -162,8 +163,11 @@
     TimePoint now = MillisecondClock::now();
     for (const auto& [name, service] : configuration.services) {
         std::shared_ptr<ServiceRuntime>& runtime = runtimes[name];
-        if (!runtime)
+        bool isNew = !runtime;
+        if (isNew)
             runtime = std::make_shared<ServiceRuntime>(*service, this->entryVm, this->availabilityZone, this->retryBudget, this->assumedVms, this->seed ^ std::hash<std::string>()(name), this->timers);
+        if (isNew && this->zoneTransfer)
+            runtime->setZoneTransfer(*this->zoneTransfer);
         auto targets = configuration.targets.find(name);
         const MeasuringBudget& budget = service->kinds.empty() ? this->routeMeasuringBudget : service->measuringBudget;
         runtime->applyConfiguration(*service, budget, targets == configuration.targets.end() ? std::vector<wire::TargetRecord>() : targets->second, now, static_cast<uint64_t>(this->logTimeMs()));
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -136,6 +136,7 @@
 
     uint64_t seed; ///< Seed of the random numbers.
     std::optional<RetryBudgetLimits> retryBudget; ///< Retry budget shared by all entry VMs; empty if none is set.
+    std::optional<ZoneTransferCosts> zoneTransfer; ///< Cost of leaving the zone; empty: a fixed penalty applies.
     MeasuringBudget routeMeasuringBudget; ///< Probe budget of services that have no kinds, which only routes lead to.
     mutable std::mutex logClockMutex; ///< Guards `logClock`.
     LogClock logClock; ///< Clock of the replicated log.
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -26,6 +26,11 @@
         this->retryPolicy.setBudget(*retryBudget, MillisecondClock::now());
 }
 
+void ServiceRuntime::countZone(const std::string& service, ZoneReason reason, Metrics& metrics) const
+{
+    metrics.incrementReasonCounter("kingcup_requests_by_zone_total", service, zoneReasonName(reason));
+}
+
 void ServiceRuntime::applyConfiguration(const Service& service, const MeasuringBudget& measuringBudget, const std::vector<wire::TargetRecord>& targets, TimePoint now, uint64_t logTimeMs)
 {
     this->router.update(service, targets, now, logTimeMs);
@@ -154,6 +159,8 @@
 {
     metrics.setGauge("kingcup_usable_slots", this->router.usableSlots(now), service);
     metrics.setGauge("kingcup_outstanding_attempts", this->router.outstanding(), service);
+    if (std::optional<ZoneTransferState> transfer = this->router.zoneTransfer())
+        metrics.setGauge("kingcup_zone_transfer_share", transfer->share, service);
     std::lock_guard<std::mutex> lock(this->mutex);
     metrics.setGauge("kingcup_queue_length", this->admission.queueLength(), service);
     metrics.setGauge("kingcup_calls_in_flight", this->admission.inFlight(), service);
--- a/programs/kingcupswitchd/entry/ServiceRuntime.h
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.h
@@ -30,6 +30,12 @@
     /** @param entryVm Name of this VM. @param availabilityZone Availability zone of this VM. @param retryBudget Budget shared by all entry VMs; empty if none is set. @param assumedVms Number of entry VMs that the probe budget and limits of targets assume while the number of live ones is unknown. */
     ServiceRuntime(const Service& service, const std::string& entryVm, const std::string& availabilityZone, const std::optional<RetryBudgetLimits>& retryBudget, uint32_t assumedVms, uint64_t seed, TimerQueue& timers);
 
+    /** Lets ZoneTransfer decide which requests leave the zone. Must precede the first request. */
+    void setZoneTransfer(const ZoneTransferCosts& costs) { this->router.setZoneTransfer(costs); }
+
+    /** Counts a request that is sent to a target, by the reason for the zone. */
+    void countZone(const std::string& service, ZoneReason reason, Metrics& metrics) const;
+
     /** Applies a new configuration. @param logTimeMs Log time in milliseconds. */
     void applyConfiguration(const Service& service, const MeasuringBudget& measuringBudget, const std::vector<wire::TargetRecord>& targets, TimePoint now, uint64_t logTimeMs);
 
