--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -59,6 +59,7 @@
     , assumedVms(assumedEntryVms)
     , seed(seed)
     , retryBudget(settings.retryBudget)
+    , zoneTransfer(settings.zoneTransfer)
     , routeMeasuringBudget(settings.routeMeasuringBudget)
     , startupQueue(MillisecondClock::now(), RandomSource(seed))
 {
@@ -180,8 +181,11 @@
     TimePoint now = MillisecondClock::now();
     for (const auto& [name, service] : configuration.services) {
         std::shared_ptr<ServiceRuntime>& runtime = runtimes[name];
-        if (!runtime)
+        bool isNew = !runtime;
+        if (isNew)
             runtime = std::make_shared<ServiceRuntime>(*service, this->entryVm, this->availabilityZone, this->retryBudget, this->assumedVms, this->seed ^ std::hash<std::string>()(name), this->timers);
+        if (isNew && this->zoneTransfer)
+            runtime->setZoneTransfer(*this->zoneTransfer);
         const MeasuringBudget& budget = service->kinds.empty() ? this->routeMeasuringBudget : service->measuringBudget;
         runtime->applyConfiguration(*service, budget, targetsInUse(configuration, name), now, static_cast<uint64_t>(this->logTimeMs()));
         runtime->setOnlyTargetsOutOfUse(hasOnlyTargetsOutOfUse(configuration, name));
