--- a/packages/coordination/include/kingcup/Router.h
+++ b/packages/coordination/include/kingcup/Router.h
@@ -102,9 +102,6 @@
      */
     std::optional<Pick> pick(std::span<const std::string> excluded, TimePoint now);
 
-    /** Chooses a given target like pick() does. Empty if it is not in use any more or may not get a request now. */
-    std::optional<Pick> pickTarget(const std::string& address, uint64_t incarnation, TimePoint now);
-
     /** Records the end of an attempt. @param latency Time from sending the request to the first byte of the answer. */
     void finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now);
 
--- a/packages/coordination/include/kingcup/TargetSearch.h
+++ b/packages/coordination/include/kingcup/TargetSearch.h
@@ -104,9 +104,6 @@
     /** Returns the expected duration of a request that is sent now, queueing included, relative to the usual one. */
     static double costOf(const LoadReport& load);
 
-    /** Returns whether a target of this cost gets the request without a look at further ones. */
-    static bool isAcceptableAtOnce(double cost);
-
     /** Returns whether a target has no free slot; false if it states no number of slots. */
     static bool isFull(const LoadReport& load) { return load.slots > 0 && load.inFlight + load.waiting >= load.slots; }
 
--- a/packages/coordination/src/Router.cpp
+++ b/packages/coordination/src/Router.cpp
@@ -228,24 +228,6 @@
     return pick;
 }
 
-std::optional<Pick> Router::pickTarget(const std::string& address, uint64_t incarnation, TimePoint now)
-{
-    RcuReadGuard guard;
-    const RoutingTable& table = this->state->table.read(guard);
-    const RoutingEntry* entry = State::find(table, address, incarnation);
-    uint64_t number = this->state->nextChoice.fetch_add(1, relaxed);
-    ChoiceRandom random(this->state->seed, number);
-    double vms = this->state->vmsPerTarget.load(relaxed);
-    Choice choice { table, {}, this->state->fleetAverages, random, number, toMs(now), vms, table.coldIntervalMs(vms) };
-    choice.considersRemote = false; // The choice that led to the probe has been counted.
-    Pick pick;
-    bool isServing = entry && entry->state == wire::TARGET_SERVING;
-    if (!isServing || !choice.isEligible(*entry) || !State::takePermits(choice, *entry->target, pick))
-        return std::nullopt;
-    this->state->recordPick(choice, *entry, pick);
-    return pick;
-}
-
 void Router::finish(const Pick& pick, AttemptOutcome outcome, Milliseconds latency, TimePoint now)
 {
     this->state->outstanding.add(-1);
--- a/packages/coordination/src/TargetSearch.cpp
+++ b/packages/coordination/src/TargetSearch.cpp
@@ -69,11 +69,6 @@
     return load.slowdown * (crowding + queueRounds * queueFactor);
 }
 
-bool TargetSearch::isAcceptableAtOnce(double cost)
-{
-    return cost <= maxImmediateCost;
-}
-
 SearchStep TargetSearch::recordAnswer(size_t position, const LoadReport& load, double coldFactor, TimePoint now)
 {
     Candidate& target = this->targets[position];
@@ -171,8 +166,8 @@
 
 SearchStep TargetSearch::nextStep(TimePoint now) const
 {
-    auto isFree = [](const Candidate& target) { return target.cost && isAcceptableAtOnce(*target.cost); };
-    if (std::any_of(this->targets.begin(), this->targets.end(), isFree) || this->isBestTolerable(now))
+    auto isAcceptableAtOnce = [](const Candidate& target) { return target.cost && *target.cost <= maxImmediateCost; };
+    if (std::any_of(this->targets.begin(), this->targets.end(), isAcceptableAtOnce) || this->isBestTolerable(now))
         return SearchStep::Send;
     if (this->targets.empty())
         return this->isExhausted ? SearchStep::Refuse : SearchStep::Probe;
--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -78,7 +78,6 @@
     std::optional<ZoneTransferCosts> zoneTransfer; ///< Absent: targets of other zones are compared with a fixed penalty.
     MeasuringBudget routeMeasuringBudget; ///< Probe budget of services that are reached only through routes.
     Milliseconds maxConnectionIdle { 0 }; ///< Longest time that a kept connection may have been idle when a request that must not be repeated is sent on it; 0: such requests open a connection each.
-    bool probesDuringBody = false; ///< Whether targets are probed while the body of a request is still arriving.
     Milliseconds suspicionWait { 500 }; ///< Longest time a retry waits until the leader has recorded a suspicion.
     Milliseconds tickInterval { 10 }; ///< Interval of the timers of links and control.
     std::string curvePublicKey; ///< CURVE public key of this process.
--- a/packages/protocol/src/Settings.cpp
+++ b/packages/protocol/src/Settings.cpp
@@ -207,7 +207,6 @@
     reader.milliseconds("targetLeaseMs", settings.targetLease, Presence::Optional, 10, hourMs);
     reader.integer("snapshotEntries", settings.snapshotEntries, Presence::Optional, 1, 1u << 24);
     reader.milliseconds("maxConnectionIdleMs", settings.maxConnectionIdle, Presence::Optional, 0, minuteMs);
-    reader.flag("probesDuringBody", settings.probesDuringBody, Presence::Optional);
     reader.milliseconds("suspicionWaitMs", settings.suspicionWait, Presence::Optional, 0, minuteMs);
     reader.milliseconds("tickMs", settings.tickInterval, Presence::Optional, 1, 1000);
 }
--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -160,10 +160,8 @@
             this->refuse(ResultCode::BodyTooLarge, defaultRetryAfter);
             return;
         }
-        if (state == HttpExchange::BodyState::Pending) {
-            this->probeInAdvance();
+        if (state == HttpExchange::BodyState::Pending)
             return;
-        }
         if (state == HttpExchange::BodyState::Failed) {
             this->refuse(ResultCode::BadRequest, defaultRetryAfter);
             return;
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -33,15 +33,6 @@
 private:
     using AttemptPointer = std::shared_ptr<CallAttempt>;
 
-    /** Probes of targets while the body is still arriving. */
-    struct AdvanceProbe {
-        std::vector<std::string> addresses; ///< Targets probed so far.
-        bool isPending = false; ///< Whether a probe is pending.
-        std::optional<LoadReport> load; ///< Load of a target that may get the request at once; empty: none found.
-        Pick pick; ///< That target; it is not counted as in use.
-        TimePoint answeredAt {}; ///< Time of its answer.
-    };
-
     // Before the first attempt (Call.cpp).
     void processRequest();
     void matchRequest();
@@ -95,8 +86,6 @@
     // Target search by load probes (CallPlacement.cpp).
     bool usesTargetSearch(const AttemptPointer& attempt) const;
     void startSearch(const AttemptPointer& attempt);
-    bool takeProbe(const Pick& pick, TimePoint now);
-    UpstreamRequest createProbe(const Pick& pick, TimePoint now) const;
     void probeTarget(const AttemptPointer& attempt, const Pick& pick);
     void probeNextTarget(const AttemptPointer& attempt);
     void handleProbeHead(const AttemptPointer& attempt, const std::shared_ptr<TargetSearchRound>& round, size_t position, const HttpAnswerHead& head);
@@ -114,12 +103,6 @@
     void removeReplacedTarget(const AttemptPointer& attempt, const Pick& pick);
     void continueAfterFailure(const AttemptFailure& failure);
 
-    // Probes while the body arrives (CallAdvanceProbe.cpp).
-    void probeInAdvance();
-    void handleAdvanceAnswer(const Pick& pick, const HttpAnswerHead& head);
-    void endAdvanceProbe(const Pick& pick);
-    bool sendToProbedTarget(const AttemptPointer& attempt);
-
     // The answer (CallAnswer.cpp).
     void streamAnswer(const AttemptPointer& attempt);
     void writeAnswerBytes(const std::string& data);
@@ -150,7 +133,6 @@
     CallParameters parameters; ///< Parsed from the request header.
     Fingerprint fingerprint; ///< Identifies the request for crash containment and claims.
     std::shared_ptr<std::string> body; ///< Body bytes that were read before the first attempt.
-    AdvanceProbe advanceProbe; ///< Probes before the body is complete.
     bool isBodyComplete = false; ///< Whether `body` is the whole body; otherwise the rest is streamed.
     std::atomic<bool> isBodyConsumed { false }; ///< Whether bytes of a streamed body were passed to an attempt, so that no other attempt can send the body.
     size_t sentBodyBytes = 0; ///< Bytes of `body` passed to the streaming attempt. Accessed only on that attempt's event loop.
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -36,33 +36,7 @@
 {
     this->searchStartTime = this->searchStartTime.value_or(MillisecondClock::now());
     attempt->searchRound = std::make_shared<TargetSearchRound>(this->searchLimits());
-    if (!this->sendToProbedTarget(attempt))
-        this->probeTarget(attempt, attempt->pick);
-}
-
-/** Takes a probe of a target from the budget. Returns false if the budget is exhausted. */
-bool Call::takeProbe(const Pick& pick, TimePoint now)
-{
-    if (!this->match.runtime->takeProbe(pick.address, probeBytes, now))
-        return false;
-    this->gateway.metrics.incrementCounter("kingcup_probes_total", this->match.service->name);
-    return true;
-}
-
-/** Returns the request of a probe, without the hooks for its answer. */
-UpstreamRequest Call::createProbe(const Pick& pick, TimePoint now) const
-{
-    UpstreamRequest probe;
-    probe.address = pick.address;
-    probe.relay = this->gateway.relays.hopTo(pick.address);
-    probe.method = "GET";
-    probe.target = this->match.service->healthPath;
-    probe.isRepeatable = true;
-    probe.connectTimeout = probeTimeout;
-    probe.deadline = now + probeTimeout;
-    probe.headers = probeHeaders(this->gateway.edge.headers, pick.address, pick.instance);
-    probe.onData = [](std::string_view) { return true; };
-    return probe;
+    this->probeTarget(attempt, attempt->pick);
 }
 
 /** Probes the load of a target. If the probe budget is exhausted, the target is recorded as a candidate without a probe. */
@@ -73,24 +47,34 @@
     size_t position = searchRound.search.addTarget(now);
     searchRound.picks.push_back(pick);
     searchRound.probeHandles.push_back(0);
-    if (!this->takeProbe(pick, now)) {
+    if (!this->match.runtime->takeProbe(pick.address, probeBytes, now)) {
         bool mayProbeOther = searchRound.picks.size() < maxPicksBeforeUnprobed;
         searchRound.search.skipProbe(position, this->match.runtime->typicalLoad(now));
         this->performSearchStep(attempt, mayProbeOther ? searchRound.search.nextStep(now) : searchRound.search.markExhausted(now));
         return;
     }
     auto self = this->shared_from_this();
-    UpstreamRequest probe = this->createProbe(pick, now);
+    UpstreamRequest probe;
+    probe.address = pick.address;
+    probe.relay = this->gateway.relays.hopTo(pick.address);
+    probe.method = "GET";
+    probe.target = this->match.service->healthPath;
+    probe.isRepeatable = true;
+    probe.connectTimeout = probeTimeout;
+    probe.deadline = now + probeTimeout;
+    probe.headers = probeHeaders(this->gateway.edge.headers, pick.address, pick.instance);
     std::shared_ptr<TargetSearchRound> round = attempt->searchRound;
     probe.onHead = [self, attempt, round, position](const HttpAnswerHead& head) {
         self->executor.post([self, attempt, round, position, head] { self->handleProbeHead(attempt, round, position, head); });
     };
+    probe.onData = [](std::string_view) { return true; };
     probe.onEnd = [self, attempt, round, position, address = pick.address, relay = probe.relay](const UpstreamResult& result) {
         self->gateway.recordExchange(address, relay, result);
         if (result.outcome != UpstreamOutcome::Complete)
             self->executor.post([self, attempt, round, position] { self->handleProbeResult(attempt, round, position, std::nullopt); });
     };
     attempt->probeCount++;
+    this->gateway.metrics.incrementCounter("kingcup_probes_total", this->match.service->name);
     searchRound.probeHandles.back() = this->gateway.upstream.start(std::move(probe));
     this->performSearchStep(attempt, searchRound.search.nextStep(now));
 }
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -44,7 +44,6 @@
     : entryVm(settings.vm)
     , edge(edge)
     , maxConnectionIdle(settings.maxConnectionIdle)
-    , probesDuringBody(settings.probesDuringBody)
     , suspicionWait(settings.suspicionWait)
     , leader(leader)
     , claims(claims)
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -113,7 +113,6 @@
     std::string entryVm; ///< Name of this VM.
     const Edge& edge; ///< Interface to callers and targets.
     Milliseconds maxConnectionIdle; ///< Longest idle time of a connection for a request that must not be repeated; 0: each opens a connection.
-    bool probesDuringBody; ///< Whether targets are probed while the body of a request is still arriving.
     Milliseconds suspicionWait; ///< Longest wait of a retry for the leader's record of a suspicion.
     LeaderClient& leader; ///< Reports suspicions to the leader.
     ClaimClient& claims; ///< Claims idempotency keys.
