Add: [Tests] A search that is under way when a zone goes out of use picks another target

Cause: a probe takes up to 100 ms, so a call may hold a pick of the zone when the order arrives. Change: a test with delayed targets, in which calls of a route search while two of three zones go out of use. A finding of the linter in ZoneTableTest is mended.

--- a/packages/coordination/tests/ZoneTableTest.cpp
+++ b/packages/coordination/tests/ZoneTableTest.cpp
@@ -150,6 +150,7 @@
     std::vector<Pick> picks;
     for (int number = 0; number < targets; ++number) {
         std::vector<std::string> excluded;
+        excluded.reserve(picks.size());
         for (const Pick& pick : picks)
             excluded.push_back(pick.address);
         picks.push_back(*router.pick(excluded, timeAt(1)));
--- a/tests/ZonesTest.cpp
+++ b/tests/ZonesTest.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <iostream>
+#include <sstream>
 
 using namespace kingcup;
 using namespace kingcup::testing;
@@ -67,6 +68,18 @@
     return waitUntil(limit, isDone) ? machineTimeMs() : 0;
 }
 
+/** Returns the sum of a counter over all entry VMs and labels. */
+double counterOf(Deployment& deployment, const std::string& name)
+{
+    double sum = 0;
+    for (const Vm& vm : deployment.entryVms()) {
+        std::istringstream lines(runCommand({ "/usr/bin/curl", "--silent", "--noproxy", "*", "http://" + vm.operatorAddress + "/metrics" }, deployment.folder(), limit).output);
+        for (std::string line; std::getline(lines, line);)
+            sum += line.starts_with(name) ? std::stod(line.substr(line.rfind(' '))) : 0;
+    }
+    return sum;
+}
+
 } // namespace
 
 TEST(Zones, outOfUseZoneGetsNoRequestAlsoWhenControlVmsFail)
@@ -177,3 +190,33 @@
         EXPECT_EQ(summary.answered, summary.calls) << describeResults(after);
     });
 }
+
+TEST(Zones, searchUnderWayDoesNotSendToTheZone)
+{
+    DeploymentOptions options = testOptions(173, 2, { { "matters", 6, 6 } });
+    options.proxyTargets = true;
+    options.settings["routeMeasuringBudget"] = { { "probesPerSecondPerTarget", 1000 }, { "bytesPerSecondPerVm", 1e9 }, { "burstSeconds", 10 } };
+    Deployment deployment(options);
+    nlohmann::json route = { { "name", "search" }, { "host", "search" }, { "pathPrefix", "/" }, { "kind", "unsafe" }, { "deadlineMs", 4000 }, { "service", "matters" } };
+    nlohmann::json service = { { "name", "matters" }, { "healthPath", "/load" } };
+    ASSERT_EQ(deployment.start({ { "number", 1 }, { "services", { service } }, { "routes", { route } } }), "");
+    ASSERT_TRUE(waitUntil(limit, [&] { return deployment.allTargetsKnown(); }));
+    constexpr Milliseconds oneWayDelay { 30 }; ///< A probe then takes 60 ms or more, so that several searches are under way at any time.
+    for (TargetPlace& target : deployment.targets())
+        target.proxy->setDelay(oneWayDelay);
+    LoadOptions loadOptions = loadOn(deployment, 150, Milliseconds(3000), 0);
+    loadOptions.mix[0].host = "search";
+    loadOptions.mix[0].repeatable = false;
+    LoadGenerator load(loadOptions);
+    load.start();
+    waitUntil(Milliseconds(1000), [] { return false; });
+    const Vm& vm = deployment.entryVms()[0];
+    for (const char* zone : { "a", "b" })
+        ASSERT_GT(changeZone(deployment, vm, "evacuate", zone), 0);
+    EXPECT_EQ(violationsAfter(deployment, load), "");
+    LoadSummary summary = summarise(load.records());
+    EXPECT_EQ(summary.answered, summary.calls) << describeResults(load) << deployment.logs();
+    double replaced = counterOf(deployment, "kingcup_picks_replaced_total");
+    std::cout << replaced << " picks replaced of " << summary.calls << " calls\n";
+    EXPECT_GT(replaced, 0);
+}
