Add: [Daemon] Usage caps are granted in the session exchange and checked before the body of a request is read

Cause: the decision classes of usage caps were not connected. Change: session requests carry usage and answers carry shares; calls of an organisation with a cap take a permit and return it when no attempt reached a target. A new leader that doesn't know the number of VMs yet assumes 128 for VMs without demand; with 0 each of them would have been granted the whole rate.

--- a/packages/coordination/src/limits/UsageAccount.cpp
+++ b/packages/coordination/src/limits/UsageAccount.cpp
@@ -13,7 +13,7 @@
 constexpr double horizonIntervals = 1.35; ///< A share is in use for one session interval, and the messages and unequal phases take the rest.
 constexpr double rationFactor = 1.2; ///< Shares are rationed when the rate that can be lent is below the demand times this factor.
 constexpr double rationRateFactor = 1.3; ///< The same for the rate of the cap, so that a demand that has not risen yet finds room.
-constexpr double newLeaderDemandShare = 0.8; ///< A new leader, which does not know the use of the last window, rations shares from this part of the cap on.
+constexpr double newLeaderDemandShare = 1.2; ///< A new leader, which does not know the use of the last window, rations shares from this multiple of the cap on; below it the demand is within its variation.
 constexpr double minWideDepth = 8; ///< Requests that a VM may admit at once while nothing is rationed.
 constexpr double wideDepthSeconds = 0.5; ///< Depth of a wide share in seconds of its rate.
 constexpr double wideDepthRoomShare = 0.35; ///< Part of the room that the depths of all VMs may take.
@@ -141,6 +141,8 @@
     double part = demand / std::max(this->sumDemand, demand);
     // A jump that used up the room at once would leave a gap in the next windows.
     double most = isRationed ? rationedFactor * this->limits.budget(this->cap) / (this->limits.window.count() / msPerSecond) : this->wideRate();
+    if (isRationed && now < this->times.leaderSince + this->limits.window)
+        most = this->cap.requestsPerSecond; // The use before the leadership is only assumed.
     double total = std::clamp(left / seconds, 0.0, most);
     double floor = std::max(std::min(this->cap.requestsPerSecond, (left + this->reserve()) / seconds), 0.0);
     total = std::max(total, floor);
@@ -171,7 +173,7 @@
 wire::OrganisationShare UsageAccount::lendWithoutDemand(uint32_t liveVms, TimePoint now)
 {
     wire::OrganisationShare share;
-    double rate = this->cap.requestsPerSecond / std::max(liveVms, 1u);
+    double rate = this->cap.requestsPerSecond / liveVms;
     share.set_closed(this->isClosed(now));
     share.set_requests_per_second(share.closed() ? 0 : rate);
     share.set_depth(rationedDepth);
--- a/packages/coordination/src/limits/UsageAccount.h
+++ b/packages/coordination/src/limits/UsageAccount.h
@@ -34,7 +34,7 @@
     /** Returns whether a VM that reported no usage is told of its share, because the window is nearly or wholly used up. */
     bool isTight(TimePoint now);
 
-    /** Returns the share of a VM that reported no usage. */
+    /** Returns the share of a VM that reported no usage. @param liveVms Number of entry VMs, above 0. */
     wire::OrganisationShare lendWithoutDemand(uint32_t liveVms, TimePoint now);
 
     /** Returns whether the window is used up. */
--- a/packages/coordination/src/limits/UsageLender.cpp
+++ b/packages/coordination/src/limits/UsageLender.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr uint32_t assumedVms = 128; ///< Number of entry VMs while a new leader doesn't know it. It exceeds that of most deployments, so that their shares are not too large.
 constexpr Milliseconds silentInterval { 100 }; ///< Interval of the estimates of silent VMs.
 
 } // namespace
@@ -84,7 +85,7 @@
         auto account = this->accounts.find(name);
         if (account == this->accounts.end() || organisations.contains(name))
             continue;
-        wire::OrganisationShare share = account->second->lendWithoutDemand(liveVms, now);
+        wire::OrganisationShare share = account->second->lendWithoutDemand(liveVms ? liveVms : assumedVms, now);
         share.set_organisation(name);
         *answer.add_shares() = std::move(share);
     }
--- a/packages/coordination/src/limits/UsageShare.cpp
+++ b/packages/coordination/src/limits/UsageShare.cpp
@@ -179,7 +179,7 @@
     share.level = std::min(share.level, share.depth);
     // Permits that many VMs saved while nothing was rationed would be used at once. A random part of one keeps the phases of the VMs apart.
     if (isRationed && !wasRationed)
-        share.level = isNew ? this->random.fraction() : std::min(share.level, this->random.fraction());
+        share.level = isNew || share.level >= 1 ? this->random.fraction() : share.level;
 }
 
 size_t UsageShare::closedOrganisations(TimePoint now) const
--- a/packages/coordination/tests/UsageFleet.h
+++ b/packages/coordination/tests/UsageFleet.h
@@ -191,6 +191,8 @@
             }
             auto live = static_cast<uint32_t>(std::count_if(this->nodes.begin(), this->nodes.end(), [](const Node& other) { return other.isRunning && other.isConnected; }));
             message.answer.emplace();
+            if (this->nowMs < this->leaderAtMs + termMs)
+                live = 0;
             message.answer->set_live_entry_vms(live);
             this->lender.exchange(message.request, live, now, *message.answer);
             message.atMs = this->nowMs + stepMs;
--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -3,6 +3,7 @@
 
 #include "kingcup/ManifestParser.h"
 #include "kingcup/MillisecondClock.h"
+#include "kingcup/UsageCap.h"
 
 #include <cstdint>
 #include <optional>
@@ -68,6 +69,7 @@
     ManifestPolicy manifestPolicy; ///< Options for parsing manifests.
     NumberPolicy numberPolicy = NumberPolicy::Strict; ///< Rules for the numbers of new manifests.
     std::optional<RetryBudgetLimits> retryBudget; ///< Absent: the retryShare of each service in the manifest applies.
+    UsageCapLimits usageCap; ///< Accuracy of the usage caps of organisations.
     MeasuringBudget routeMeasuringBudget; ///< Probe budget of services that are reached only through routes.
     Milliseconds suspicionWait { 500 }; ///< Longest time a retry waits until the leader has recorded a suspicion.
     Milliseconds tickInterval { 10 }; ///< Interval of the timers of links and control.
--- a/packages/protocol/include/kingcup/UsageCap.h
+++ b/packages/protocol/include/kingcup/UsageCap.h
@@ -19,7 +19,7 @@
     double overage = 0.1; ///< Relative tolerance.
     double slack = 20; ///< Tolerance in requests.
 
-    static constexpr double targetShare = 0.25; ///< Part of the tolerance that is aimed at. The rest is for usage that the leader learns late.
+    static constexpr double targetShare = 0.2; ///< Part of the tolerance that is aimed at. The rest is for usage that the leader learns late.
 
     /** Returns the largest number of requests in a window. */
     double bound(const UsageCap& cap) const { return this->nominal(cap) * (1 + this->overage) + this->slack; }
--- a/packages/protocol/src/Settings.cpp
+++ b/packages/protocol/src/Settings.cpp
@@ -134,6 +134,21 @@
     nested.finish();
 }
 
+/** Reads the accuracy of usage caps. */
+void readUsageCap(JsonReader& reader, Settings& settings, DocumentError& error)
+{
+    const json* object = reader.object("usageCap", Presence::Optional);
+    if (!object)
+        return;
+    JsonReader nested(*object, reader.pointerOf("usageCap"), settingsCodes, error);
+    double windowSeconds = settings.usageCap.window.count() / 1000;
+    nested.number("windowSeconds", windowSeconds, Presence::Optional, 0.1, 3600);
+    settings.usageCap.window = Milliseconds(windowSeconds * 1000);
+    nested.number("overage", settings.usageCap.overage, Presence::Optional, 0, 10);
+    nested.number("slack", settings.usageCap.slack, Presence::Optional, 0, 1e6);
+    nested.finish();
+}
+
 /** Reads the probe budget of services that are reached only through routes. */
 void readMeasuringBudget(JsonReader& reader, Settings& settings, DocumentError& error)
 {
@@ -233,6 +248,7 @@
     readSeeds(reader, settings);
     readIdentity(reader, settings);
     readRetryBudget(reader, settings, error);
+    readUsageCap(reader, settings, error);
     readMeasuringBudget(reader, settings, error);
     readControlVms(reader, settings, error);
     readLimits(reader, settings);
--- a/packages/protocol/tests/SettingsTest.cpp
+++ b/packages/protocol/tests/SettingsTest.cpp
@@ -71,6 +71,8 @@
         { "/heartbeatIntervalMs", 500, ResultCode::SettingsOutOfRange },
         { "/sessionIntervalMs", 2000, ResultCode::SettingsOutOfRange },
         { "/stopNoticeMs", "1s", ResultCode::SettingsWrongType },
+        { "/usageCap", { { "overage", -1 } }, ResultCode::SettingsOutOfRange },
+        { "/usageCap", { { "windowSeconds", 5 }, { "overage", 0.1 }, { "slack", 20 } }, ResultCode::Ok },
         { "/allowedKeys", json::array({ 1 }), ResultCode::SettingsWrongType },
     };
     for (const Row& row : rows) {
@@ -79,7 +81,7 @@
             document[json::json_pointer(row.pointer)] = row.value;
             DocumentError error = errorOf(document);
             EXPECT_EQ(resultCodeRow(error.code).name, resultCodeRow(row.code).name) << error.text;
-            EXPECT_EQ(error.pointer.substr(0, std::string(row.pointer).size()), row.pointer);
+            EXPECT_EQ(error.pointer.substr(0, std::string(row.pointer).size()), row.code == ResultCode::Ok ? "" : row.pointer);
         });
     }
 }
--- a/programs/kingcupswitchd/control/ControlLeader.cpp
+++ b/programs/kingcupswitchd/control/ControlLeader.cpp
@@ -21,7 +21,9 @@
         this->hasInitialisedSessions = true;
         this->sessions->becomeLeader(now, this->stateMachine.targets());
         this->relayDirectory->clear();
+        this->usageLender->becomeLeader(now);
     }
+    this->updateUsageCaps(now);
     for (const EntrySession& session : this->sessions->takeExpiredSessions(now))
         this->proposeEntryVmGone(session.entryVm, session.incarnation + 1);
     for (const wire::TargetRecord& target : this->sessions->takeTimedOutTargets(now)) {
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -95,6 +95,7 @@
     this->hub = &hub;
     this->gate = &relayGate;
     this->relayDirectory = std::make_unique<RelayDirectory>(this->settings.leaseTerm);
+    this->usageLender = std::make_unique<UsageLender>(this->settings.usageCap, this->settings.leaseTerm, this->settings.sessionInterval);
     this->sessions = std::make_unique<SessionTable>(this->settings.leaseTerm, this->settings.targetLease);
     ReplicatedLogOptions options;
     options.group = controlGroup;
@@ -269,6 +270,8 @@
     metrics.setGauge("kingcup_log_applied_index", static_cast<double>(this->driver->appliedIndex()));
     metrics.setGauge("kingcup_log_syncs", static_cast<double>(this->driver->syncs()));
     metrics.setGauge("kingcup_targets", static_cast<double>(this->stateMachine.targets().size()));
+    if (this->isLeader() || !this->settings.entry)
+        metrics.setGauge("kingcup_usage_caps_closed", this->isLeader() ? static_cast<double>(this->usageLender->closedOrganisations(MillisecondClock::now())) : 0);
     metrics.setGauge("kingcup_live_entry_vms", this->isLeader() ? static_cast<double>(this->sessions->sessions().size()) : 0);
 }
 
--- a/programs/kingcupswitchd/control/ControlNode.h
+++ b/programs/kingcupswitchd/control/ControlNode.h
@@ -12,6 +12,7 @@
 #include "kingcup/RelayDirectory.h"
 #include "kingcup/SessionTable.h"
 #include "kingcup/Settings.h"
+#include "kingcup/UsageLender.h"
 
 #include <map>
 #include <memory>
@@ -102,6 +103,7 @@
     void receiveRelayOffer(const wire::Envelope& envelope);
     void addRelays(const wire::SessionRequest& request, wire::SessionAnswer& answer, TimePoint now);
     void updateRelay(TimePoint now);
+    void updateUsageCaps(TimePoint now);
     void receiveReplacement(const LinkOrigin& origin, const wire::Envelope& envelope);
     void answerCommand(const LinkOrigin& origin, uint64_t requestId, const wire::CommandResult& result);
     void proposeManifest(const std::string& text, int attempt, LogDriver::Done done);
@@ -136,6 +138,8 @@
     ControlStateMachine stateMachine; ///< Replicated state to which committed commands are applied.
     std::unique_ptr<SessionTable> sessions; ///< Leases and heartbeats, which only the leader maintains.
     std::unique_ptr<RelayDirectory> relayDirectory; ///< Offers to relay connections, which only the leader maintains.
+    std::unique_ptr<UsageLender> usageLender; ///< Usage of organisations, which only the leader maintains.
+    std::string usageCapsDigest; ///< Digest of the manifest from which the caps were read.
     RelayGate* gate = nullptr; ///< Decides on connections that other VMs want relayed.
     LogIndex relayedIndex = 0; ///< Log index of the targets that the gate knows.
     TimePoint nextRelayOffer {}; ///< Time of the next offer to the leader.
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -56,6 +56,7 @@
         *body->mutable_changes() = this->changesSince(request.held_index(), request.accepts_compressed());
         this->addControlVms(*body);
         this->addRelays(request, *body, now);
+        this->usageLender->exchange(request, this->sessions->liveEntryVms(now), now, *body);
         this->subscribers[request.entry_vm()] = { origin, this->stateMachine.configurationIndex(), request.accepts_compressed() };
         if (request.leaving())
             this->subscribers.erase(request.entry_vm());
--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -75,7 +75,8 @@
         this->refuse(code, lacksConfiguration ? this->gateway.startupRetryAfter() : retryAfterOf(code));
         return;
     }
-    this->readBody();
+    if (this->takeUsagePermit())
+        this->readBody();
 }
 
 /** Waits for the first configuration of this VM. Returns false if the call may not wait. */
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -45,6 +45,10 @@
     void sendRecordedAnswer(const wire::CommandResult& result);
     void handleCallerDisconnect();
 
+    // Usage cap of the organisation (CallUsage.cpp).
+    bool takeUsagePermit();
+    void returnUsagePermit();
+
     // Attempts (CallAttempts.cpp).
     bool startAttempt(bool isHedge, std::optional<uint64_t> resumeOffset = std::nullopt);
     void sendAttempt(const AttemptPointer& attempt);
@@ -120,6 +124,7 @@
     bool isBodyReady = false; ///< Whether reading before admission is done; later readable events resume sending by the attempts.
     bool isAdmissionPending = false; ///< Whether the admission decision is outstanding.
     bool isAdmitted = false; ///< Whether the call counts against the concurrency limit until it ends.
+    bool hasUsagePermit = false; ///< Whether the call counts against the usage cap of its organisation.
     bool hasClaim = false; ///< Whether the claim of the idempotency key was granted to this call.
     ClaimTicket claimTicket; ///< Ticket of the claim, set by claimKey().
     std::vector<AttemptPointer> attempts; ///< All attempts in the order in which they started.
--- a/programs/kingcupswitchd/entry/CallAnswer.cpp
+++ b/programs/kingcupswitchd/entry/CallAnswer.cpp
@@ -145,6 +145,7 @@
         this->finishClaim(code);
         checkFailPoint("finish.sent");
     }
+    this->returnUsagePermit();
     this->cancelOtherAttempts(nullptr);
     this->logCallEnd(code, total);
     std::string service = this->match.service ? this->match.service->name : "";
--- /dev/null
+++ b/programs/kingcupswitchd/entry/CallUsage.cpp
@@ -0,0 +1,41 @@
+/** @file CallUsage.cpp Usage cap of the organisation that sends a call. */
+#include "Call.h"
+
+#include "kingcup/JsonLog.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kingcup {
+
+/** Takes a permit of the organisation, if it has a usage cap. Returns false if the call is refused, which ends it. */
+bool Call::takeUsagePermit()
+{
+    const Organisation* organisation = this->match.organisation.get();
+    if (!organisation || organisation->requestsPerSecond <= 0)
+        return true;
+    UsagePermit permit = this->gateway.usage.takePermit(organisation->name, { organisation->requestsPerSecond, organisation->burst }, MillisecondClock::now());
+    this->hasUsagePermit = permit.isGranted;
+    if (permit.isGranted)
+        return true;
+    this->gateway.metrics.incrementCounter("kingcup_usage_cap_refusals_total", this->match.service->name);
+    if (permit.isFirstRefusal) {
+        logLine(LogLevel::Info, "usage_cap_reached",
+            { { "request", this->parameters.requestId }, { "call", this->id }, { "organisation", organisation->name }, { "service", this->match.service->name },
+                { "requestsPerSecond", organisation->requestsPerSecond }, { "retryAfterMs", std::round(permit.retryAfter.count()) } });
+    }
+    this->refuse(ResultCode::UsageCapReached, permit.retryAfter);
+    return false;
+}
+
+/** Returns the permit of a call of which no attempt has reached a target. An attempt without a handle was not sent. */
+void Call::returnUsagePermit()
+{
+    auto hasReachedTarget = [](const AttemptPointer& attempt) { return attempt->handle && attempt->mayHaveArrived; };
+    if (!this->hasUsagePermit || std::any_of(this->attempts.begin(), this->attempts.end(), hasReachedTarget))
+        return;
+    this->hasUsagePermit = false;
+    this->gateway.usage.returnPermit(this->match.organisation->name, MillisecondClock::now());
+}
+
+} // namespace kingcup
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -74,6 +74,7 @@
     this->leader.setLeader(envelope.sender_vm());
     this->leader.setControlVms({ answer.control_vms().begin(), answer.control_vms().end() });
     this->gateway.relays.receiveRelays(answer);
+    this->gateway.usage.receiveShares(envelope.request_id(), answer, now);
     bool hasChanged = this->configuration.receiveAnswer(envelope.request_id(), answer, now);
     // Calls that wait for the first configuration are checked against the lease when it is published.
     this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
@@ -130,6 +131,7 @@
     envelope.mutable_session_request()->set_incarnation(this->claims.currentIncarnation());
     envelope.mutable_session_request()->set_leaving(this->isLeaving.load());
     envelope.mutable_session_request()->set_relay_version(this->gateway.relays.version());
+    this->gateway.usage.addUsage(id, now, *envelope.mutable_session_request());
     if (std::optional<wire::RelayOffer> offer = this->gate.offer())
         *envelope.mutable_session_request()->mutable_relay_offer() = std::move(*offer);
     this->pendingSessionVm = this->leader.preferredVm();
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr uint32_t maxIdleConnectionsPerThread = 2000;
+constexpr uint64_t usageSeed = 0x75736167; ///< Makes the random numbers of usage caps differ from those of other users of the seed.
 constexpr Milliseconds departureReportTimeout { 2000 };
 constexpr uint32_t assumedEntryVms = 128; ///< Number of entry VMs that probe budgets and limits of targets assume while the number of live ones is unknown. It exceeds that of the largest deployment, so that probes stay within the budget.
 
@@ -60,6 +61,7 @@
     , relays(this->paths)
     , upstream(settings.upstreamThreads, maxIdleConnectionsPerThread)
     , gate(gate)
+    , usage(settings.usageCap, settings.leaseTerm, assumedEntryVms, seed ^ usageSeed)
     , requestTable(createEmptyTable())
     , availabilityZone(settings.availabilityZone)
     , leaseTerm(settings.leaseTerm)
@@ -284,6 +286,7 @@
     TimePoint now = MillisecondClock::now();
     for (const RequestTableRow& row : this->services())
         row.runtime->updateGauges(row.service->name, this->metrics, now);
+    this->metrics.setGauge("kingcup_usage_caps_closed", static_cast<double>(this->usage.closedOrganisations(now)));
     this->metrics.setGauge("kingcup_active_calls", static_cast<double>(this->activeCalls.load()));
     this->metrics.setGauge("kingcup_claim_reports_open", static_cast<double>(this->claims.pendingReports()));
 }
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -17,6 +17,7 @@
 #include "kingcup/StartupQueue.h"
 #include "kingcup/TargetNotice.h"
 #include "kingcup/UpstreamClient.h"
+#include "kingcup/UsageShare.h"
 
 #include <atomic>
 #include <functional>
@@ -113,6 +114,7 @@
     TimerQueue timers; ///< Runs hedges, queue timeouts, stall timeouts and probes.
     CrashContainment containment; ///< Suspected and quarantined requests.
     RelayGate& gate; ///< Decides on connections that other VMs want relayed.
+    UsageShare usage; ///< Shares of this VM in the usage caps of organisations.
     RcuPointer<RequestTable> requestTable; ///< Request table in force; never null.
     std::atomic<bool> isStopping { false }; ///< Whether all further calls are refused.
     std::atomic<uint64_t> lastCallId { 0 }; ///< Identifier of the latest call.
