--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -3,6 +3,7 @@
 
 #include "kingcup/ManifestParser.h"
 #include "kingcup/MillisecondClock.h"
+#include "kingcup/UsageCap.h"
 
 #include <cstdint>
 #include <optional>
@@ -76,6 +77,7 @@
     NumberPolicy numberPolicy = NumberPolicy::Strict; ///< Rules for the numbers of new manifests.
     std::optional<RetryBudgetLimits> retryBudget; ///< Absent: the retryShare of each service in the manifest applies.
     std::optional<ZoneTransferCosts> zoneTransfer; ///< Absent: targets of other zones are compared with a fixed penalty.
+    UsageCapLimits usageCap; ///< Accuracy of the usage caps of organisations.
     MeasuringBudget routeMeasuringBudget; ///< Probe budget of services that are reached only through routes.
     Milliseconds maxConnectionIdle { 0 }; ///< Longest time that a kept connection may have been idle when a request that must not be repeated is sent on it; 0: such requests open a connection each.
     Milliseconds suspicionWait { 500 }; ///< Longest time a retry waits until the leader has recorded a suspicion.
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -53,6 +53,9 @@
     void abandonWithoutKey(const AttemptPointer& attempt, ResultCode code);
     void endWithoutKey(const AttemptPointer& attempt, ResultCode code);
     Fingerprint claimFingerprint() const;
+    // Usage cap of the organisation (CallUsage.cpp).
+    bool takeUsagePermit();
+    void returnUsagePermit();
 
     // Attempts (CallAttempts.cpp).
     bool startAttempt(bool isHedge, std::optional<uint64_t> resumeOffset = std::nullopt);
@@ -139,6 +142,7 @@
     bool isBodyReady = false; ///< Whether reading before admission is done; later readable events resume sending by the attempts.
     bool isAdmissionPending = false; ///< Whether the admission decision is outstanding.
     bool isAdmitted = false; ///< Whether the call counts against the concurrency limit until it ends.
+    std::shared_ptr<const Organisation> usagePermitHolder; ///< Organisation against whose usage cap the call counts; null: none. A later check of the key may change the organisation of the match.
     bool hasClaim = false; ///< Whether the claim of the idempotency key was granted to this call.
     ClaimTicket claimTicket; ///< Ticket of the claim, set by claimKey().
     std::vector<AttemptPointer> attempts; ///< All attempts in the order in which they started.
