Change: [Coordination] The delay of a request above its usage cap counts the callers that compete for the next permit

Cause: a refused caller was asked to return when the next permit of its VM is due, also when several callers of the last second wait for it, so that most were refused a second time. Change: while the demand exceeds the rate of the share, the delay is the time in which the permits for the demand of a second become due; the spread is at most 2 s as before. Measured: UsageShareTest and UsageCapTest pass.

--- a/packages/coordination/src/limits/UsageShare.cpp
+++ b/packages/coordination/src/limits/UsageShare.cpp
@@ -89,17 +89,22 @@
     return permit;
 }
 
-/** Returns the time until the share has a permit again, spread at random over as much again, so that callers do not come back at once. */
+/**
+ * Returns the time until a caller that returns can expect a permit, spread at random over as much again, so that callers do not come back at once.
+ * With more demand than permits, the callers of the last second compete for each permit: one that returns when the next permit is due would mostly be refused again.
+ */
 Milliseconds UsageShare::retryAfter(const Share& share, TimePoint now)
 {
     Milliseconds wait = maxRetryAfter;
     double rate = now < share.end ? share.rate : share.isolatedRate;
+    double demand = demandAt(share, now);
+    bool isContended = demand > rate;
     if (share.isClosed)
         wait = share.end - now;
     else if (rate > 0)
-        wait = Milliseconds((1 - share.level) / rate * msPerSecond);
-    wait = std::clamp(wait, minRetryAfter, maxRetryAfter);
-    return std::min(wait * (1 + this->random.fraction()), maxRetryAfter);
+        wait = Milliseconds(std::max(1 - share.level, isContended ? demand * demandSeconds : 0) / rate * msPerSecond);
+    wait = std::clamp(wait, minRetryAfter, maxRetryAfter / 2);
+    return wait * (1 + this->random.fraction());
 }
 
 void UsageShare::returnPermit(const std::string& organisation, TimePoint now)
