--- a/tests/DocumentsTest.cpp
+++ b/tests/DocumentsTest.cpp
@@ -219,7 +219,7 @@
         EXPECT_TRUE(defaults.empty());
     });
     section("ranges are those that the parser enforces", [&] {
-        EXPECT_EQ(checkRanges(page, json::parse(examples[0]), checkWith(parseSettings)), 22u);
+        EXPECT_EQ(checkRanges(page, json::parse(examples[0]), checkWith(parseSettings)), 23u);
     });
 }
 
