Codechange: [Coordination, Entry] Comments and names of usage caps use the terms of the field

Cause: a read-through found VMs that are silent, and shares of which a VM is told. Change: comments and four private names only; no check is touched. Measured: UsageCapTest and UsageShareTest pass.

--- a/packages/coordination/include/kingcup/UsageLender.h
+++ b/packages/coordination/include/kingcup/UsageLender.h
@@ -34,7 +34,7 @@
     /** Records the usage in a session request and adds the shares of the VM to the answer. @param liveVms Number of live entry VMs; 0 if unknown. */
     void exchange(const wire::SessionRequest& request, uint32_t liveVms, TimePoint now, wire::SessionAnswer& answer);
 
-    /** Estimates the use of VMs that do not report, and forgets those that have been silent for long. Called every few milliseconds. */
+    /** Estimates the use of VMs that do not report, and removes those that have not reported for long. Called every few milliseconds. */
     void tick(TimePoint now);
 
     /** Returns the number of organisations whose window is used up. */
@@ -47,11 +47,11 @@
     Milliseconds shareTerm; ///< Time after which a share expires.
     Milliseconds sessionInterval; ///< Interval of the session requests of an entry VM.
     TimePoint leaderSince {}; ///< Time at which this VM became the leader.
-    TimePoint nextTick {}; ///< Time of the next estimate of silent VMs.
+    TimePoint nextTick {}; ///< Time of the next estimate for VMs without reports.
     std::map<std::string, UsageCap> caps; ///< Caps by organisation, without those that are not limited.
     std::map<std::string, std::unique_ptr<UsageAccount>> accounts; ///< Organisations with reported usage.
     std::map<std::string, std::set<std::string>> reported; ///< Organisations in the last report of each VM.
-    std::vector<std::string> tightOrganisations; ///< Organisations of which VMs without demand are told, too.
+    std::vector<std::string> tightOrganisations; ///< Organisations whose shares are sent to VMs without demand, too.
 };
 
 } // namespace kingcup
--- a/packages/coordination/include/kingcup/UsageShare.h
+++ b/packages/coordination/include/kingcup/UsageShare.h
@@ -33,7 +33,7 @@
     /** Returns the permit of a request that ended without having reached a target. */
     void returnPermit(const std::string& organisation, TimePoint now);
 
-    /** Adds the usage of organisations with recent demand to a session request. Forgets the others. @param requestId Id under which it is sent. */
+    /** Adds the usage of organisations with recent demand to a session request. Removes the others. @param requestId Id under which it is sent. */
     void addUsage(uint64_t requestId, TimePoint now, wire::SessionRequest& request);
 
     /** Takes over the shares in the answer to a session request. Answers to other requests than those recorded are ignored. */
--- a/packages/coordination/src/limits/UsageAccount.cpp
+++ b/packages/coordination/src/limits/UsageAccount.cpp
@@ -23,7 +23,7 @@
 constexpr double reserveShare = 0.25; ///< Part of the distance between budget and bound that keeps up the rate of the cap.
 constexpr double minDemandPerSecond = 0.05; ///< A VM that reports counts at least with this demand.
 constexpr Milliseconds minAge { 100 }; ///< Shortest time over which the rate of admitted requests is measured.
-constexpr Milliseconds silentLifetime { 600000 }; ///< Time for which a silent VM is assumed to serve. A longer partition is rare, and a lost VM costs the others little.
+constexpr Milliseconds unreportedLifetime { 600000 }; ///< Time for which a VM without reports is assumed to serve. A longer partition is rare, and a lost VM costs the others little.
 
 } // namespace
 
@@ -106,12 +106,12 @@
     Borrower& borrower = this->borrowers[vm];
     Milliseconds age = isKnown ? now - borrower.contact : this->times.sessionInterval;
     double count = usage.admitted();
-    bool wasSilent = age > this->times.shareTerm;
+    bool hadNoContact = age > this->times.shareTerm;
     bool isRestarted = isKnown && incarnation != borrower.incarnation;
     if (isRestarted) {
         // The use of the former process after its last report is not reported any more.
         this->admitted.add(now, std::max(borrower.use * (now - borrower.reported).count() / msPerSecond, 0.0));
-    } else if (wasSilent) {
+    } else if (hadNoContact) {
         count = std::max(count * std::min(1.0, this->limits.window / age) - borrower.estimated, 0.0);
     }
     // The use before the leadership is assumed already.
@@ -124,7 +124,7 @@
     borrower.reported = now;
     borrower.estimated = 0;
     borrower.demand = std::max(usage.demand_per_second(), minDemandPerSecond);
-    borrower.recent = wasSilent ? 0 : usage.admitted() / (std::max(age, minAge).count() / msPerSecond);
+    borrower.recent = hadNoContact ? 0 : usage.admitted() / (std::max(age, minAge).count() / msPerSecond);
     borrower.use = 0;
     this->addSums(borrower, 1);
 }
@@ -190,10 +190,10 @@
     this->borrowers.erase(found);
 }
 
-void UsageAccount::updateSilent(TimePoint now)
+void UsageAccount::estimateUnreported(TimePoint now)
 {
     this->admitted.advance(now);
-    std::erase_if(this->borrowers, [&](const auto& entry) { return now - entry.second.contact > silentLifetime; });
+    std::erase_if(this->borrowers, [&](const auto& entry) { return now - entry.second.contact > unreportedLifetime; });
     // The sums are computed anew, so that rounding errors do not add up.
     this->sumDemand = this->sumRecent = this->sumUse = this->sumUseTime = 0;
     for (auto& [name, borrower] : this->borrowers) {
--- a/packages/coordination/src/limits/UsageAccount.h
+++ b/packages/coordination/src/limits/UsageAccount.h
@@ -31,7 +31,7 @@
     /** Returns the share of a VM that has reported usage. */
     wire::OrganisationShare lend(const std::string& vm, TimePoint now);
 
-    /** Returns whether a VM that reported no usage is told of its share, because the window is nearly or wholly used up. */
+    /** Returns whether a VM that reported no usage is sent its share, because the window is nearly or wholly used up. */
     bool isTight(TimePoint now);
 
     /** Returns the share of a VM that reported no usage. @param liveVms Number of entry VMs, above 0. */
@@ -43,8 +43,8 @@
     /** Removes a VM that stops. */
     void forget(const std::string& vm);
 
-    /** Adds the estimated use of silent VMs to the window and removes VMs that have been silent for long. */
-    void updateSilent(TimePoint now);
+    /** Adds the estimated use of VMs without reports to the window and removes VMs that have not reported for long. */
+    void estimateUnreported(TimePoint now);
 
     /** Returns whether nothing is known of the organisation any more. */
     bool isEmpty() const { return this->borrowers.empty() && this->admitted.total() < 1; }
--- a/packages/coordination/src/limits/UsageLender.cpp
+++ b/packages/coordination/src/limits/UsageLender.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr uint32_t assumedVms = 128; ///< Number of entry VMs while a new leader doesn't know it. It exceeds that of most deployments, so that their shares are not too large.
-constexpr Milliseconds silentInterval { 100 }; ///< Interval of the estimates of silent VMs.
+constexpr Milliseconds estimateInterval { 100 }; ///< Interval of the estimates for VMs without reports.
 
 } // namespace
 
@@ -95,10 +95,10 @@
 {
     if (now < this->nextTick)
         return;
-    this->nextTick = now + silentInterval;
+    this->nextTick = now + estimateInterval;
     this->tightOrganisations.clear();
     for (auto& [name, account] : this->accounts) {
-        account->updateSilent(now);
+        account->estimateUnreported(now);
         if (account->isTight(now))
             this->tightOrganisations.push_back(name);
     }
--- a/packages/coordination/src/limits/UsageShare.cpp
+++ b/packages/coordination/src/limits/UsageShare.cpp
@@ -13,7 +13,7 @@
 constexpr double msPerSecond = 1000;
 constexpr double demandSeconds = 1; ///< Time constant of the moving average of the demand.
 constexpr Milliseconds demandMemory { 5000 }; ///< Time after the last request for which usage is reported.
-constexpr double minNewDepth = 8; ///< Requests that a VM may admit at once before the leader knows of its demand.
+constexpr double minNewDepth = 8; ///< Requests that a VM may admit at once before the leader has received its demand.
 constexpr double minIsolatedDepth = 1; ///< The same for a VM without contact to the leader.
 constexpr double isolatedFactor = 0.5; ///< Part of the equal share that a VM without contact may use.
 constexpr double maxRationedDepth = 4; ///< Shares below this depth are rationed: the leader expects no saved permits.
--- a/programs/kingcupswitchd/entry/CallHeaders.h
+++ b/programs/kingcupswitchd/entry/CallHeaders.h
@@ -25,7 +25,7 @@
 /** Parses the deadline, depth, idempotency key and request id of a request. Errors are returned in `code`. */
 CallParameters parseCallParameters(const HttpHeaders& headers, const HeaderNames& names);
 
-/** What a target is told about the sender of a request. */
+/** Identity of the caller that a target receives with a request. */
 struct CallerIdentity {
     bool hidesAuthorization = false; ///< Whether the Authorization field holds an API key, which targets do not get.
     std::string organisation; ///< Organisation that holds the key; empty: none.
