Fix: [Daemon, Platform] A planned stop waits for the grace period of the deployment, not for a constant time

Callers saw: a request that an entry VM had passed on was closed without an answer 5.7 s after SIGTERM, although the platform would have waited for 10 s. Cause: stopNoticeMs and stopLimitMs were constants in the template, 5.7 s on every deployment. Six seconds are granted by all but one, which grants ten. Change: setting stopGracePeriodSeconds, filled in from the deployment's bound. The settings of a stop take effect without a restart. A leader hands over before it waits for calls, so that the group does not need an election when the process is killed; that wait was not in any bound before.

--- a/packages/protocol/include/kingcup/Settings.h
+++ b/packages/protocol/include/kingcup/Settings.h
@@ -96,7 +96,8 @@
     uint64_t maxHeaderBytes = 16u << 10; ///< Largest request header.
     Milliseconds slowSenderTimeout { 10000 }; ///< Longest pause while a caller sends a request.
     Milliseconds stopNotice { 1000 }; ///< Time from reporting "not ready" until the listeners close.
-    Milliseconds stopLimit { 30000 }; ///< Longest time that a stop waits for requests in flight.
+    Milliseconds stopLimit { 30000 }; ///< Longest time that a stop waits for requests in flight, after the notice; not used with a grace period.
+    std::optional<Milliseconds> stopGracePeriod; ///< Time from the stop signal until the platform kills the process; absent: it never does.
     Milliseconds electionTimeout { 600 }; ///< Lower bound of the randomised election timeout.
     Milliseconds heartbeatInterval { 100 }; ///< Interval of the leader's heartbeats to followers.
     Milliseconds leaseTerm { 2500 }; ///< Duration of the lease of an entry VM.
--- a/packages/protocol/src/Settings.cpp
+++ b/packages/protocol/src/Settings.cpp
@@ -28,6 +28,8 @@
 constexpr size_t maxAllowedKeys = 10000; ///< Limit of CURVE keys that may connect.
 constexpr double minuteMs = 60 * 1000;
 constexpr double hourMs = 60 * minuteMs;
+constexpr double minGracePeriodSeconds = 0.1;
+constexpr double maxGracePeriodSeconds = 86400;
 
 constexpr EnumName<LinkSecurity> linkSecurityNames[] = {
     { LinkSecurity::Curve, "curve" },
@@ -214,6 +216,10 @@
     reader.milliseconds("slowSenderTimeoutMs", settings.slowSenderTimeout, Presence::Optional, 1, hourMs);
     reader.milliseconds("stopNoticeMs", settings.stopNotice, Presence::Optional, 0, hourMs);
     reader.milliseconds("stopLimitMs", settings.stopLimit, Presence::Optional, 0, 24 * hourMs);
+    double gracePeriodSeconds = 0;
+    reader.number("stopGracePeriodSeconds", gracePeriodSeconds, Presence::Optional, minGracePeriodSeconds, maxGracePeriodSeconds);
+    if (gracePeriodSeconds > 0)
+        settings.stopGracePeriod = Milliseconds(gracePeriodSeconds * 1000);
     reader.milliseconds("electionTimeoutMs", settings.electionTimeout, Presence::Optional, 10, minuteMs);
     reader.milliseconds("heartbeatIntervalMs", settings.heartbeatInterval, Presence::Optional, 1, minuteMs);
     reader.milliseconds("leaseTermMs", settings.leaseTerm, Presence::Optional, 10, minuteMs);
--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -2,6 +2,7 @@
 #include "Process.h"
 
 #include "kingcup/JsonLog.h"
+#include "kingcup/StopSchedule.h"
 
 #include <algorithm>
 #include <fstream>
@@ -185,6 +186,9 @@
 
 void Process::reload(const Settings& changed)
 {
+    this->settings.stopNotice = changed.stopNotice;
+    this->settings.stopLimit = changed.stopLimit;
+    this->settings.stopGracePeriod = changed.stopGracePeriod;
     if (changed.controlSeeds == this->settings.controlSeeds)
         return;
     this->settings.controlSeeds = changed.controlSeeds;
@@ -203,21 +207,24 @@
 
 bool Process::stop(const std::atomic<bool>& isAborted)
 {
-    logLine(LogLevel::Info, "stopping");
-    bool isClean = true;
+    TimePoint start = MillisecondClock::now();
+    StopSchedule schedule({ this->settings.stopNotice, this->settings.stopLimit, this->settings.stopGracePeriod }, start);
+    logLine(LogLevel::Info, "stopping", { { "calls", this->callsInFlight() }, { "noticeMs", (schedule.noticeEnd() - start).count() }, { "callsMs", (schedule.callsEnd() - start).count() } });
     this->relayGate.setServing(false);
     if (this->relayListener)
         this->relayListener->stopAccepting();
-    if (this->entry) {
+    if (this->entry)
         this->entry->announceStop();
-        TimePoint noticeEnd = MillisecondClock::now() + this->settings.stopNotice;
-        while (MillisecondClock::now() < noticeEnd && !isAborted.load())
-            std::this_thread::sleep_for(stopPollInterval);
-    }
+    // Before the wait for calls, so that the group has a leader when the platform kills this process.
+    this->handOverLeadership(schedule.noticeEnd());
+    while (this->entry && MillisecondClock::now() < schedule.noticeEnd() && !isAborted.load())
+        std::this_thread::sleep_for(stopPollInterval);
+    bool isClean = true;
     if (this->entry || this->busyRelayedConnections() > 0)
-        isClean = this->waitForCalls(isAborted);
-    if (this->control)
-        this->handOverLeadership();
+        isClean = this->waitForCalls(schedule, isAborted);
+    // This VM may have been elected again while it waited.
+    TimePoint handOverEnd = MillisecondClock::now() + handOverTimeout;
+    this->handOverLeadership(std::min(handOverEnd, schedule.processEnd().value_or(handOverEnd)));
     if (this->entry)
         this->entry->stop();
     if (this->relayListener)
@@ -231,35 +238,40 @@
 }
 
 /** Waits for the calls in flight, also those of other VMs, in short steps so that `isAborted` is checked in between. Returns whether all calls completed. */
-bool Process::waitForCalls(const std::atomic<bool>& isAborted)
+bool Process::waitForCalls(const StopSchedule& schedule, const std::atomic<bool>& isAborted)
 {
     constexpr Milliseconds step { 100 };
-    TimePoint deadline = MillisecondClock::now() + this->settings.stopLimit;
+    TimePoint end = schedule.callsEnd();
     if (this->entry)
-        this->entry->setStopEnd(deadline);
-    while (MillisecondClock::now() < deadline && !isAborted.load()) {
-        bool isIdle = !this->entry || this->entry->drain(step);
+        this->entry->setStopEnd(schedule.latestDeadline());
+    for (TimePoint now = MillisecondClock::now(); now < end && !isAborted.load(); now = MillisecondClock::now()) {
+        bool isIdle = !this->entry || this->entry->drain(std::min(step, end - now));
         if (isIdle && !this->busyRelayedConnections())
             return true;
         if (isIdle)
             std::this_thread::sleep_for(stopPollInterval);
     }
-    logLine(LogLevel::Warning, "calls_cut_off", { { "calls", (this->entry ? this->entry->activeCalls() : 0) + this->busyRelayedConnections() } });
+    logLine(LogLevel::Warning, "calls_cut_off", { { "calls", this->callsInFlight() } });
     return false;
 }
 
+/** Returns the number of calls in flight, also of other VMs. */
+uint64_t Process::callsInFlight() const
+{
+    return (this->entry ? this->entry->activeCalls() : 0) + this->busyRelayedConnections();
+}
+
 /** Returns the number of connections of other VMs on which an answer is awaited. */
 uint32_t Process::busyRelayedConnections() const
 {
     return this->relayListener ? this->relayListener->busyConnections() : 0;
 }
 
-/** Transfers leadership and waits until this VM is no longer the leader, or until the timeout. */
-void Process::handOverLeadership()
+/** Transfers leadership and waits until this VM is no longer the leader, or until the end. */
+void Process::handOverLeadership(TimePoint end)
 {
-    TimePoint deadline = MillisecondClock::now() + handOverTimeout;
-    bool isLeader = true;
-    while (isLeader && MillisecondClock::now() < deadline) {
+    bool isLeader = this->control != nullptr;
+    while (isLeader && MillisecondClock::now() < end) {
         std::promise<bool> answer;
         this->hub->post([this, &answer] {
             if (this->control->isLeader())
--- a/programs/kingcupswitchd/process/Process.h
+++ b/programs/kingcupswitchd/process/Process.h
@@ -9,6 +9,7 @@
 #include "RelayGate.h"
 
 #include "kingcup/RelayListener.h"
+#include "kingcup/StopSchedule.h"
 
 #include <memory>
 
@@ -24,7 +25,7 @@
     /** Opens the stored state, the links and the listeners. Returns the first error. */
     std::error_code start();
 
-    /** Applies the settings that may change at run time, which are the seeds only. */
+    /** Applies the settings that may change at run time, which are the seeds and the durations of a stop. */
     void reload(const Settings& changed);
 
     /** Stops gracefully. Returns whether all calls in flight were completed. @param isAborted Set by another thread to end the wait for calls in flight. */
@@ -37,14 +38,15 @@
     void receive(const LinkOrigin& origin, const wire::Envelope& envelope);
     void tick();
     void updateGauges(TimePoint now);
-    bool waitForCalls(const std::atomic<bool>& isAborted);
-    void handOverLeadership();
+    bool waitForCalls(const StopSchedule& schedule, const std::atomic<bool>& isAborted);
+    uint64_t callsInFlight() const;
+    void handOverLeadership(TimePoint end);
     std::error_code startRelayListener();
     uint32_t busyRelayedConnections() const;
     nlohmann::json localStatus() const;
     nlohmann::json dump() const;
 
-    Settings settings; ///< Validated settings; the seeds change on reload.
+    Settings settings; ///< Validated settings; the seeds and the durations of a stop change on reload.
     const Edge edge; ///< Interface to callers, targets and operators.
     ControlDirectory directory; ///< Addresses of the control VMs.
     uint64_t incarnation; ///< Start time of this process: wall time in ms, so that it increases over restarts without being stored on disk.
--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -34,6 +34,16 @@
     EXPECT_EQ(summary.answered, summary.calls) << describeResults(load);
 }
 
+/** Returns a read of kind `read`. */
+HttpMessage balanceRequest(const std::string& callId)
+{
+    HttpMessage request;
+    request.startLine = "GET /matters/balance HTTP/1.1";
+    request.add("Host", "kingcup");
+    request.add("X-Call-Id", callId);
+    return request;
+}
+
 } // namespace
 
 TEST(GracefulStop, refusesAtOnceWhatItCannotFinish)
@@ -70,6 +80,40 @@
     });
 }
 
+TEST(GracefulStop, cutsNoCallBeforeTheGracePeriodOfTheDeployment)
+{
+    // The end of the stop was the same on all deployments, so that long calls were cut off where the platform would have waited for them.
+    DeploymentOptions options = testOptions(83, 2, { { "matters", 1, 6 } });
+    options.settings = { { "stopNoticeMs", 200 }, { "stopLimitMs", 300 }, { "stopGracePeriodSeconds", 4 } };
+    options.targetFaults = { { "latencyMedianMs", 2000 }, { "latencySigma", 0 } };
+    Deployment deployment(options);
+    ASSERT_EQ(startAll(deployment), "");
+    auto finishesCall = [&](Vm& vm) {
+        HttpStream stream(connectTo(vm.callerAddress, stopLimit));
+        HttpMessage answer;
+        EXPECT_TRUE(stream.connection().sendAll(balanceRequest("in-flight").encode()));
+        waitUntil(stopLimit, [&] { return deployment.targetStats(0).inFlight == 1; });
+        vm.process->signal(SIGTERM);
+        EXPECT_EQ(stream.readAnswer(answer), HttpReadResult::Complete);
+        EXPECT_EQ(answer.status(), 200);
+        EXPECT_EQ(vm.process->wait(stopLimit), 0) << vm.process->output();
+    };
+    section("a call that takes longer than notice and limit is finished", [&] { finishesCall(deployment.entryVms()[0]); });
+    section("a grace period that changes while the process runs is heeded", [&] {
+        Vm& vm = deployment.entryVms()[1];
+        vm.process->signal(SIGTERM);
+        ASSERT_EQ(vm.process->wait(stopLimit), 0);
+        vm.settings["stopGracePeriodSeconds"] = 1;
+        deployment.restart(vm);
+        ASSERT_TRUE(waitUntil(stopLimit, [&] { return deployment.ready(vm); }));
+        vm.settings["stopGracePeriodSeconds"] = 4;
+        writeFile(vm.folder + "/settings.json", vm.settings.dump());
+        vm.process->signal(SIGHUP);
+        ASSERT_TRUE(waitUntil(stopLimit, [&] { return readFile(vm.folder + "/log.jsonl").find("settings_reloaded") != std::string::npos; }));
+        finishesCall(vm);
+    });
+}
+
 TEST(GracefulStop, cutsNoCall)
 {
     DeploymentOptions options = testOptions(81, 3, { { "matters", 3, 6 } });
