Fix: [Entry] Calls are checked against the end of a stop from the signal on

Callers saw: a request that arrived 0.7 s after SIGTERM was accepted, passed on and closed without an answer when the stop was over. Cause: the end of the stop was set when the notice was over. A call accepted during the notice was not checked against it, nor one that had waited in a queue since before SIGTERM and was sent to a target afterwards. Change: announceStop() sets the latest deadline, which leaves time to send the answer before calls are cut off. A call with a later one is refused with 503 as not run and a Retry-After of 10 ms, on arrival and again before its first attempt is sent; the end of an attempt that is not sent is shared with that for withdrawn keys. A request that may have run is sent again all the same, since it can no longer be refused as not run. Test: GracefulStop.refusesAtOnceWhatItCannotFinish now also sends in the notice. Its call in flight is now sent before SIGTERM: sent after it, with a deadline behind the end of the stop, it has to be refused.

--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -16,7 +16,8 @@
 constexpr Milliseconds assumedCallDuration { 5000 }; ///< Of a caller that states no deadline, before its kind is known.
 constexpr Milliseconds stoppingRetryAfter { 10 }; ///< Short, since the other VMs serve as usual.
 
-/** Returns the retry delay for a call that fails the initial checks. */
+} // namespace
+
 Milliseconds retryAfterOf(ResultCode code)
 {
     if (code == ResultCode::Stopping)
@@ -24,8 +25,6 @@
     return code == ResultCode::Isolated ? isolatedRetryAfter : defaultRetryAfter;
 }
 
-} // namespace
-
 Call::Call(Gateway& gateway, std::shared_ptr<HttpExchange> exchange)
     : gateway(gateway)
     , exchange(std::move(exchange))
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -15,6 +15,9 @@
 
 namespace kingcup {
 
+/** Returns the retry delay for a call that is refused before it is sent to a target. */
+Milliseconds retryAfterOf(ResultCode code);
+
 constexpr Milliseconds isolatedRetryAfter { 250 }; ///< Short, since other VMs may have the configuration, and this VM receives it as soon as there is a leader.
 
 /**
@@ -50,17 +53,19 @@
     // API keys (CallKeys.cpp).
     ResultCode checkKey();
     std::function<bool()> createSendCheck() const;
-    void abandonWithoutKey(const AttemptPointer& attempt, ResultCode code);
-    void endWithoutKey(const AttemptPointer& attempt, ResultCode code);
     Fingerprint claimFingerprint() const;
     // Usage cap of the organisation (CallUsage.cpp).
     bool takeUsagePermit();
     void returnUsagePermit();
+    bool hasReachedTarget() const;
 
     // Attempts (CallAttempts.cpp).
     bool startAttempt(bool isHedge, std::optional<uint64_t> resumeOffset = std::nullopt);
     void sendAttempt(const AttemptPointer& attempt);
     bool replacePick(const AttemptPointer& attempt);
+    ResultCode checkSend();
+    void abandonUnsent(const AttemptPointer& attempt, ResultCode code);
+    void endUnsentCall(const AttemptPointer& attempt, ResultCode code);
     void endUnsentAttempt(const AttemptPointer& attempt);
     void endWithoutTarget(const AttemptPointer& attempt);
     std::optional<Pick> pickTarget(ContainmentVerdict verdict, TimePoint now);
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -44,9 +44,8 @@
 /** Sends the request to the target of an attempt; the first attempt also schedules the hedge. */
 void Call::sendAttempt(const AttemptPointer& attempt)
 {
-    // The request may have waited since its key was checked last.
-    if (ResultCode code = this->checkKey(); code != ResultCode::Ok) {
-        this->abandonWithoutKey(attempt, code);
+    if (ResultCode code = this->checkSend(); code != ResultCode::Ok) {
+        this->abandonUnsent(attempt, code);
         return;
     }
     if (!this->match.runtime->router.isInUse(attempt->pick)) {
@@ -69,6 +68,49 @@
         this->scheduleHedge();
 }
 
+/**
+ * Returns Ok if the request may be sent to a target, or the reason for a refusal: it may have waited since its key was checked last, or since before
+ * a stop began. A request that may have run is sent again also if the stop may cut it off, since it can no longer be refused as not run.
+ */
+ResultCode Call::checkSend()
+{
+    if (ResultCode code = this->checkKey(); code != ResultCode::Ok)
+        return code;
+    bool mayBeRefused = !this->mayHaveRun && !this->hasReachedTarget();
+    return mayBeRefused && !this->gateway.endsBeforeStop(this->deadline) ? ResultCode::Stopping : ResultCode::Ok;
+}
+
+/** Ends an attempt that may not be sent, and after that the call. */
+void Call::abandonUnsent(const AttemptPointer& attempt, ResultCode code)
+{
+    attempt->hasEnded = true;
+    attempt->mayHaveArrived = false;
+    this->gateway.containment.recordEnd(this->match.service->name, this->fingerprint, attempt->pick.address);
+    this->match.runtime->router.abandon(attempt->pick, MillisecondClock::now());
+    // Only after the function that started the attempt has recorded what became of the attempts before.
+    this->executor.post([self = this->shared_from_this(), attempt, code] { self->endUnsentCall(attempt, code); });
+}
+
+/** Ends the call because its request may not be sent. An attempt that was sent before still decides its result. */
+void Call::endUnsentCall(const AttemptPointer& attempt, ResultCode code)
+{
+    if (this->hasEnded)
+        return;
+    if (this->selectedAttempt == attempt) {
+        // The attempt was to resume a download of which the caller has a part.
+        if (this->isCallerPresent)
+            this->exchange->abort();
+        this->endCall(ResultCode::AnswerTruncated);
+        return;
+    }
+    if (this->selectedAttempt || this->hasActiveAttempt())
+        return;
+    this->recordFailure({ code, AttemptOutcome::Cancelled, false, retryAfterOf(code) });
+    if (this->mayHaveRun && resultCodeRow(this->lastFailure.code).runState == RunState::NotRun)
+        this->lastFailure.code = ResultCode::ConnectionLost;
+    this->answerFailure();
+}
+
 /** Picks a target and records the start in crash containment, which refuses a second suspect on the same target. */
 std::optional<Pick> Call::pickTarget(ContainmentVerdict verdict, TimePoint now)
 {
@@ -411,7 +453,7 @@
     this->isOverloaded = this->isOverloaded || result.outcome == UpstreamOutcome::TimedOut;
     if (result.outcome == UpstreamOutcome::Cancelled && !result.maybeSent) {
         if (ResultCode code = this->checkKey(); code != ResultCode::Ok) {
-            this->endWithoutKey(attempt, code);
+            this->endUnsentCall(attempt, code);
             return;
         }
     }
--- a/programs/kingcupswitchd/entry/CallKeys.cpp
+++ b/programs/kingcupswitchd/entry/CallKeys.cpp
@@ -1,4 +1,4 @@
-/** @file CallKeys.cpp The API key of a call: its check on arrival and before each send, and the end of a call whose key may no longer be used. */
+/** @file CallKeys.cpp The API key of a call: its check on arrival and before each send. */
 #include "Call.h"
 
 namespace kingcup {
@@ -48,37 +48,6 @@
     };
 }
 
-/** Ends an attempt that is not sent because of its key, and after that the call. */
-void Call::abandonWithoutKey(const AttemptPointer& attempt, ResultCode code)
-{
-    attempt->hasEnded = true;
-    attempt->mayHaveArrived = false;
-    this->gateway.containment.recordEnd(this->match.service->name, this->fingerprint, attempt->pick.address);
-    this->match.runtime->router.abandon(attempt->pick, MillisecondClock::now());
-    // Only after the function that started the attempt has recorded what became of the attempts before.
-    this->executor.post([self = this->shared_from_this(), attempt, code] { self->endWithoutKey(attempt, code); });
-}
-
-/** Ends the call because its key may no longer be used. An attempt that was sent before still decides its result. */
-void Call::endWithoutKey(const AttemptPointer& attempt, ResultCode code)
-{
-    if (this->hasEnded)
-        return;
-    if (this->selectedAttempt == attempt) {
-        // The attempt was to resume a download of which the caller has a part.
-        if (this->isCallerPresent)
-            this->exchange->abort();
-        this->endCall(ResultCode::AnswerTruncated);
-        return;
-    }
-    if (this->selectedAttempt || this->hasActiveAttempt())
-        return;
-    this->recordFailure({ code, AttemptOutcome::Cancelled, false, isolatedRetryAfter });
-    if (this->mayHaveRun && resultCodeRow(this->lastFailure.code).runState == RunState::NotRun)
-        this->lastFailure.code = ResultCode::ConnectionLost;
-    this->answerFailure();
-}
-
 /** Returns the fingerprint for the claim of the idempotency key. It depends on the organisation, so that none gets the recorded answer of another one. */
 Fingerprint Call::claimFingerprint() const
 {
--- a/programs/kingcupswitchd/entry/CallUsage.cpp
+++ b/programs/kingcupswitchd/entry/CallUsage.cpp
@@ -29,11 +29,16 @@
     return false;
 }
 
-/** Returns the permit of a call of which no attempt has reached a target. An attempt without a handle was not sent. */
+/** Returns whether an attempt may have reached its target. An attempt without a handle was not sent. */
+bool Call::hasReachedTarget() const
+{
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [](const AttemptPointer& attempt) { return attempt->handle && attempt->mayHaveArrived; });
+}
+
+/** Returns the permit of a call of which no attempt has reached a target. */
 void Call::returnUsagePermit()
 {
-    auto hasReachedTarget = [](const AttemptPointer& attempt) { return attempt->handle && attempt->mayHaveArrived; };
-    if (!this->usagePermitHolder || std::any_of(this->attempts.begin(), this->attempts.end(), hasReachedTarget))
+    if (!this->usagePermitHolder || this->hasReachedTarget())
         return;
     this->gateway.usage.returnPermit(this->usagePermitHolder->name, MillisecondClock::now());
     this->usagePermitHolder.reset();
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -156,8 +156,9 @@
     this->gate.setServing(this->hasManifest.load() && !this->isLeaving.load() && !this->gateway.paths.isCut());
 }
 
-void EntryNode::announceStop()
+void EntryNode::announceStop(TimePoint latestDeadline)
 {
+    this->gateway.setLatestDeadline(latestDeadline);
     this->isLeaving.store(true);
     this->updateGate();
     this->listener.announceClose();
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -35,11 +35,8 @@
     /** Returns whether this VM should receive calls: a manifest is in force, no stop has begun, targets can be reached, and the lease is valid or there are routes, which are served without one. */
     bool isReady() const { return this->gateway.hasPathToTargets(MillisecondClock::now()) && (this->gateway.isLeaseValid() || this->servesIsolated.load()) && !this->gateway.isStopping.load() && this->hasManifest.load() && !this->isLeaving.load(); }
 
-    /** First step of a planned stop: clears readiness and closes connections after their next answer. Calls are still served. */
-    void announceStop();
-
-    /** Between the first and the second step: refuses calls whose deadline is after the given time. */
-    void setStopEnd(TimePoint end) { this->gateway.setStopEnd(end); }
+    /** First step of a planned stop: clears readiness and closes connections after their next answer. Calls whose deadline is after `latestDeadline` are refused, others are still served. */
+    void announceStop(TimePoint latestDeadline);
 
     /** Second step: accepts no new connections and waits for the calls in flight. Returns false if they did not finish within the limit. */
     bool drain(Milliseconds limit);
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -72,11 +72,11 @@
     /** Returns the log time in milliseconds. */
     int64_t logTimeMs() const;
 
-    /** Sets the time by which this VM stops. Calls with a later deadline are refused. */
-    void setStopEnd(TimePoint end) { this->stopEndMs.store(end.time_since_epoch().count()); }
+    /** Sets the latest deadline of calls at the begin of a stop. Calls with a later one are refused, also those that have not been sent to a target yet. */
+    void setLatestDeadline(TimePoint latest) { this->latestDeadlineMs.store(latest.time_since_epoch().count()); }
 
     /** Returns whether a call with this deadline ends before this VM stops. */
-    bool endsBeforeStop(TimePoint deadline) const { return deadline.time_since_epoch().count() <= this->stopEndMs.load(); }
+    bool endsBeforeStop(TimePoint deadline) const { return deadline.time_since_epoch().count() <= this->latestDeadlineMs.load(); }
 
     /** Refuses all further calls. */
     void stopServing() { this->isStopping.store(true); }
@@ -153,7 +153,7 @@
     MeasuringBudget routeMeasuringBudget; ///< Probe budget of services that have no kinds, which only routes lead to.
     mutable std::mutex logClockMutex; ///< Guards `logClock`.
     LogClock logClock; ///< Clock of the replicated log.
-    std::atomic<double> stopEndMs { std::numeric_limits<double>::infinity() }; ///< Time by which this VM stops, in milliseconds of the monotonic clock; infinite while no stop has begun.
+    std::atomic<double> latestDeadlineMs { std::numeric_limits<double>::infinity() }; ///< Latest deadline of a call, in milliseconds of the monotonic clock; infinite while no stop has begun.
     std::atomic<double> leaseEndMs { 0 }; ///< End of the lease, in milliseconds of the monotonic clock; 0: no lease yet.
     std::atomic<double> keyLeaseEndMs { 0 }; ///< End of the key lease, in milliseconds of the monotonic clock; 0: none yet.
     mutable std::mutex configurationMutex; ///< Serialises applyConfiguration().
--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -214,14 +214,14 @@
     if (this->relayListener)
         this->relayListener->stopAccepting();
     if (this->entry)
-        this->entry->announceStop();
+        this->entry->announceStop(schedule.latestDeadline());
     // Before the wait for calls, so that the group has a leader when the platform kills this process.
     this->handOverLeadership(schedule.noticeEnd());
     while (this->entry && MillisecondClock::now() < schedule.noticeEnd() && !isAborted.load())
         std::this_thread::sleep_for(stopPollInterval);
     bool isClean = true;
     if (this->entry || this->busyRelayedConnections() > 0)
-        isClean = this->waitForCalls(schedule, isAborted);
+        isClean = this->waitForCalls(schedule.callsEnd(), isAborted);
     // This VM may have been elected again while it waited.
     TimePoint handOverEnd = MillisecondClock::now() + handOverTimeout;
     this->handOverLeadership(std::min(handOverEnd, schedule.processEnd().value_or(handOverEnd)));
@@ -238,12 +238,9 @@
 }
 
 /** Waits for the calls in flight, also those of other VMs, in short steps so that `isAborted` is checked in between. Returns whether all calls completed. */
-bool Process::waitForCalls(const StopSchedule& schedule, const std::atomic<bool>& isAborted)
+bool Process::waitForCalls(TimePoint end, const std::atomic<bool>& isAborted)
 {
     constexpr Milliseconds step { 100 };
-    TimePoint end = schedule.callsEnd();
-    if (this->entry)
-        this->entry->setStopEnd(schedule.latestDeadline());
     for (TimePoint now = MillisecondClock::now(); now < end && !isAborted.load(); now = MillisecondClock::now()) {
         bool isIdle = !this->entry || this->entry->drain(std::min(step, end - now));
         if (isIdle && !this->busyRelayedConnections())
--- a/programs/kingcupswitchd/process/Process.h
+++ b/programs/kingcupswitchd/process/Process.h
@@ -9,7 +9,6 @@
 #include "RelayGate.h"
 
 #include "kingcup/RelayListener.h"
-#include "kingcup/StopSchedule.h"
 
 #include <memory>
 
@@ -38,7 +37,7 @@
     void receive(const LinkOrigin& origin, const wire::Envelope& envelope);
     void tick();
     void updateGauges(TimePoint now);
-    bool waitForCalls(const StopSchedule& schedule, const std::atomic<bool>& isAborted);
+    bool waitForCalls(TimePoint end, const std::atomic<bool>& isAborted);
     uint64_t callsInFlight() const;
     void handOverLeadership(TimePoint end);
     std::error_code startRelayListener();
--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -3,6 +3,9 @@
 #include "testing/HttpStream.h"
 #include "testing/MachineTime.h"
 
+#include "kingcup/HttpRules.h"
+
+#include <algorithm>
 #include <csignal>
 #include <gtest/gtest.h>
 
@@ -44,40 +47,64 @@
     return request;
 }
 
+/** Returns how often targets started to run a call. */
+int executionsOf(const Deployment& deployment, const std::string& callId)
+{
+    std::vector<Execution> executions = deployment.executions();
+    return static_cast<int>(std::count_if(executions.begin(), executions.end(), [&](const Execution& execution) { return execution.callId == callId; }));
+}
+
 } // namespace
 
 TEST(GracefulStop, refusesAtOnceWhatItCannotFinish)
 {
+    // Calls of 3000 ms. Those that arrived in the notice were accepted and cut off, because the end of the stop was known only after the notice.
     DeploymentOptions options = testOptions(82, 1, { { "matters", 1, 6 } });
-    options.settings = { { "stopNoticeMs", 200 }, { "stopLimitMs", 2500 } };
-    options.targetFaults = { { "latencyMedianMs", 900 } };
+    options.settings = { { "stopNoticeMs", 600 }, { "stopLimitMs", 2300 } };
+    options.targetFaults = { { "latencyMedianMs", 900 }, { "latencySigma", 0 } };
     Deployment deployment(options);
     ASSERT_EQ(startAll(deployment), "");
     std::string address = deployment.entryVms()[0].callerAddress;
-    HttpMessage request;
-    request.startLine = "GET /matters/balance HTTP/1.1";
-    request.add("Host", "kingcup");
-    // Calls on two kept connections: one keeps the VM from ending, the other sends again during the stop.
-    HttpStream first(connectTo(address, stopLimit));
-    HttpStream second(connectTo(address, stopLimit));
+    // One kept connection has a call in flight when the stop begins, the others send during the stop.
+    HttpStream inFlight(connectTo(address, stopLimit));
+    HttpStream inNotice(connectTo(address, stopLimit));
+    HttpStream shortCall(connectTo(address, stopLimit));
+    HttpStream afterNotice(connectTo(address, stopLimit));
     HttpMessage answer;
-    ASSERT_TRUE(second.connection().sendAll(request.encode()));
-    ASSERT_EQ(second.readAnswer(answer), HttpReadResult::Complete);
+    for (HttpStream* kept : { &inNotice, &shortCall, &afterNotice }) {
+        ASSERT_TRUE(kept->connection().sendAll(balanceRequest("before").encode()));
+        ASSERT_EQ(kept->readAnswer(answer), HttpReadResult::Complete);
+    }
+    ASSERT_TRUE(inFlight.connection().sendAll(balanceRequest("in-flight").encode()));
+    waitUntil(stopLimit, [&] { return deployment.targetStats(0).inFlight == 1; });
     deployment.entryVms()[0].process->signal(SIGTERM);
-    ASSERT_TRUE(first.connection().sendAll(request.encode()));
-    waitUntil(Milliseconds(350), [] { return false; });
-    section("a call whose deadline lies behind the end of the stop is refused as not run", [&] {
+    auto expectRefusalAtOnce = [&](HttpStream& stream, const std::string& callId) {
         double sentMs = machineTimeMs();
-        ASSERT_TRUE(second.connection().sendAll(request.encode()));
-        ASSERT_EQ(second.readAnswer(answer), HttpReadResult::Complete);
+        ASSERT_TRUE(stream.connection().sendAll(balanceRequest(callId).encode()));
+        ASSERT_EQ(stream.readAnswer(answer), HttpReadResult::Complete);
         EXPECT_EQ(answer.status(), 503);
         EXPECT_EQ(answer.find("Kingcup-Run"), "not-run");
         EXPECT_LT(machineTimeMs() - sentMs, 300) << "at once";
-    });
+    };
+    waitUntil(Milliseconds(200), [] { return false; });
+    section("in the notice, a call whose deadline lies behind the end of the stop is refused as not run", [&] { expectRefusalAtOnce(inNotice, "in-notice"); });
+    HttpMessage request = balanceRequest("short");
+    request.add(headerDeadline, "1800");
+    ASSERT_TRUE(shortCall.connection().sendAll(request.encode()));
+    waitUntil(Milliseconds(500), [] { return false; });
+    section("after the notice, a call whose deadline lies behind the end of the stop is refused as not run", [&] { expectRefusalAtOnce(afterNotice, "after-notice"); });
     section("the call that was in flight is finished", [&] {
-        ASSERT_EQ(first.readAnswer(answer), HttpReadResult::Complete);
+        ASSERT_EQ(inFlight.readAnswer(answer), HttpReadResult::Complete);
         EXPECT_EQ(answer.status(), 200);
     });
+    section("a call that arrived in the notice and ends before the stop is finished", [&] {
+        ASSERT_EQ(shortCall.readAnswer(answer), HttpReadResult::Complete);
+        EXPECT_EQ(answer.status(), 200) << answer.body;
+    });
+    section("nothing that was refused has run", [&] {
+        for (const char* callId : { "in-notice", "after-notice" })
+            EXPECT_EQ(executionsOf(deployment, callId), 0) << callId;
+    });
 }
 
 TEST(GracefulStop, cutsNoCallBeforeTheGracePeriodOfTheDeployment)
