Fix: [Entry, Transport] Calls that a stop cuts off get an answer

Callers saw: a closed connection when a stop did not wait for their calls, so that they could not tell whether their requests had run. The log gave a number only, and the end of such a call looked like a caller's disconnect. Cause: at the end of the stop the listener ended all exchanges as disconnected. Change: before that, each exchange in progress calls its cut-off hook. A call of which nothing was sent is answered 503 stopping (not run); one that a target may have run 502 stopped_after_send (2007, outcome unknown); a streamed answer is reset. call_cut_off in the log tells for each whether it was sent, its age and its limit. The outcome of a claim is reported, unknown or not run. Answers get 100 ms.

--- a/packages/state/include/kingcup/ResultCode.h
+++ b/packages/state/include/kingcup/ResultCode.h
@@ -42,6 +42,7 @@
     KeyOutcomeUnknown = 2004,
     KeyFinished = 2005,
     AnswerInvalid = 2006,
+    StoppedAfterSend = 2007,
 
     // 3xxx: manifests and commands.
     ManifestSyntax = 3001,
--- a/packages/state/src/ResultCode.cpp
+++ b/packages/state/src/ResultCode.cpp
@@ -40,6 +40,7 @@
     { ResultCode::KeyOutcomeUnknown, "key_outcome_unknown", 409, RunState::Unknown, false, "The outcome of the request with this Idempotency-Key is unknown; it is not run again." },
     { ResultCode::KeyFinished, "key_finished", 409, RunState::Ran, false, "The request with this Idempotency-Key ran; its answer was too large to record." },
     { ResultCode::AnswerInvalid, "answer_invalid", 502, RunState::Unknown, true, "The target's answer is not valid HTTP." },
+    { ResultCode::StoppedAfterSend, "stopped_after_send", 502, RunState::Unknown, true, "This VM stopped before the target had answered." },
     { ResultCode::ManifestSyntax, "manifest_syntax", 400, RunState::NotApplicable, false, "The manifest is not valid JSON." },
     { ResultCode::ManifestUnknownKey, "manifest_unknown_key", 400, RunState::NotApplicable, false, "The manifest holds an unknown key." },
     { ResultCode::ManifestWrongType, "manifest_wrong_type", 400, RunState::NotApplicable, false, "A value of the manifest has the wrong type." },
--- a/packages/transport/include/kingcup/HttpListener.h
+++ b/packages/transport/include/kingcup/HttpListener.h
@@ -51,6 +51,9 @@
     /** Sets the hook that is called once at the end of the exchange: true after the last byte was sent, false after a disconnect. */
     virtual void setClosedHook(std::function<void(bool completed)> hook) = 0;
 
+    /** Sets the hook that is called when the listener is about to close the connection of an exchange that has not ended. It may still answer. */
+    virtual void setCutOffHook(std::function<void()> hook) = 0;
+
     /** Sends a complete answer. Returns false, without effect, if an answer was started before or the exchange has ended. */
     virtual bool answer(HttpAnswerHead head, std::string body) = 0;
 
@@ -99,6 +102,9 @@
     /** Waits until no request is in progress. Returns false on timeout. */
     bool waitUntilIdle(Milliseconds limit);
 
+    /** Calls the cut-off hooks of all requests in progress, which may still be answered until stop(). */
+    void announceCutOff();
+
     /** Closes all connections and joins the threads. */
     void stop();
 
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -81,6 +81,9 @@
     /** Handles the first access callback of a request, when its header is complete. */
     MHD_Result beginRequest(const ExchangePointer& exchange, const RawHead& raw);
 
+    /** Returns the exchanges in progress. */
+    std::vector<ExchangePointer> openExchanges();
+
     /** Ends all exchanges, so that no connection stays suspended. */
     void endExchanges();
 };
@@ -200,15 +203,18 @@
     return exchange->onHandlerReturned();
 }
 
+std::vector<ExchangePointer> HttpListener::State::openExchanges()
+{
+    std::vector<ExchangePointer> open;
+    std::lock_guard lock(this->mutex);
+    for (ServedExchange* exchange : this->exchanges)
+        open.push_back(exchange->shared_from_this());
+    return open;
+}
+
 void HttpListener::State::endExchanges()
 {
-    std::vector<std::shared_ptr<ServedExchange>> openExchanges;
-    {
-        std::lock_guard lock(this->mutex);
-        for (ServedExchange* exchange : this->exchanges)
-            openExchanges.push_back(exchange->shared_from_this());
-    }
-    for (const std::shared_ptr<ServedExchange>& exchange : openExchanges)
+    for (const ExchangePointer& exchange : this->openExchanges())
         exchange->onDisconnected(true);
 }
 
@@ -302,6 +308,12 @@
     return this->state->becameIdle.wait_for(lock, limit, [this] { return this->state->openExchangeCount == 0; });
 }
 
+void HttpListener::announceCutOff()
+{
+    for (const ExchangePointer& exchange : this->state->openExchanges())
+        exchange->onCutOff();
+}
+
 void HttpListener::stop()
 {
     this->state->isStopping = true;
--- a/packages/transport/src/ServedExchange.cpp
+++ b/packages/transport/src/ServedExchange.cpp
@@ -54,6 +54,13 @@
     lock.unlock();
 }
 
+void ServedExchange::setCutOffHook(std::function<void()> hook)
+{
+    Lock lock(this->mutex);
+    this->cutOffHook.swap(hook);
+    lock.unlock();
+}
+
 void ServedExchange::setClosedHook(std::function<void(bool completed)> hook)
 {
     Lock lock(this->mutex);
@@ -87,11 +94,13 @@
     if (this->dueHooks.isClosedDue) {
         this->dueHooks = {};
         // The other hooks are released together with the closed hook, because they usually own a reference to this exchange.
-        return [hook = std::move(this->closedHook), wasCompleted = this->isCompleted, readable = std::move(this->readableHook), writable = std::move(this->writableHook)] {
+        return [hook = std::move(this->closedHook), wasCompleted = this->isCompleted, readable = std::move(this->readableHook), writable = std::move(this->writableHook), cutOff = std::move(this->cutOffHook)] {
             if (hook)
                 hook(wasCompleted);
         };
     }
+    if (std::exchange(this->dueHooks.isCutOffDue, false) && this->cutOffHook)
+        return this->cutOffHook;
     if (std::exchange(this->dueHooks.isReadableDue, false) && this->readableHook)
         return this->readableHook;
     if (std::exchange(this->dueHooks.isWritableDue, false) && this->writableHook)
@@ -281,6 +290,16 @@
         this->context->refusedHook(code);
 }
 
+void ServedExchange::onCutOff()
+{
+    Lock lock(this->mutex);
+    bool isAnswered = this->answerState == AnswerState::Complete || this->answerState == AnswerState::Finished;
+    if (this->isOver || isAnswered)
+        return;
+    this->dueHooks.isCutOffDue = true;
+    this->callHooks(lock);
+}
+
 void ServedExchange::onDisconnected(bool force)
 {
     Lock lock(this->mutex);
--- a/packages/transport/src/ServedExchange.h
+++ b/packages/transport/src/ServedExchange.h
@@ -36,6 +36,7 @@
     BodyState readBody(std::string& bytes, size_t limit) override;
     void setReadableHook(std::function<void()> hook) override;
     void setClosedHook(std::function<void(bool completed)> hook) override;
+    void setCutOffHook(std::function<void()> hook) override;
     bool answer(HttpAnswerHead head, std::string body) override;
     bool startAnswer(HttpAnswerHead head) override;
     bool write(std::string_view bytes) override;
@@ -67,6 +68,9 @@
     /** Ends the exchange because the caller closed its side or the listener stops. @param force Whether to end it even if its answer is complete. */
     void onDisconnected(bool force);
 
+    /** Calls the cut-off hook, unless the exchange has ended or its answer is complete. */
+    void onCutOff();
+
     std::string targetText; ///< Percent-encoded target, copied before libmicrohttpd splits it.
     bool isHeadHandled = false; ///< Whether the first access callback of this request was handled.
     const char* targetStart = nullptr; ///< Start of the target in the receive buffer.
@@ -86,6 +90,7 @@
     struct DueHooks {
         bool isReadableDue = false; ///< Call the readable hook.
         bool isWritableDue = false; ///< Call the writable hook.
+        bool isCutOffDue = false; ///< Call the cut-off hook.
         bool isClosedDue = false; ///< Call the closed hook.
     };
 
@@ -163,6 +168,7 @@
 
     std::function<void()> readableHook; ///< May be empty.
     std::function<void()> writableHook; ///< May be empty.
+    std::function<void()> cutOffHook; ///< May be empty.
     std::function<void(bool)> closedHook; ///< May be empty.
     DueHooks dueHooks; ///< Pending hooks.
     bool isCallingHooks = false; ///< Whether a thread is in callHooks().
--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -5,6 +5,7 @@
 #include "kingcup/JsonLog.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace kingcup {
 
@@ -132,6 +133,9 @@
                 self->gateway.upstream.resume(self->selectedAttempt->handle);
         });
     });
+    this->exchange->setCutOffHook([self] {
+        self->executor.post([self] { self->cutOff(); });
+    });
     this->exchange->setClosedHook([self](bool completed) {
         self->executor.post([self, completed] {
             if (!completed)
@@ -301,4 +305,30 @@
     this->endCall(ResultCode::ConnectionLost);
 }
 
+/** Ends the call because this VM stops. Without an answer the caller could not tell whether the request has run. */
+void Call::cutOff()
+{
+    if (this->hasEnded)
+        return;
+    bool mayHaveArrived = this->mayHaveRun || this->hasReachedTarget();
+    TimePoint now = MillisecondClock::now();
+    logLine(LogLevel::Warning, "call_cut_off",
+        { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service ? this->match.service->name : "" }, { "route", this->match.kind ? this->match.kind->name : "" },
+            { "sent", mayHaveArrived }, { "ageMs", std::round((now - this->arrivalTime).count()) }, { "limitMs", std::round((this->deadline - this->arrivalTime).count()) } });
+    if (this->isAdmissionPending && this->match.runtime->cancelAdmission(this->id))
+        this->isAdmissionPending = false;
+    if (this->selectedAttempt) {
+        if (this->isCallerPresent)
+            this->exchange->abort();
+        this->endCall(ResultCode::AnswerTruncated);
+        return;
+    }
+    // A target's error answer serves as the result only if all of it has arrived.
+    if (this->fallback && !this->fallback->isComplete)
+        this->fallback.reset();
+    this->lastFailure.code = mayHaveArrived ? ResultCode::StoppedAfterSend : ResultCode::Stopping;
+    this->lastFailure.retryAfter = stoppingRetryAfter;
+    this->answerFailure();
+}
+
 } // namespace kingcup
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -49,6 +49,7 @@
     void handleClaimResult(const wire::CommandResult& result);
     void sendRecordedAnswer(const wire::CommandResult& result);
     void handleCallerDisconnect();
+    void cutOff();
 
     // API keys (CallKeys.cpp).
     ResultCode checkKey();
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -176,6 +176,13 @@
     return idle && this->activeCalls() == 0;
 }
 
+void EntryNode::cutOffCalls(Milliseconds limit)
+{
+    this->gateway.stopServing();
+    this->listener.announceCutOff();
+    this->drain(limit);
+}
+
 void EntryNode::stop()
 {
     this->gateway.stopServing();
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -41,6 +41,9 @@
     /** Second step: accepts no new connections and waits for the calls in flight. Returns false if they did not finish within the limit. */
     bool drain(Milliseconds limit);
 
+    /** Third step, if calls are left: ends them with an answer, and waits until the answers are sent and the outcomes of claims reported, or the limit has passed. */
+    void cutOffCalls(Milliseconds limit);
+
     /** Last step: refuses calls, closes all connections and cancels what is in flight. */
     void stop();
 
--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -16,6 +16,7 @@
 
 constexpr Milliseconds stopPollInterval { 10 };
 constexpr Milliseconds handOverTimeout { 2000 };
+constexpr Milliseconds cutOffTimeout { 100 }; ///< Longest time for the answers to calls that are cut off.
 constexpr Milliseconds gaugeUpdateInterval { 1000 };
 constexpr Milliseconds controlConnectTimeout { 100 }; ///< Between control VMs, whose links decide how long an election takes after a loss of power. They are few, so that frequent tries cost little.
 constexpr Milliseconds controlReconnectInterval { 50 };
@@ -237,7 +238,7 @@
     return isClean;
 }
 
-/** Waits for the calls in flight, also those of other VMs, in short steps so that `isAborted` is checked in between. Returns whether all calls completed. */
+/** Waits for the calls in flight, also those of other VMs, in short steps so that `isAborted` is checked in between; then cuts off the rest. Returns whether all calls completed. */
 bool Process::waitForCalls(TimePoint end, const std::atomic<bool>& isAborted)
 {
     constexpr Milliseconds step { 100 };
@@ -249,6 +250,8 @@
             std::this_thread::sleep_for(stopPollInterval);
     }
     logLine(LogLevel::Warning, "calls_cut_off", { { "calls", this->callsInFlight() } });
+    if (this->entry)
+        this->entry->cutOffCalls(cutOffTimeout);
     return false;
 }
 
--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -141,6 +141,46 @@
     });
 }
 
+TEST(GracefulStop, answersWhatItCutsOff)
+{
+    // Callers whose calls were cut off saw a closed connection and could not tell whether their requests had run.
+    DeploymentOptions options = testOptions(84, 1, { { "matters", 1, 2 } });
+    options.settings = { { "stopNoticeMs", 100 }, { "stopLimitMs", 500 } };
+    options.targetFaults = { { "latencyMedianMs", 2500 }, { "latencySigma", 0 } };
+    Deployment deployment(options);
+    ASSERT_EQ(startAll(deployment), "");
+    Vm& vm = deployment.entryVms()[0];
+    constexpr int calls = 6;
+    std::vector<HttpStream> streams;
+    for (int call = 0; call < calls; ++call) {
+        streams.emplace_back(connectTo(vm.callerAddress, stopLimit));
+        ASSERT_TRUE(streams.back().connection().sendAll(balanceRequest("call-" + std::to_string(call)).encode()));
+    }
+    waitUntil(stopLimit, [&] { return deployment.targetStats(0).inFlight == 2; });
+    vm.process->signal(SIGTERM);
+    int cutOff = 0;
+    section("each call gets an answer that says whether it may have run", [&] {
+        for (int call = 0; call < calls; ++call) {
+            HttpMessage answer;
+            ASSERT_EQ(streams[call].readAnswer(answer), HttpReadResult::Complete) << call;
+            bool isNotRun = answer.find("Kingcup-Run") == "not-run";
+            EXPECT_EQ(answer.status(), isNotRun ? 503 : 502);
+            cutOff += isNotRun ? 0 : 1;
+            if (isNotRun)
+                EXPECT_EQ(executionsOf(deployment, "call-" + std::to_string(call)), 0) << call;
+            else
+                EXPECT_EQ(answer.find("Kingcup-Result"), "2007 stopped_after_send");
+        }
+        EXPECT_GE(cutOff, 2);
+    });
+    section("the exit status and the log name what was cut off", [&] {
+        EXPECT_EQ(vm.process->wait(stopLimit), 4) << vm.process->output();
+        std::string log = readFile(vm.folder + "/log.jsonl");
+        EXPECT_NE(log.find("\"event\":\"calls_cut_off\""), std::string::npos);
+        EXPECT_NE(log.find("\"event\":\"call_cut_off\""), std::string::npos);
+    });
+}
+
 TEST(GracefulStop, cutsNoCall)
 {
     DeploymentOptions options = testOptions(81, 3, { { "matters", 3, 6 } });
