Add: [Soak] Planned work only: stops, reloads and manifests that overlap, which must harm no call

Cause: the soak stops entry VMs among faults, under which an unanswered call proves nothing, and its callers leave a VM as soon as it is not ready. The class that applies manifests has a header of its own now.

--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -2,6 +2,7 @@
 #include "SoakRun.h"
 
 #include "FaultInjector.h"
+#include "ManifestWriter.h"
 
 #include "testing/Scenario.h"
 
@@ -14,53 +15,12 @@
 
 namespace {
 
-constexpr Milliseconds manifestInterval { 700 };
 constexpr Milliseconds recoveryLimit { 20000 }; ///< After the last repair; far above elections, leases and ejections.
 constexpr Milliseconds checkDuration { 1000 }; ///< Of the calls that must all be answered afterwards.
 constexpr uint32_t resends = 6;
 constexpr Milliseconds resendDelay { 250 };
 constexpr double postWeight = 2; ///< Keyed posts for each read.
 
-/** Applies manifests with growing numbers and remembers which were acknowledged. */
-class ManifestWriter {
-public:
-    explicit ManifestWriter(const Deployment& deployment, std::vector<Vm>& vms)
-        : deployment(deployment)
-        , vms(vms)
-        , thread([this] { this->write(); })
-    {
-    }
-    ~ManifestWriter() { this->stop(); }
-
-    /** Ends the writing; an application under way is finished first. */
-    void stop()
-    {
-        this->stopping = true;
-        if (this->thread.joinable())
-            this->thread.join();
-    }
-
-    uint64_t acknowledged() const { return this->highest; } ///< Highest number that was acknowledged.
-
-private:
-    void write()
-    {
-        constexpr uint64_t firstNumber = 2; // The deployment starts with 1.
-        for (uint64_t number = firstNumber; !this->stopping; ++number) {
-            const Vm& vm = this->vms[number % this->vms.size()];
-            if (this->deployment.applyManifest(vm, makeManifest(number, this->deployment.plan().services)).code() == 0)
-                this->highest = number;
-            waitUntil(manifestInterval, [this] { return this->stopping.load(); });
-        }
-    }
-
-    const Deployment& deployment; ///< Where manifests go.
-    std::vector<Vm>& vms; ///< VMs that are asked in turn.
-    std::atomic<bool> stopping = false; ///< Whether to stop.
-    std::atomic<uint64_t> highest = 1; ///< Acknowledged.
-    std::thread thread; ///< Writes.
-};
-
 /** Returns the deployment of a plan. */
 DeploymentOptions deploymentOptions(const SoakPlan& plan)
 {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,5 +1,5 @@
 /** @file main.cpp The fault soak. Ends with 0 only if no run broke a promise. */
-#include "SoakRun.h"
+#include "PlannedRun.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -19,6 +19,7 @@
 ABSL_FLAG(uint32_t, entry_vms, 3, "Processes with the role entry.");
 ABSL_FLAG(uint32_t, targets, 4, "Targets.");
 ABSL_FLAG(std::string, regressions, "", "File of seeds that once broke a promise, one a line before its cause; they are run instead.");
+ABSL_FLAG(bool, planned, false, "Only planned work: stops, reloads and manifests, which must harm no call.");
 ABSL_FLAG(std::string, without_rule, "", "Rule of control to switch off, to see that a check finds it.");
 
 using namespace kingcup;
@@ -68,7 +69,7 @@
 /** Runs one seed and prints what came out. Returns whether all promises held. */
 bool runSeed(uint64_t seed)
 {
-    SoakResult result = runSoak(planOf(seed));
+    SoakResult result = absl::GetFlag(FLAGS_planned) ? runPlanned(planOf(seed)) : runSoak(planOf(seed));
     bool sound = result.broken.empty();
     std::printf("seed %llu: %s; %zu faults, %llu calls, %llu answered, %llu refused, %llu unknown, p99 %.0f ms, manifest %llu\n",
         static_cast<unsigned long long>(seed), sound ? "held" : "BROKEN", result.faults, static_cast<unsigned long long>(result.calls.calls),
