Fix: [Transport] A long answer could stop halfway when its caller reads slowly

Cause: HttpExchange::write() set anew at each call whether its writer waits for the writable hook. Bytes that were on their way when the buffer was full arrived after it had been drained below its limit, but not yet to a half. The writer then no longer counted as waiting, the hook was never called, and the call had paused its target for good. The answer ended at the deadline of the call, or at the end of a planned stop, though its target was sending. Change: a writer that was told to wait waits until the hook is called. Ruled out: the target (its send buffer was full, with a zero window) and the caller (its receive buffer was empty).

--- a/packages/transport/src/ServedAnswer.cpp
+++ b/packages/transport/src/ServedAnswer.cpp
@@ -86,7 +86,8 @@
     this->streamBytes += bytes.size();
     if (this->isQueued)
         this->resume();
-    this->isWriterWaiting = this->stream.size() >= this->context->options.answerBufferBytes;
+    // Bytes that were on their way when the writer was told to wait may come after the buffer has been drained a little. The writer still waits then.
+    this->isWriterWaiting = this->isWriterWaiting || this->stream.size() >= this->context->options.answerBufferBytes;
     return !this->isWriterWaiting;
 }
 
--- a/packages/transport/tests/HttpListenerTest.cpp
+++ b/packages/transport/tests/HttpListenerTest.cpp
@@ -128,6 +128,26 @@
     EXPECT_TRUE(recorder.listener.waitUntilIdle(Milliseconds(waitLimitMs)));
 }
 
+// Guards against an answer that stops halfway because its writer waits for a hook that is never called. Bytes may be written after the writer was told
+// to wait, since they were on their way, and the buffer may have been drained below its limit by then, but not yet to the half at which the hook is called.
+TEST(HttpListenerTest, callsTheWritableHookAfterBytesThatWereOnTheirWay)
+{
+    constexpr size_t bufferBytes = 32 << 20; // Half of it is more than the sockets' buffers hold.
+    constexpr size_t writtenBytes = 36 << 20;
+    constexpr size_t firstBytes = 8 << 20; // Leaves between a half and the whole limit in the buffer.
+    RecordingListener recorder({ .address = "127.0.0.1:0", .answerBufferBytes = bufferBytes });
+    RawSocket caller = RawSocket::connectTo(recorder.listener.port(), 64 << 10);
+    caller.send(getRequest);
+    std::shared_ptr<HttpExchange> exchange = recorder.nextExchange();
+    exchange->startAnswer(answerHead(200));
+    EXPECT_FALSE(exchange->write(std::string(writtenBytes, 'x')));
+    EXPECT_EQ(caller.receiveBytes(firstBytes).size(), firstBytes);
+    EXPECT_EQ(recorder.calls.get().writable, 0);
+    EXPECT_FALSE(exchange->write("late")) << "the writer still waits for the hook";
+    EXPECT_EQ(caller.receiveBytes(writtenBytes - firstBytes).size(), writtenBytes - firstBytes);
+    EXPECT_TRUE(recorder.wait([](const HookCalls& seen) { return seen.writable == 1; }));
+}
+
 TEST(HttpListenerTest, neverEndsAnAbortedAnswerCleanly)
 {
     struct Case {
