Fix: [Soak] A control VM is stopped again only after it is ready

The fault series of the soak allows for that; planned work waits for a VM to be up before the next step, as docs/OPERATIONS.md asks.

--- a/soak/PlannedRun.cpp
+++ b/soak/PlannedRun.cpp
@@ -86,7 +86,8 @@
             Vm& vm = this->deployment.controlVms()[random.below(this->deployment.controlVms().size())];
             this->stop(vm, Milliseconds(0));
             this->deployment.restart(vm);
-            this->deployment.waitLeader(startLimit);
+            // A process dies of a signal that comes before it has set up its handling.
+            waitUntil(startLimit, [&] { return this->deployment.ready(vm) && this->deployment.leader(); });
         }
     }
 
