Fix: [Entry] A call that a stop cuts off is not refused as not run while a target may run it

Callers could see: 503 with Kingcup-Run: not-run for a request that was running. Its first target had turned it away, a second one worked on it when the stop cut it off. Cause: cutOff() did not record that an attempt in flight may run the request, so that answerFailure() used the answer of the first target. Conversely, an attempt that a target had turned away counted as one that may have run, and one that still searched for a target let the outcome of a claim be reported as unknown. Change: cutOff() ends searches first and records whether a target that has not stated the contrary may run the request. The part about searches has no test.

--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -310,11 +310,13 @@
 {
     if (this->hasEnded)
         return;
-    bool mayHaveArrived = this->mayHaveRun || this->hasReachedTarget();
+    // Searches end first, since the attempts for which they search were not sent.
+    this->cancelOtherAttempts(nullptr);
+    this->mayHaveRun = this->mayHaveRun || this->mayRunAtTarget();
     TimePoint now = MillisecondClock::now();
     logLine(LogLevel::Warning, "call_cut_off",
         { { "request", this->parameters.requestId }, { "call", this->id }, { "service", this->match.service ? this->match.service->name : "" }, { "route", this->match.kind ? this->match.kind->name : "" },
-            { "sent", mayHaveArrived }, { "ageMs", std::round((now - this->arrivalTime).count()) }, { "limitMs", std::round((this->deadline - this->arrivalTime).count()) } });
+            { "sent", this->mayHaveRun }, { "ageMs", std::round((now - this->arrivalTime).count()) }, { "limitMs", std::round((this->deadline - this->arrivalTime).count()) } });
     if (this->isAdmissionPending && this->match.runtime->cancelAdmission(this->id))
         this->isAdmissionPending = false;
     if (this->selectedAttempt) {
@@ -326,7 +328,7 @@
     // A target's error answer serves as the result only if all of it has arrived.
     if (this->fallback && !this->fallback->isComplete)
         this->fallback.reset();
-    this->lastFailure.code = mayHaveArrived ? ResultCode::StoppedAfterSend : ResultCode::Stopping;
+    this->lastFailure.code = this->mayHaveRun ? ResultCode::StoppedAfterSend : ResultCode::Stopping;
     this->lastFailure.retryAfter = stoppingRetryAfter;
     this->answerFailure();
 }
--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -90,6 +90,7 @@
     bool takeRetry(bool mayHaveBeenSent, AttemptOutcome outcome);
     bool retryAfterErrorStatus(const AttemptPointer& attempt);
     bool hasActiveAttempt() const;
+    bool mayRunAtTarget() const;
     void cancelOtherAttempts(const AttemptPointer& keptAttempt);
 
     // Target search by load probes (CallPlacement.cpp).
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -537,6 +537,15 @@
     return std::any_of(this->attempts.begin(), this->attempts.end(), [](const AttemptPointer& attempt) { return !attempt->hasEnded && !attempt->isDiscarded; });
 }
 
+/** Returns whether an attempt was sent to a target that has not stated that it did not run the request. */
+bool Call::mayRunAtTarget() const
+{
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [this](const AttemptPointer& attempt) {
+        bool isTurnedAway = attempt->hasHead && this->isReportedNotRun(attempt->head);
+        return attempt->handle && attempt->mayHaveArrived && !isTurnedAway;
+    });
+}
+
 /** Cancels all attempts but one. @param keptAttempt Null to cancel all. */
 void Call::cancelOtherAttempts(const AttemptPointer& keptAttempt)
 {
--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -181,6 +181,42 @@
     });
 }
 
+TEST(GracefulStop, refusesNothingThatRunsElsewhere)
+{
+    // A call that one target had turned away and that ran on another one when the stop cut it off was answered 503 as not run, with the answer of the first target.
+    DeploymentOptions options = testOptions(85, 1, { { "matters", 2, 6 } });
+    options.settings = { { "stopNoticeMs", 100 }, { "stopLimitMs", 500 } };
+    options.targetFaults = { { "latencyMedianMs", 3000 }, { "latencySigma", 0 } };
+    Deployment deployment(options);
+    ASSERT_EQ(startAll(deployment), "");
+    deployment.changeFaults(0, { { "shedShare", 1.0 } });
+    Vm& vm = deployment.entryVms()[0];
+    constexpr int calls = 6;
+    std::vector<HttpStream> streams;
+    for (int call = 0; call < calls; ++call) {
+        HttpMessage request = balanceRequest("call-" + std::to_string(call));
+        request.startLine = "POST /matters/invoice HTTP/1.1";
+        request.add("Idempotency-Key", "key-" + std::to_string(call));
+        streams.emplace_back(connectTo(vm.callerAddress, stopLimit));
+        ASSERT_TRUE(streams.back().connection().sendAll(request.encode()));
+    }
+    ASSERT_TRUE(waitUntil(stopLimit, [&] { return deployment.targetStats(0).shed > 0 && deployment.targetStats(1).inFlight > 0; }));
+    waitUntil(Milliseconds(300), [] { return false; });
+    ASSERT_GT(deployment.targetStats(0).shed, 0);
+    vm.process->signal(SIGTERM);
+    int cutOff = 0;
+    for (int call = 0; call < calls; ++call) {
+        HttpMessage answer;
+        ASSERT_EQ(streams[call].readAnswer(answer), HttpReadResult::Complete) << call;
+        int executions = executionsOf(deployment, "call-" + std::to_string(call));
+        EXPECT_EQ(answer.status(), executions ? 502 : 503) << call;
+        EXPECT_EQ(answer.find("Kingcup-Run"), executions ? "unknown" : "not-run") << call;
+        cutOff += executions;
+    }
+    EXPECT_GT(cutOff, 0);
+    EXPECT_EQ(vm.process->wait(stopLimit), 4) << vm.process->output();
+}
+
 TEST(GracefulStop, cutsNoCall)
 {
     DeploymentOptions options = testOptions(81, 3, { { "matters", 3, 6 } });
