Fix: [Daemon] A call that arrives after the last one of a stop is refused instead of being cut off

Callers could see: a request on a kept connection passed on to its target, and the connection closed without an answer, although the stop had time left. Cause: between the check that no call was in flight and the closing of the connections, calls were still accepted. On an entry VM this takes microseconds; a VM with both roles that cannot hand over its leadership tries that for two seconds in between. Change: once no call is in flight, further ones are refused, and the check is repeated before the stop goes on.

--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -41,6 +41,9 @@
     /** Second step: accepts no new connections and waits for the calls in flight. Returns false if they did not finish within the limit. */
     bool drain(Milliseconds limit);
 
+    /** Refuses all calls that arrive from now on. */
+    void refuseCalls() { this->gateway.stopServing(); }
+
     /** Third step, if calls are left: ends them with an answer, and waits until the answers are sent and the outcomes of claims reported, or the limit has passed. */
     void cutOffCalls(Milliseconds limit);
 
--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -242,10 +242,17 @@
 bool Process::waitForCalls(TimePoint end, const std::atomic<bool>& isAborted)
 {
     constexpr Milliseconds step { 100 };
+    bool isRefusing = !this->entry;
     for (TimePoint now = MillisecondClock::now(); now < end && !isAborted.load(); now = MillisecondClock::now()) {
         bool isIdle = !this->entry || this->entry->drain(std::min(step, end - now));
-        if (isIdle && !this->busyRelayedConnections())
-            return true;
+        if (isIdle && !this->busyRelayedConnections()) {
+            if (isRefusing)
+                return true;
+            // A call may have arrived on a kept connection since the check. It is finished, and none is passed on after it.
+            this->entry->refuseCalls();
+            isRefusing = true;
+            continue;
+        }
         if (isIdle)
             std::this_thread::sleep_for(stopPollInterval);
     }
--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -217,6 +217,42 @@
     EXPECT_EQ(vm.process->wait(stopLimit), 4) << vm.process->output();
 }
 
+TEST(GracefulStop, passesOnNothingThatItCutsOffAfterItsLastCall)
+{
+    // After its last call, a VM that could not hand over its leadership still served calls for two seconds, and then closed their connections without an answer.
+    DeploymentOptions options = testOptions(86, 1, { { "matters", 1, 6 } });
+    options.controlVms = 1;
+    options.settings = { { "stopNoticeMs", 100 }, { "stopLimitMs", 9000 } };
+    options.targetFaults = { { "latencyMedianMs", 1200 }, { "latencySigma", 0 } };
+    Deployment deployment(options);
+    ASSERT_EQ(startAll(deployment), "");
+    Vm& vm = deployment.controlVms()[0];
+    std::string address = deployment.entryVms()[0].callerAddress;
+    deployment.entryVms()[0].process->signal(SIGTERM);
+    ASSERT_EQ(deployment.entryVms()[0].process->wait(stopLimit), 0);
+    vm.process->signal(SIGTERM);
+    ASSERT_EQ(vm.process->wait(stopLimit), 0);
+    vm.settings["roles"] = { "control", "entry" };
+    vm.settings["callerListener"] = address;
+    deployment.restart(vm);
+    ASSERT_TRUE(waitUntil(stopLimit, [&] { return deployment.ready(vm); })) << vm.process->output();
+    HttpStream kept(connectTo(address, stopLimit));
+    HttpMessage answer;
+    ASSERT_TRUE(kept.connection().sendAll(balanceRequest("before").encode()));
+    ASSERT_EQ(kept.readAnswer(answer), HttpReadResult::Complete);
+    ASSERT_EQ(answer.status(), 200) << answer.body;
+    vm.process->signal(SIGTERM);
+    waitUntil(Milliseconds(1400), [] { return false; });
+    section("a call that arrives on a kept connection after the last call is answered", [&] {
+        ASSERT_TRUE(kept.connection().sendAll(balanceRequest("late").encode()));
+        ASSERT_EQ(kept.readAnswer(answer), HttpReadResult::Complete);
+        EXPECT_EQ(answer.status(), 503);
+        EXPECT_EQ(answer.find("Kingcup-Run"), "not-run");
+        EXPECT_EQ(executionsOf(deployment, "late"), 0);
+    });
+    EXPECT_EQ(vm.process->wait(stopLimit), 0) << vm.process->output();
+}
+
 TEST(GracefulStop, cutsNoCall)
 {
     DeploymentOptions options = testOptions(81, 3, { { "matters", 3, 6 } });
