--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -181,6 +181,78 @@
     });
 }
 
+TEST(GracefulStop, refusesNothingThatRunsElsewhere)
+{
+    // A call that one target had turned away and that ran on another one when the stop cut it off was answered 503 as not run, with the answer of the first target.
+    DeploymentOptions options = testOptions(85, 1, { { "matters", 2, 6 } });
+    options.settings = { { "stopNoticeMs", 100 }, { "stopLimitMs", 500 } };
+    options.targetFaults = { { "latencyMedianMs", 3000 }, { "latencySigma", 0 } };
+    Deployment deployment(options);
+    ASSERT_EQ(startAll(deployment), "");
+    deployment.changeFaults(0, { { "shedShare", 1.0 } });
+    Vm& vm = deployment.entryVms()[0];
+    constexpr int calls = 6;
+    std::vector<HttpStream> streams;
+    for (int call = 0; call < calls; ++call) {
+        HttpMessage request = balanceRequest("call-" + std::to_string(call));
+        request.startLine = "POST /matters/invoice HTTP/1.1";
+        request.add("Idempotency-Key", "key-" + std::to_string(call));
+        streams.emplace_back(connectTo(vm.callerAddress, stopLimit));
+        ASSERT_TRUE(streams.back().connection().sendAll(request.encode()));
+    }
+    ASSERT_TRUE(waitUntil(stopLimit, [&] { return deployment.targetStats(0).shed > 0 && deployment.targetStats(1).inFlight > 0; }));
+    waitUntil(Milliseconds(300), [] { return false; });
+    ASSERT_GT(deployment.targetStats(0).shed, 0);
+    vm.process->signal(SIGTERM);
+    int cutOff = 0;
+    for (int call = 0; call < calls; ++call) {
+        HttpMessage answer;
+        ASSERT_EQ(streams[call].readAnswer(answer), HttpReadResult::Complete) << call;
+        int executions = executionsOf(deployment, "call-" + std::to_string(call));
+        EXPECT_EQ(answer.status(), executions ? 502 : 503) << call;
+        EXPECT_EQ(answer.find("Kingcup-Run"), executions ? "unknown" : "not-run") << call;
+        cutOff += executions;
+    }
+    EXPECT_GT(cutOff, 0);
+    EXPECT_EQ(vm.process->wait(stopLimit), 4) << vm.process->output();
+}
+
+TEST(GracefulStop, passesOnNothingThatItCutsOffAfterItsLastCall)
+{
+    // After its last call, a VM that could not hand over its leadership still served calls for two seconds, and then closed their connections without an answer.
+    DeploymentOptions options = testOptions(86, 1, { { "matters", 1, 6 } });
+    options.controlVms = 1;
+    options.settings = { { "stopNoticeMs", 100 }, { "stopLimitMs", 9000 } };
+    options.targetFaults = { { "latencyMedianMs", 1200 }, { "latencySigma", 0 } };
+    Deployment deployment(options);
+    ASSERT_EQ(startAll(deployment), "");
+    Vm& vm = deployment.controlVms()[0];
+    std::string address = deployment.entryVms()[0].callerAddress;
+    deployment.entryVms()[0].process->signal(SIGTERM);
+    ASSERT_EQ(deployment.entryVms()[0].process->wait(stopLimit), 0);
+    vm.process->signal(SIGTERM);
+    ASSERT_EQ(vm.process->wait(stopLimit), 0);
+    vm.settings["roles"] = { "control", "entry" };
+    vm.settings["callerListener"] = address;
+    deployment.restart(vm);
+    ASSERT_TRUE(waitUntil(stopLimit, [&] { return deployment.ready(vm); })) << vm.process->output();
+    HttpStream kept(connectTo(address, stopLimit));
+    HttpMessage answer;
+    ASSERT_TRUE(kept.connection().sendAll(balanceRequest("before").encode()));
+    ASSERT_EQ(kept.readAnswer(answer), HttpReadResult::Complete);
+    ASSERT_EQ(answer.status(), 200) << answer.body;
+    vm.process->signal(SIGTERM);
+    waitUntil(Milliseconds(1400), [] { return false; });
+    section("a call that arrives on a kept connection after the last call is answered", [&] {
+        ASSERT_TRUE(kept.connection().sendAll(balanceRequest("late").encode()));
+        ASSERT_EQ(kept.readAnswer(answer), HttpReadResult::Complete);
+        EXPECT_EQ(answer.status(), 503);
+        EXPECT_EQ(answer.find("Kingcup-Run"), "not-run");
+        EXPECT_EQ(executionsOf(deployment, "late"), 0);
+    });
+    EXPECT_EQ(vm.process->wait(stopLimit), 0) << vm.process->output();
+}
+
 TEST(GracefulStop, cutsNoCall)
 {
     DeploymentOptions options = testOptions(81, 3, { { "matters", 3, 6 } });
