--- a/packages/coordination/tests/LogStorageTest.cpp
+++ b/packages/coordination/tests/LogStorageTest.cpp
@@ -1,6 +1,8 @@
 /** @file LogStorageTest.cpp Tests that the stored state of the replicated log survives restarts, crashes and full disks. */
 #include "kingcup/LogStorage.h"
 
+#include "LossyDisk.h"
+
 #include "testing/ScratchFolder.h"
 #include "testing/Story.h"
 
@@ -8,6 +10,7 @@
 #include <gtest/gtest.h>
 
 using namespace kingcup;
+using kingcup::testing::LossyDisk;
 using kingcup::testing::ScratchFolder;
 using kingcup::testing::section;
 
@@ -138,6 +141,34 @@
     }
 }
 
+/** Guards against synced entries that are lost because a killed process had renamed the file that holds them without a sync of the folder. */
+TEST(LogStorageTest, killWhileStoringASnapshotAndLossOfPowerAfterIt)
+{
+    for (uint64_t lastCall = 0; lastCall <= 6; ++lastCall) {
+        for (uint64_t seed = 1; seed <= 10; ++seed) {
+            SCOPED_TRACE("seed " + std::to_string(seed) + ", last call " + std::to_string(lastCall));
+            ScratchFolder folder;
+            RandomSource random(seed);
+            LossyDisk disk(folder.path(), random, true);
+            ReopenableStorage store(folder.path());
+            ASSERT_FALSE(store.reopen(disk.hooks()));
+            ASSERT_FALSE(store.storage->write({ HardState { 3, 2 }, 0, makeEntries(1, 10, 2) }));
+            ASSERT_FALSE(store.storage->sync());
+            disk.failAfter(lastCall);
+            EXPECT_EQ(!store.storage->storeSnapshot({ 6, 2, {} }, "state at 6"), lastCall == 6);
+            disk.failAfter(LossyDisk::noFailure);
+            ASSERT_FALSE(store.reopen(disk.hooks()));
+            ASSERT_FALSE(store.storage->write({ HardState { 4, 1 }, 0, makeEntries(11, 12, 4) }));
+            ASSERT_FALSE(store.storage->sync());
+            store.storage.reset();
+            disk.losePower();
+            ASSERT_FALSE(store.reopen(disk.hooks()));
+            EXPECT_EQ(store.state.hardState, (HardState { 4, 1 }));
+            EXPECT_EQ(store.entryRange().second, 12u);
+        }
+    }
+}
+
 TEST(LogStorageTest, snapshotNewerThanTheJournal)
 {
     ScratchFolder folder;
--- a/packages/state/include/kingcup/Journal.h
+++ b/packages/state/include/kingcup/Journal.h
@@ -37,7 +37,7 @@
     ~Journal();
 
     /**
-     * Opens or creates the journal in a folder, reads all records and syncs the file.
+     * Opens or creates the journal in a folder, reads all records and syncs the file and the folder.
      * Errors: JournalDamaged, SyncFailed, FileError, and DiskFull if the file has to be created.
      * @param journal Set on success only.
      */
--- a/packages/state/src/Journal.cpp
+++ b/packages/state/src/Journal.cpp
@@ -188,6 +188,9 @@
     state.end = *end;
     // The records may be in the page cache only; sync them before any decision depends on them.
     error = opened->sync();
+    // If the earlier process was killed between a rename and the sync of the folder, a loss of power would bring back the replaced file without later records.
+    if (!error)
+        error = syncFolder(folder, state.hooks);
     if (!error)
         journal = std::move(opened);
     return error;
