Add: [Tests] FinalFaultTest loses tolerated disks and the power of all other VMs

Cause: no test lost the power of VMs whose files then hold only what was synced. Change: members of LogNetwork store their logs through LogStorage on a LossyDisk. PlannedGroup moves from MembershipRecoveryTest to a header of its own; a VM that its log does not list asks to join. MembershipRecoveryTest, ReplicatedLogTest and ReplicatedLogRulesTest pass.

--- a/packages/coordination/tests/LogNetwork.h
+++ b/packages/coordination/tests/LogNetwork.h
@@ -24,6 +24,16 @@
     int runNumber = 0; ///< Number of starts; timers of earlier runs are ignored.
 };
 
+/** Storage that the members use beside their simulated disks. Functions that are not set are not called. */
+struct LogDiskHooks {
+    std::function<void(LogNode&)> load; ///< Reads LogNode::disk and LogNode::diskSnapshotData before a member starts.
+    std::function<void(LogNode&, const LogWrite&)> write; ///< Writes without a sync.
+    std::function<void(LogNode&)> sync; ///< Syncs the earlier writes of a member.
+    std::function<void(LogNode&, const SnapshotMeta&, const std::string&)> storeSnapshot; ///< Stores a snapshot durably.
+    std::function<void(LogNode&)> losePower; ///< Called before a member that loses power is stopped.
+    std::function<void(LogNode&)> kill; ///< Called before a member is stopped whose files stay as they were written.
+};
+
 /** Members, the links between them, and a record of all entries for the checks. */
 class LogNetwork {
 public:
@@ -68,6 +78,8 @@
     void start(VmId vm)
     {
         LogNode& node = this->nodes[vm];
+        if (this->diskHooks.load)
+            this->diskHooks.load(node);
         ReplicatedLogOptions memberOptions = this->options;
         memberOptions.self = vm;
         memberOptions.incarnation = node.incarnation;
@@ -86,6 +98,22 @@
         this->nodes[vm].unsyncedOutputs.clear();
     }
 
+    /** Stops a member without power. Its storage may keep any part of the unsynced writes. */
+    void losePower(VmId vm)
+    {
+        if (this->diskHooks.losePower)
+            this->diskHooks.losePower(this->nodes[vm]);
+        this->crash(vm);
+    }
+
+    /** Kills the process of a member. Its storage keeps what was written, also without a sync. */
+    void kill(VmId vm)
+    {
+        if (this->diskHooks.kill)
+            this->diskHooks.kill(this->nodes[vm]);
+        this->crash(vm);
+    }
+
     /** Restarts a VM with an empty disk and a new incarnation. */
     void wipeDisk(VmId vm)
     {
@@ -176,6 +204,11 @@
         for (const OutgoingLogMessage& message : output.messagesBeforeSync)
             this->send(node, message);
         output.messagesBeforeSync.clear();
+        if (!this->doMessagesAwaitSync) {
+            for (const OutgoingLogMessage& message : output.messagesAfterSync)
+                this->send(node, message);
+            output.messagesAfterSync.clear();
+        }
         if (node.unsyncedOutputs.empty())
             this->schedule(this->random.fraction() * (node.vm == this->slowDiskVm ? 200 : this->maxSyncMs), [this, &node, runNumber = node.runNumber] { this->syncDisk(node, runNumber); });
         node.unsyncedOutputs.push_back(std::move(output));
@@ -210,9 +243,11 @@
     double duplicateShare = 0; ///< Share of messages that arrive twice.
     double maxDelayMs = 2; ///< Longest delay of a message; messages may overtake each other.
     double maxSyncMs = 3; ///< Longest time until a sync.
+    bool doMessagesAwaitSync = true; ///< Whether messages that depend on a sync are sent after it. Disabled only to show that a test sees the loss.
     VmId slowDiskVm = 0; ///< Member whose syncs take up to 200 ms; 0 if there is none.
     LogIndex snapshotIntervalEntries = 20; ///< Applied entries between snapshots.
     uint64_t sentMessages = 0; ///< Messages sent and not lost.
+    LogDiskHooks diskHooks;
     std::function<void(LogNode&)> tickHook; ///< Called after each tick of a member.
     std::function<void(LogNode& receiver, VmId from, uint64_t fromIncarnation)> messageHook; ///< Called before a member handles a message.
     std::vector<std::string> violations;
@@ -290,6 +325,8 @@
         node.unsyncedOutputs.clear();
         for (const ReplicatedLogOutput& output : outputs)
             this->writeToDisk(node, output);
+        if (this->diskHooks.sync)
+            this->diskHooks.sync(node);
         for (const ReplicatedLogOutput& output : outputs) {
             for (const OutgoingLogMessage& message : output.messagesAfterSync)
                 this->send(node, message);
@@ -300,7 +337,9 @@
             for (const wire::LogEntry& entry : output.committedEntries)
                 this->apply(node, entry);
         }
-        if (node.appliedPosition.lastIndex >= node.disk.snapshot.lastIndex + this->snapshotIntervalEntries)
+        bool isSnapshotDue = node.appliedPosition.lastIndex >= node.disk.snapshot.lastIndex + this->snapshotIntervalEntries;
+        // A leader does not send a snapshot without data, which no state machine writes.
+        if (isSnapshotDue && !node.appliedPayloads.empty())
             this->takeSnapshot(node);
         if (std::any_of(outputs.begin(), outputs.end(), [](const ReplicatedLogOutput& output) { return !output.write.empty(); })) {
             LogIndex last = node.disk.entries.empty() ? node.disk.snapshot.lastIndex : node.disk.entries.back().index();
@@ -314,6 +353,8 @@
         DurableLogState& disk = node.disk;
         if (output.receivedSnapshot && output.receivedSnapshot->meta.lastIndex > disk.snapshot.lastIndex)
             this->storeSnapshot(node, output.receivedSnapshot->meta, output.receivedSnapshot->data);
+        if (this->diskHooks.write)
+            this->diskHooks.write(node, output.write);
         if (output.write.hardState)
             disk.hardState = *output.write.hardState;
         if (output.write.truncateFrom)
@@ -332,6 +373,8 @@
 
     void storeSnapshot(LogNode& node, const SnapshotMeta& meta, const std::string& data)
     {
+        if (this->diskHooks.storeSnapshot)
+            this->diskHooks.storeSnapshot(node, meta, data);
         node.disk.snapshot = meta;
         node.diskSnapshotData = data;
         std::erase_if(node.disk.entries, [&](const wire::LogEntry& entry) { return entry.index() <= meta.lastIndex; });
