Add: [Tests] ReplicatedLogRulesTest checks answers before a sync and membership changes after an election

Change: a section for each of them, and one for appended entries, which only FinalFaultTest checked.

--- a/packages/coordination/tests/ReplicatedLogRulesTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogRulesTest.cpp
@@ -207,3 +207,66 @@
         EXPECT_EQ(member.receiveVoteAnswer(2, false, 3000).write.hardState, (HardState { 6, 1, true }));
     });
 }
+
+/** Guards against answers for writes that a loss of power may still undo. */
+TEST(ReplicatedLogRulesTest, answersAwaitSync)
+{
+    section("before the sync of its entries, a member answers the heartbeat round only", [] {
+        TestMember member;
+        wire::LogMessage append;
+        append.mutable_append_request()->set_term(5);
+        append.mutable_append_request()->set_previous_index(1);
+        append.mutable_append_request()->set_previous_term(1);
+        append.mutable_append_request()->add_entries()->set_index(2);
+        append.mutable_append_request()->mutable_entries(0)->set_term(5);
+        ReplicatedLogOutput output = member.receive(3, append, 1001);
+        ASSERT_EQ(output.messagesBeforeSync.size(), 1u);
+        EXPECT_TRUE(output.messagesBeforeSync[0].message.append_answer().round_only());
+        EXPECT_EQ(output.messagesBeforeSync[0].message.append_answer().match_index(), 0u);
+        ASSERT_EQ(output.messagesAfterSync.size(), 1u);
+        EXPECT_EQ(output.messagesAfterSync[0].message.append_answer().match_index(), 2u);
+    });
+    section("a snapshot is reported as installed only after it is stored", [] {
+        TestMember member;
+        wire::LogMessage message;
+        wire::SnapshotRequest& request = *message.mutable_snapshot_request();
+        request.set_term(5);
+        request.set_last_index(9);
+        request.set_last_term(5);
+        request.set_chunk("state at 9");
+        request.set_last_chunk(true);
+        ReplicatedLogOutput output = member.receive(3, message, 1001);
+        ASSERT_TRUE(output.receivedSnapshot);
+        EXPECT_TRUE(output.messagesBeforeSync.empty());
+        ASSERT_EQ(output.messagesAfterSync.size(), 1u);
+        EXPECT_TRUE(output.messagesAfterSync[0].message.snapshot_answer().installed());
+    });
+}
+
+/** Guards against two memberships without a common majority: a change by an earlier leader may still be undecided when the next leader makes its own. */
+TEST(ReplicatedLogRulesTest, membershipChangeAfterElection)
+{
+    TestMember member;
+    wire::LogMessage append;
+    append.mutable_append_request()->set_term(5);
+    append.mutable_append_request()->set_previous_index(1);
+    append.mutable_append_request()->set_previous_term(1);
+    append.mutable_append_request()->set_commit_index(1);
+    member.receive(3, append, 1001);
+    member.winElection(3000);
+    ASSERT_EQ(member.log->role(), LogRole::Leader);
+    ASSERT_TRUE(member.log->isMembershipCommitted());
+    wire::Membership next = member.log->membership();
+    next.mutable_members()->RemoveLast();
+    ReplicatedLog::Proposal proposal;
+    section("a new leader changes no membership before an entry of its term is committed", [&] {
+        member.log->proposeMembership(next, timeAt(3010), proposal);
+        EXPECT_EQ(proposal.code, ResultCode::MembershipChangePending);
+    });
+    section("after it, the change is accepted", [&] {
+        member.log->recordSync(2, 6, timeAt(3020));
+        member.receiveAppendAnswer(2, 2, 1, 3020);
+        member.log->proposeMembership(next, timeAt(3020), proposal);
+        EXPECT_EQ(proposal.code, ResultCode::Ok);
+    });
+}
