Fix: [Coordination] Latency from before an outage refuses no callers after it

Cause: when the slots of a service returned after none had been usable, admission judged the wait by the mean duration of the calls before. The limit itself was not low: the state of the VMs showed a limit of 2 for the 2 slots of zone b throughout. With a mean of 2 s or more, any call that didn't start at once was refused with wait_too_long, until enough new calls had ended.

Change: when slots return after none, the mean starts anew, and calls that began before don't count. The baseline stays, so that congestion is still recognized. The usable slots are counted under the lock, so that the prober cannot replace the count of a new configuration by an older one.

--- a/packages/coordination/include/kingcup/Admission.h
+++ b/packages/coordination/include/kingcup/Admission.h
@@ -33,7 +33,7 @@
     ~Admission();
 
     /** Changes the limits; queued requests stay queued. @param usableSlots Slots of the usable targets, as computed by the router; 0 if unknown. */
-    void setLimits(const ServiceLimits& limits, uint32_t usableSlots);
+    void setLimits(const ServiceLimits& limits, uint32_t usableSlots, TimePoint now);
 
     /** Submits a request. Returns all decisions made by this call; if this request is not among them, it is queued. */
     std::vector<AdmissionDecision> submitRequest(const AdmissionRequest& request, TimePoint now);
--- a/packages/coordination/src/Admission.cpp
+++ b/packages/coordination/src/Admission.cpp
@@ -191,10 +191,10 @@
 
 Admission::~Admission() = default;
 
-void Admission::setLimits(const ServiceLimits& limits, uint32_t usableSlots)
+void Admission::setLimits(const ServiceLimits& limits, uint32_t usableSlots, TimePoint now)
 {
     this->state->limits = limits;
-    this->state->concurrency.setBounds(usableSlots, limits.maxInFlight);
+    this->state->concurrency.setBounds(usableSlots, limits.maxInFlight, now);
 }
 
 std::vector<AdmissionDecision> Admission::submitRequest(const AdmissionRequest& request, TimePoint now)
--- a/packages/coordination/src/ConcurrencyLimit.cpp
+++ b/packages/coordination/src/ConcurrencyLimit.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-void ConcurrencyLimit::setBounds(uint32_t usableSlots, uint32_t maxInFlight)
+void ConcurrencyLimit::setBounds(uint32_t usableSlots, uint32_t maxInFlight, TimePoint now)
 {
     bool areSlotsNew = this->slots == 0 && usableSlots > 0;
     this->slots = usableSlots;
@@ -28,19 +28,34 @@
     if (maxInFlight)
         this->maxLimit = std::min<double>(this->maxLimit, maxInFlight);
     this->minLimit = std::min(this->minLimit, this->maxLimit);
-    if (areSlotsNew)
+    if (areSlotsNew) {
         this->currentLimit = usableSlots;
+        this->restartEstimates(now);
+    }
     this->clampLimit();
 }
 
+/** Drops what the calls before an outage tell about waiting times, since an idle service would otherwise refuse callers by it. The baseline stays, so that congestion is still recognized. */
+void ConcurrencyLimit::restartEstimates(TimePoint now)
+{
+    this->slotsReturnedAt = now;
+    this->observationsSinceReturn = 0;
+    this->meanLatencyMs = initialLatencyMs;
+    this->recentLogLatency = std::min(this->recentLogLatency, this->baselineLogLatency);
+}
+
 void ConcurrencyLimit::recordCall(Milliseconds latency, bool overloaded, uint32_t inFlight, TimePoint now)
 {
+    if (now - latency < this->slotsReturnedAt)
+        return; // The call began before the outage and tells nothing about the targets after it.
     double latencyMs = std::max(latency.count(), 0.001);
     double logLatency = std::log(latencyMs);
     ++this->observations;
+    ++this->observationsSinceReturn;
     // The first observations are averaged with equal weight, since a single one is a poor estimate of the baseline latency.
     double weight = std::max(latencyWeight, 1 / static_cast<double>(this->observations));
-    this->meanLatencyMs += weight * (latencyMs - this->meanLatencyMs);
+    double meanWeight = std::max(latencyWeight, 1 / static_cast<double>(this->observationsSinceReturn));
+    this->meanLatencyMs += meanWeight * (latencyMs - this->meanLatencyMs);
     this->recentLogLatency += weight * (logLatency - this->recentLogLatency);
     bool isWarmingUp = this->observations <= minObservations;
     double baselineWeight = this->recentLogLatency < this->baselineLogLatency ? baselineFallWeight : baselineRiseWeight;
--- a/packages/coordination/tests/AdmissionTest.cpp
+++ b/packages/coordination/tests/AdmissionTest.cpp
@@ -24,7 +24,7 @@
     {
         ServiceLimits limits;
         limits.maxInFlight = slots;
-        this->admission.setLimits(limits, slots);
+        this->admission.setLimits(limits, slots, timeAt(0));
     }
 
     void submit(AdmissionRequest request)
@@ -54,6 +54,19 @@
         this->nowMs = toMs;
     }
 
+    /** Changes the number of usable slots without a bound by the manifest. */
+    void setUsableSlots(uint32_t slots)
+    {
+        this->admission.setLimits(ServiceLimits {}, slots, timeAt(this->nowMs));
+        this->recordDecisions(this->admission.tick(timeAt(this->nowMs)));
+    }
+
+    /** Returns how many of the submitted requests have been refused. */
+    size_t refusedCount() const
+    {
+        return static_cast<size_t>(std::count_if(this->decided.begin(), this->decided.end(), [](const auto& entry) { return entry.second.code != ResultCode::Ok; }));
+    }
+
     double randomCallMs() { return 2 + 6 * this->random.fraction(); }
 
     /** A request and its time of submission. */
@@ -70,6 +83,7 @@
     std::map<uint64_t, AdmissionDecision> decided; ///< All decisions by request.
     std::map<int, uint64_t> startCounts; ///< Number of admitted requests by priority.
     std::vector<uint64_t> startOrder; ///< Admitted requests in the order of their start.
+    double fixedCallMs = 0; ///< Duration of the calls that start from now on; 0: random.
 
 private:
     void recordDecisions(const std::vector<AdmissionDecision>& decisions)
@@ -86,7 +100,7 @@
             }
             ++this->startCounts[submission.request.priority];
             this->startOrder.push_back(decision.id);
-            double callMs = this->randomCallMs();
+            double callMs = this->fixedCallMs > 0 ? this->fixedCallMs : this->randomCallMs();
             this->ends.emplace(this->nowMs + callMs, callMs);
         }
     }
@@ -183,7 +197,7 @@
         limits.queueLength = 2;
         limits.maxInFlight = 1;
         Admission admission(limits);
-        admission.setLimits(limits, 1);
+        admission.setLimits(limits, 1, timeAt(0));
         auto submit = [&](uint64_t id, int priority, bool mayBeRefused) {
             return admission.submitRequest({ id, priority, timeAt(1000), Milliseconds(500), mayBeRefused }, timeAt(0));
         };
@@ -202,7 +216,7 @@
 {
     ServiceLimits limits;
     Admission admission(limits);
-    admission.setLimits(limits, 40);
+    admission.setLimits(limits, 40, timeAt(0));
     auto runCalls = [&](double latencyMs, bool isOverloaded, double fromMs) {
         for (int i = 0; i < 400; ++i) {
             TimePoint now = timeAt(fromMs + i * 5);
@@ -228,7 +242,58 @@
         runCalls(5, false, 9000);
         EXPECT_GT(admission.limit(), 20u);
         limits.maxInFlight = 7;
-        admission.setLimits(limits, 40);
+        admission.setLimits(limits, 40, timeAt(11000));
         EXPECT_EQ(admission.limit(), 7u);
     });
 }
+
+// Guards against an admission that judges by the latency before an outage: it refused up to half of the calls with wait_too_long after a zone was restored.
+TEST(AdmissionTest, servesCallersAsSoonAsSlotsReturnAfterNone)
+{
+    constexpr double slowCallMs = 2000;
+    constexpr double fastCallMs = 2;
+    constexpr double waitMs = 1000;
+    constexpr double deadlineMs = 3000;
+    // Counts the callers refused after the return of the slots, for groups of four callers at once, and returns the time of the last one.
+    auto refusedTimeMs = [&](double outageMs, double firstCallMs, size_t& refused) {
+        AdmissionSimulation simulation(1, 6);
+        simulation.setUsableSlots(6);
+        simulation.fixedCallMs = slowCallMs;
+        for (double ms = 0; ms < 20000; ms += 400) {
+            simulation.advance(ms);
+            simulation.submit(makeRequest(5, ms + 2 * deadlineMs, waitMs, true));
+        }
+        simulation.setUsableSlots(0);
+        simulation.advance(20000 + outageMs);
+        simulation.setUsableSlots(2);
+        double returnedMs = simulation.nowMs;
+        size_t refusedBefore = simulation.refusedCount();
+        double lastRefusalMs = 0;
+        for (double ms = returnedMs; ms < returnedMs + 60000; ms += 250) {
+            simulation.advance(ms);
+            simulation.fixedCallMs = ms == returnedMs ? firstCallMs : fastCallMs;
+            size_t refusedSoFar = simulation.refusedCount();
+            for (int caller = 0; caller < 4; ++caller)
+                simulation.submit(makeRequest(5, ms + deadlineMs, waitMs, true));
+            if (simulation.refusedCount() > refusedSoFar)
+                lastRefusalMs = ms - returnedMs;
+        }
+        refused = simulation.refusedCount() - refusedBefore;
+        return lastRefusalMs;
+    };
+    section("the latency of calls before the outage refuses nobody after it", [&] {
+        size_t refused = 0;
+        double timeMs = refusedTimeMs(5000, fastCallMs, refused);
+        EXPECT_EQ(refused, 0u) << "the last one " << timeMs << " ms after the slots returned";
+    });
+    section("nor does the latency of calls that began before the outage and end after it", [&] {
+        size_t refused = 0;
+        double timeMs = refusedTimeMs(1100, fastCallMs, refused);
+        EXPECT_EQ(refused, 0u) << "the last one " << timeMs << " ms after the slots returned";
+    });
+    section("nor does the wait of the first calls after the outage, while targets end the work of earlier ones", [&] {
+        size_t refused = 0;
+        double timeMs = refusedTimeMs(5000, 700, refused);
+        EXPECT_EQ(refused, 0u) << "the last one " << timeMs << " ms after the slots returned";
+    });
+}
--- a/packages/coordination/tests/RoutingPlainPathTest.cpp
+++ b/packages/coordination/tests/RoutingPlainPathTest.cpp
@@ -16,7 +16,7 @@
 {
     section("an idle service admits a request at once, and the router picks a target and counts the attempt", [] {
         Admission admission { ServiceLimits {} };
-        admission.setLimits(ServiceLimits {}, 6);
+        admission.setLimits(ServiceLimits {}, 6, timeAt(0));
         auto decisions = admission.submitRequest({ 1, 5, timeAt(1000), Milliseconds(100), true }, timeAt(0));
         ASSERT_EQ(decisions.size(), 1u);
         EXPECT_EQ(decisions[0].code, ResultCode::Ok);
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -62,9 +62,9 @@
 
 void ServiceRuntime::refreshLimits(const Service& service, TimePoint now)
 {
-    uint32_t usableSlots = this->router.usableSlots(now);
     std::unique_lock<std::mutex> lock(this->mutex);
-    this->admission.setLimits(service.limits, usableSlots);
+    uint32_t usableSlots = this->router.usableSlots(now); // Counted under the lock, so that no older count replaces a newer one.
+    this->admission.setLimits(service.limits, usableSlots, now);
     this->dispatchDecisions(this->admission.tick(now), std::move(lock));
 }
 
--- a/tests/ZonesTest.cpp
+++ b/tests/ZonesTest.cpp
@@ -7,8 +7,10 @@
 #include "testing/MachineTime.h"
 
 #include <algorithm>
+#include <cmath>
 #include <gtest/gtest.h>
 #include <iostream>
+#include <map>
 #include <sstream>
 
 using namespace kingcup;
@@ -80,6 +82,29 @@
     return sum;
 }
 
+/**
+ * Checks that calls were answered, or refused with wait_too_long for what was seen since a change: after they had waited as long as their kind may,
+ * or after the first call at their VM had ended.
+ */
+void expectNoRefusalByEarlierLatency(const std::vector<CallRecord>& records)
+{
+    constexpr double mayWaitMs = 1000; ///< Of kind read in the manifest.
+    constexpr double answerDelayMs = 100; ///< Time from the end of a call at the VM until the caller has read the answer, on a busy machine.
+    std::map<std::string, double> firstEndMs;
+    for (const CallRecord& record : records) {
+        bool isRefused = record.view.resultCode == numberOf(ResultCode::WaitTooLong);
+        double& endMs = firstEndMs.try_emplace(record.address, INFINITY).first->second;
+        endMs = isRefused ? endMs : std::min(endMs, record.view.endMs);
+    }
+    for (const CallRecord& record : records) {
+        if (record.view.status == 200)
+            continue;
+        EXPECT_EQ(record.view.resultCode, numberOf(ResultCode::WaitTooLong)) << record.result;
+        bool hasWaited = record.view.endMs - record.view.startMs >= mayWaitMs;
+        EXPECT_TRUE(hasWaited || record.view.startMs > firstEndMs[record.address] - answerDelayMs) << record.result << " before the first answer at " << record.address;
+    }
+}
+
 } // namespace
 
 TEST(Zones, outOfUseZoneGetsNoRequestAlsoWhenControlVmsFail)
@@ -185,6 +210,13 @@
             deployment.changeFaults(target, { { "latencyMedianMs", 2 } });
         ASSERT_GT(changeZone(deployment, vm, "restore", "b"), 0);
         ASSERT_TRUE(waitInForce(deployment, { "a", "c" }));
+        // Targets go on with calls whose callers gave up, and then answer nothing else for up to a second.
+        LoadGenerator early(loadOn(deployment, 50, Milliseconds(1000), 0));
+        early.start();
+        early.join();
+        expectNoRefusalByEarlierLatency(early.records());
+        for (size_t target = 0; target < deployment.targets().size(); ++target)
+            ASSERT_TRUE(waitUntil(limit, [&] { return deployment.targetStats(target).inFlight == 0; }));
         LoadGenerator after(loadOn(deployment, 50, Milliseconds(1000), 0));
         after.start();
         after.join();
