Fix: [Coordination] The concurrency limit grows with slots that return one by one

Cause: after a time without usable slots the limit started at the slots of the first target that returned. Further targets raised only its lower bound, an eighth of the slots; the rest grew by finished calls.

Change: slots beyond the largest number since the outage raise the limit in the share per slot that it has, at most one per slot. Slots that were counted before add nothing: targets that are ejected and return under congestion don't raise the limit. So the limit still grows slowly when most, but not all, of the slots were lost for a time.

After (AdmissionTest, limitFollowsSlotsThatReturnOneByOne): no caller is refused after the last target has returned, and the limit never exceeds two per usable slot.

--- a/packages/coordination/src/ConcurrencyLimit.cpp
+++ b/packages/coordination/src/ConcurrencyLimit.cpp
@@ -30,7 +30,14 @@
     this->minLimit = std::min(this->minLimit, this->maxLimit);
     if (areSlotsNew) {
         this->currentLimit = usableSlots;
+        this->slotsReached = usableSlots;
         this->restartEstimates(now);
+    } else if (usableSlots > this->slotsReached) {
+        // Targets usually return one by one, and growth by finished calls alone takes seconds. Slots that were counted before add nothing,
+        // so that targets which come and go under congestion don't raise the limit.
+        double limitPerSlot = std::min(1.0, this->currentLimit / this->slotsReached);
+        this->currentLimit = std::max(this->currentLimit, limitPerSlot * usableSlots);
+        this->slotsReached = usableSlots;
     }
     this->clampLimit();
 }
--- a/packages/coordination/src/ConcurrencyLimit.h
+++ b/packages/coordination/src/ConcurrencyLimit.h
@@ -11,7 +11,7 @@
 class ConcurrencyLimit {
 public:
     /**
-     * Sets the range of the limit. When slots return after none were usable, it starts at their number, and the
+     * Sets the range of the limit. The limit grows with the slots. When slots return after none were usable, it starts at their number, and the
      * durations of earlier calls no longer count.
      * @param usableSlots Slots of the usable targets; 0 if unknown. @param maxInFlight Upper bound; 0 for none.
      */
@@ -36,6 +36,7 @@
     double minLimit = 1; ///< Lower bound of the limit.
     double maxLimit = 64; ///< Upper bound of the limit.
     double slots = 0; ///< Slots of the usable targets; 0 if unknown.
+    double slotsReached = 0; ///< Largest number of usable slots since there were none.
     TimePoint slotsReturnedAt {}; ///< Time at which slots became usable after none were.
     double meanLatencyMs = initialLatencyMs; ///< Moving average of call durations.
     double recentLogLatency = 0; ///< Moving average of the logarithm of recent durations.
--- a/packages/coordination/tests/AdmissionTest.cpp
+++ b/packages/coordination/tests/AdmissionTest.cpp
@@ -297,3 +297,32 @@
         EXPECT_EQ(refused, 0u) << "the last one " << timeMs << " ms after the slots returned";
     });
 }
+
+// Guards against a limit that starts at the slots of the first target that returns and takes seconds to grow to those of all.
+TEST(AdmissionTest, limitFollowsSlotsThatReturnOneByOne)
+{
+    constexpr uint32_t targets = 100;
+    constexpr uint32_t slotsPerTarget = 4;
+    constexpr double returnIntervalMs = 20;
+    constexpr double callMs = 50;
+    AdmissionSimulation simulation(1, 1);
+    simulation.setUsableSlots(0);
+    simulation.fixedCallMs = callMs;
+    double allReturnedMs = targets * returnIntervalMs;
+    size_t refusedAtReturn = 0;
+    double lastRefusalMs = 0;
+    for (double ms = 0; ms < 10000; ms += 0.25) { // 200 calls in flight are half of the slots.
+        simulation.advance(ms);
+        uint32_t slots = slotsPerTarget * std::min(targets, static_cast<uint32_t>(ms / returnIntervalMs));
+        simulation.setUsableSlots(slots);
+        if (ms == allReturnedMs)
+            refusedAtReturn = simulation.refusedCount();
+        uint32_t inFlight = simulation.admission.inFlight();
+        simulation.submit(makeRequest(5, ms + 500, 30, true));
+        bool wasAdmitted = simulation.admission.inFlight() > inFlight;
+        if (!wasAdmitted && ms > allReturnedMs)
+            lastRefusalMs = ms - allReturnedMs;
+        ASSERT_LE(simulation.admission.limit(), std::max(1u, 2 * slots)) << "targets that just returned are flooded";
+    }
+    EXPECT_EQ(simulation.refusedCount(), refusedAtReturn) << "callers waited or were refused until " << lastRefusalMs << " ms after the last target returned";
+}
