Fix: [Coordination] Probes stay within their budget when a new leader doesn't know the number of entry VMs

Cause: while the number is unknown, which is for a lease term after each change of the leader, each VM divided the budget by 128. The number was said to exceed the largest deployment, but deployments are larger, and the buckets, which are emptied at each change between known and unknown, began with a burst for 128 VMs as well. Change: the last known number divides the budget if it exceeds 128. Nothing changes for smaller deployments. Measured: in ProbeBudgetTest, a VM of 500 that assumes 5 was granted 1000 probes of a target in the 10 s after the number became unknown, and at most 40 now (its share of the burst and of the rate).

--- a/packages/coordination/include/kingcup/ProbeBudget.h
+++ b/packages/coordination/include/kingcup/ProbeBudget.h
@@ -11,7 +11,7 @@
 /** Rate limiter for the probes of one service. Not thread-safe. */
 class ProbeBudget {
 public:
-    /** @param assumedVms Number of entry VMs to assume while the number of live ones is unknown. */
+    /** @param assumedVms Number of entry VMs to assume at least while the number of live ones is unknown. */
     ProbeBudget(const MeasuringBudget& budget, uint32_t assumedVms);
 
     void setBudget(const MeasuringBudget& budget);
@@ -44,7 +44,8 @@
 
     MeasuringBudget budget; ///< Budget from the manifest.
     double targetVmShare = 1; ///< Share of the entry VMs that may use the same target.
-    uint32_t assumedVms; ///< Number of entry VMs to assume while the number of live ones is unknown.
+    uint32_t minAssumedVms; ///< Number of entry VMs to assume at least while the number of live ones is unknown.
+    uint32_t assumedVms; ///< Number of entry VMs to assume while the number of live ones is unknown; the last known one if it is larger.
     uint32_t liveVms = 0; ///< Number of live entry VMs in effect; 0 if unknown.
     Milliseconds leaseTerm { 0 }; ///< Last lease term received; 0 if none yet.
     TimePoint liveVmsSetAt {}; ///< Time of the last setLiveVms().
--- a/packages/coordination/src/ProbeBudget.cpp
+++ b/packages/coordination/src/ProbeBudget.cpp
@@ -22,7 +22,8 @@
 
 ProbeBudget::ProbeBudget(const MeasuringBudget& budget, uint32_t assumedVms)
     : budget(budget)
-    , assumedVms(std::max(assumedVms, 1u))
+    , minAssumedVms(std::max(assumedVms, 1u))
+    , assumedVms(this->minAssumedVms)
 {
 }
 
@@ -34,6 +35,9 @@
 void ProbeBudget::setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now)
 {
     this->leaseTerm = leaseTerm;
+    // Otherwise more VMs than the assumed number exceed the budget together whenever a new leader doesn't know how many there are.
+    if (liveVms)
+        this->assumedVms = std::max(this->minAssumedVms, liveVms);
     // A number that was not renewed within a lease term counts as unknown in between, even without a call with 0.
     bool wasKnown = this->liveVms > 0 && now - this->liveVmsSetAt <= leaseTerm;
     this->liveVmsSetAt = now;
--- a/packages/coordination/tests/ProbeBudgetTest.cpp
+++ b/packages/coordination/tests/ProbeBudgetTest.cpp
@@ -173,6 +173,17 @@
             budget.takeProbe("target", 100, timeAt(ms));
         EXPECT_LE(budget.granted(), 1u);
     });
+    section("while the number is unknown again, the last known one divides the budget if it exceeds the assumed one", [] {
+        // With a new leader, each of 500 VMs took a hundred times its share of a budget that was divided by 5.
+        ProbeBudget budget(MeasuringBudget { 1000, 1e9, 10 }, 5);
+        for (double ms = 0; ms < 10000; ms += 100)
+            budget.setLiveVms(500, Milliseconds(leaseMs), timeAt(ms));
+        budget.setLiveVms(0, Milliseconds(leaseMs), timeAt(10000));
+        for (double ms = 10000; ms < 20000; ms += stepMs)
+            budget.takeProbe("target", 100, timeAt(ms));
+        EXPECT_LE(budget.granted(), 40u); // The burst of 20 and 2 a second.
+        EXPECT_GE(budget.granted(), 20u);
+    });
     section("a lower number of VMs takes effect only after a lease term", [] {
         ProbeBudget budget(MeasuringBudget { 10, 1e9 }, 20);
         for (double ms = 0; ms < 20000; ms += stepMs) {
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -16,7 +16,7 @@
 constexpr uint32_t maxIdleConnectionsPerThread = 2000;
 constexpr uint64_t usageSeed = 0x75736167; ///< Makes the random numbers of usage caps differ from those of other users of the seed.
 constexpr Milliseconds departureReportTimeout { 2000 };
-constexpr uint32_t assumedEntryVms = 128; ///< Number of entry VMs that probe budgets and limits of targets assume while the number of live ones is unknown. It exceeds that of the largest deployment, so that probes stay within the budget.
+constexpr uint32_t assumedEntryVms = 128; ///< Number of entry VMs that probe budgets and limits of targets assume while the number of live ones is unknown. Larger deployments exceed it, so a known number replaces it.
 
 /** Orders rows so that the first match is the most specific one: rows with a host first, then longer path prefixes, then by name. */
 bool isMoreSpecific(const RequestTableRow& one, const RequestTableRow& other)
