Fix: [Daemon] A stop whose notice takes the whole grace period does not report calls that it did not cut off

Operators saw: exit status 4 and calls_cut_off of no calls, with a grace period shorter than the notice, or with a second signal while no call was in flight. Cause: the wait for calls looked for calls only while it had time left. Change: it looks once more at its end.

--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -243,8 +243,11 @@
 {
     constexpr Milliseconds step { 100 };
     bool isRefusing = !this->entry;
-    for (TimePoint now = MillisecondClock::now(); now < end && !isAborted.load(); now = MillisecondClock::now()) {
-        bool isIdle = !this->entry || this->entry->drain(std::min(step, end - now));
+    for (;;) {
+        TimePoint now = MillisecondClock::now();
+        // At the end too, since there may be no call to cut off.
+        bool isLastCheck = now >= end || isAborted.load();
+        bool isIdle = !this->entry || this->entry->drain(isLastCheck ? Milliseconds(0) : std::min(step, end - now));
         if (isIdle && !this->busyRelayedConnections()) {
             if (isRefusing)
                 return true;
@@ -253,6 +256,8 @@
             isRefusing = true;
             continue;
         }
+        if (isLastCheck)
+            break;
         if (isIdle)
             std::this_thread::sleep_for(stopPollInterval);
     }
--- a/tests/GracefulStopTest.cpp
+++ b/tests/GracefulStopTest.cpp
@@ -253,6 +253,19 @@
     EXPECT_EQ(vm.process->wait(stopLimit), 0) << vm.process->output();
 }
 
+TEST(GracefulStop, endsCleanlyWithoutCallsIfTheNoticeTakesTheWholeGracePeriod)
+{
+    // A notice that was cut short by the grace period left no time to see that no call was in flight, and the process reported calls that it had cut off.
+    DeploymentOptions options = testOptions(87, 1, { { "matters", 1, 6 } });
+    options.settings = { { "stopNoticeMs", 2500 }, { "stopGracePeriodSeconds", 1 } };
+    Deployment deployment(options);
+    ASSERT_EQ(startAll(deployment), "");
+    Vm& vm = deployment.entryVms()[0];
+    vm.process->signal(SIGTERM);
+    EXPECT_EQ(vm.process->wait(stopLimit), 0) << vm.process->output();
+    EXPECT_EQ(readFile(vm.folder + "/log.jsonl").find("calls_cut_off"), std::string::npos);
+}
+
 TEST(GracefulStop, cutsNoCall)
 {
     DeploymentOptions options = testOptions(81, 3, { { "matters", 3, 6 } });
