Fix: [Coordination] A silent voter is removed only after its replacement has a vote

Cause: the planner removed a voter that had been silent for 2 s before it promoted the learner in its place. Until the promotion the group had four voters of five wanted. If the silent voter came back just then, and two others lost their disks, two of four voters were left and no leader was elected any more. Change: the learner is promoted first, and the silent voter is removed from six. A voter is still removed first if as many are silent as the group tolerates, because six voters of which two are silent would lack a majority whenever the new voter stops.

--- a/packages/coordination/include/kingcup/MembershipPlanner.h
+++ b/packages/coordination/include/kingcup/MembershipPlanner.h
@@ -8,12 +8,13 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace kingcup {
 
 /** Limits and timeouts for adding, promoting and removing members. */
 struct MembershipPlannerOptions {
-    size_t wantedVoters = 3; ///< Number of voters up to which learners are promoted.
+    size_t wantedVoters = 3; ///< Number of voters up to which learners are promoted. While a silent voter is replaced there may be one more.
     bool mayAdmitUnknownVms = false; ///< Whether VMs without any incarnation in the group may join.
     Milliseconds incarnationReplacementTimeout { 3000 }; ///< A new incarnation of a VM replaces the old one only after the old one has sent nothing for this time.
     Milliseconds voterReplacementTimeout { std::numeric_limits<double>::infinity() }; ///< A voter that has sent nothing for this time may be replaced by another VM.
@@ -73,7 +74,8 @@
     bool mayReplaceIncarnation(const JoinRequest& request, const wire::Member& old, TimePoint now) const;
     std::optional<wire::Membership> planAddition(const wire::Membership& current, TimePoint now) const;
     std::optional<wire::Membership> planPromotion(const wire::Membership& current, VmId self, const std::function<bool(VmId)>& hasCaughtUp, TimePoint now) const;
-    const wire::Member* longestSilentVoter(const wire::Membership& current, VmId self, TimePoint now) const;
+    std::optional<wire::Membership> planVoterRemoval(const wire::Membership& current, VmId self, TimePoint now) const;
+    std::vector<const wire::Member*> silentVoters(const wire::Membership& current, VmId self, TimePoint now) const;
     std::optional<wire::Membership> planLearnerRemoval(const wire::Membership& current, TimePoint now) const;
 
     MembershipPlannerOptions options; ///< Limits and timeouts.
--- a/packages/coordination/src/MembershipPlanner.cpp
+++ b/packages/coordination/src/MembershipPlanner.cpp
@@ -95,6 +95,8 @@
 
 std::optional<wire::Membership> MembershipPlanner::nextMembership(const wire::Membership& current, VmId self, const std::function<bool(VmId)>& hasCaughtUp, TimePoint now) const
 {
+    if (std::optional<wire::Membership> next = this->planVoterRemoval(current, self, now))
+        return next;
     if (std::optional<wire::Membership> next = this->planPromotion(current, self, hasCaughtUp, now))
         return next;
     if (std::optional<wire::Membership> next = this->planAddition(current, now))
@@ -138,8 +140,8 @@
 }
 
 /**
- * Returns the membership after the next step towards promoting a learner to voter, or nothing. A voter that it replaces is
- * removed first.
+ * Returns the membership after the next step towards promoting a learner to voter, or nothing. An old incarnation of the same
+ * VM is removed first, and so is a voter that timed out if as many did as the group tolerates.
  */
 std::optional<wire::Membership> MembershipPlanner::planPromotion(const wire::Membership& current, VmId self, const std::function<bool(VmId)>& hasCaughtUp, TimePoint now) const
 {
@@ -149,28 +151,43 @@
             continue;
         if (const wire::Member* old = findOtherIncarnation(current, learner.vm_id(), learner.incarnation()))
             return withoutMember(current, *old);
-        if (countMembers(current, true) < this->options.wantedVoters) {
+        size_t voters = countMembers(current, true);
+        std::vector<const wire::Member*> silent = this->silentVoters(current, self, now);
+        // A silent voter stays until the learner has its vote, because it may come back: with one voter less, the group would not survive the tolerated losses.
+        // If as many are silent as tolerated, one is removed first, because otherwise the group would lack a majority whenever the new voter stops.
+        bool isRemovedLater = !silent.empty() && silent.size() < this->options.wantedVoters / 2;
+        if (voters < this->options.wantedVoters || (voters == this->options.wantedVoters && isRemovedLater)) {
             wire::Membership next = current;
             next.mutable_members(position)->set_voter(true);
             return next;
         }
-        if (const wire::Member* timedOutVoter = this->longestSilentVoter(current, self, now))
-            return withoutMember(current, *timedOutVoter);
+        if (!silent.empty())
+            return withoutMember(current, *silent.front());
     }
     return std::nullopt;
 }
 
-/** Returns the voter with the longest time since its latest message among those that timed out, or null. */
-const wire::Member* MembershipPlanner::longestSilentVoter(const wire::Membership& current, VmId self, TimePoint now) const
+/** Returns the membership without a silent voter that a promoted learner replaces, or nothing. */
+std::optional<wire::Membership> MembershipPlanner::planVoterRemoval(const wire::Membership& current, VmId self, TimePoint now) const
 {
-    const wire::Member* longestSilent = nullptr;
+    if (countMembers(current, true) <= this->options.wantedVoters)
+        return std::nullopt;
+    std::vector<const wire::Member*> silent = this->silentVoters(current, self, now);
+    return silent.empty() ? std::nullopt : std::optional(withoutMember(current, *silent.front()));
+}
+
+/** Returns the voters that timed out, the one with the longest time since its latest message first. */
+std::vector<const wire::Member*> MembershipPlanner::silentVoters(const wire::Membership& current, VmId self, TimePoint now) const
+{
+    std::vector<const wire::Member*> silent;
     for (const wire::Member& member : current.members()) {
-        if (!member.voter() || member.vm_id() == self || this->timeSinceLastMessage(member, now) < this->options.voterReplacementTimeout)
-            continue;
-        if (!longestSilent || this->timeSinceLastMessage(member, now) > this->timeSinceLastMessage(*longestSilent, now))
-            longestSilent = &member;
+        if (member.voter() && member.vm_id() != self && this->timeSinceLastMessage(member, now) >= this->options.voterReplacementTimeout)
+            silent.push_back(&member);
     }
-    return longestSilent;
+    std::stable_sort(silent.begin(), silent.end(), [&](const wire::Member* left, const wire::Member* right) {
+        return this->timeSinceLastMessage(*left, now) > this->timeSinceLastMessage(*right, now);
+    });
+    return silent;
 }
 
 std::optional<wire::Membership> MembershipPlanner::planLearnerRemoval(const wire::Membership& current, TimePoint now) const
--- a/packages/coordination/tests/MembershipPlannerTest.cpp
+++ b/packages/coordination/tests/MembershipPlannerTest.cpp
@@ -167,6 +167,22 @@
         EXPECT_TRUE(group.isVoter(8, 10));
         EXPECT_TRUE(group.isVoter(4, 10));
     });
+    section("a silent voter stays until its replacement has a vote, unless as many voters are silent as the group tolerates", [] {
+        for (VmId silentVoters : { 1u, 2u }) {
+            Group group = makeGroup(5);
+            group.add(8, 10, false);
+            for (VmId vm : { 1u, 2u, 3u, 4u, 5u, 8u }) {
+                if (vm == 8 || vm <= 5 - silentVoters)
+                    group.planner.recordMessage(vm, 10, timeAt(6000));
+            }
+            std::optional<wire::Membership> next = group.planner.nextMembership(
+                group.membership, 1, [](VmId) { return true; }, timeAt(6000));
+            ASSERT_TRUE(next);
+            group.membership = *next;
+            EXPECT_EQ(group.voterCount(), silentVoters == 1 ? 6u : 4u);
+            EXPECT_EQ(group.isVoter(8, 10), silentVoters == 1);
+        }
+    });
     section("a voter that was removed during a network partition rejoins as a learner", [] {
         Group group = makeGroup(5);
         group.planner.recordJoinRequest(9, 10, timeAt(100));
