Fix: [Coordination, Entry, Control] A new leader estimates the number of entry VMs

Cause: VMs that have not known a number yet, and a new leader that lends shares of usage caps, assumed 128 entry VMs, which larger deployments exceed. Their shares of probes, of limits of targets, of cold targets and of usage caps were too large together until the leader knew the number, a lease term after it was elected. Change: session requests state the last known number. While the leader doesn't know the number it answers with an estimate: the largest stated one, or its sessions if they are more. A VM replaces its number by a larger estimate; 128 is only what it starts with. Both fields are optional: with VMs of an older version all goes on as before. In deployments of up to 128 entry VMs the shares stay as they were. In larger ones they are as large while a leader is new as they are otherwise, where they were larger. Not measured at the size of hundreds of processes. Open: when all VMs restart at once, nobody states a number, and the estimate grows with the sessions within a session interval.

--- a/packages/coordination/include/kingcup/ProbeBudget.h
+++ b/packages/coordination/include/kingcup/ProbeBudget.h
@@ -26,6 +26,9 @@
      */
     void setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now);
 
+    /** Sets the number of entry VMs to assume while the number of live ones is unknown. A number below that of the constructor has no effect. */
+    void setAssumedVms(uint32_t assumedVms);
+
     /** Takes one probe of a target from the budget. Returns false if the budget is used up, which it is at process start unless a burst is set. @param bytes Expected traffic in both directions. */
     bool takeProbe(const std::string& address, size_t bytes, TimePoint now);
 
--- a/packages/coordination/include/kingcup/SessionTable.h
+++ b/packages/coordination/include/kingcup/SessionTable.h
@@ -55,6 +55,12 @@
      */
     uint32_t liveEntryVms(TimePoint now) const;
 
+    /**
+     * Returns the number of entry VMs that this leader has heard of: those that may hold a lease, or the largest number that
+     * a session request has stated. It replaces liveEntryVms() while that is unknown and may be too small then.
+     */
+    uint32_t estimatedEntryVms(TimePoint now) const;
+
     /** Returns the progress of a manifest. It is never complete within one lease term after becomeLeader(). */
     InForceStatus inForceStatus(uint64_t manifestNumber, TimePoint now) const;
 
@@ -92,6 +98,7 @@
     Milliseconds leaseTerm; ///< Duration of an entry VM's lease.
     Milliseconds targetLease; ///< Time without a heartbeat after which a target has timed out.
     TimePoint leaderSince {}; ///< Time at which this VM became the leader.
+    uint32_t statedEntryVms = 0; ///< Largest number of live entry VMs that a session request has stated to this leader.
     std::map<std::string, EntrySession> entrySessions; ///< Session of the newest incarnation, by VM name.
     std::vector<EntrySession> replacedSessions; ///< Sessions of older incarnations that may still hold a lease.
     std::map<std::pair<std::string, std::string>, TargetHeartbeat> heartbeats; ///< Targets by service and address.
--- a/packages/coordination/include/kingcup/UsageLender.h
+++ b/packages/coordination/include/kingcup/UsageLender.h
@@ -31,8 +31,8 @@
     /** Replaces the caps by organisation. The use before a lowered cap counts as if it had kept to the new one. */
     void setCaps(const std::map<std::string, UsageCap>& caps, TimePoint now);
 
-    /** Records the usage in a session request and adds the shares of the VM to the answer. @param liveVms Number of live entry VMs; 0 if unknown. */
-    void exchange(const wire::SessionRequest& request, uint32_t liveVms, TimePoint now, wire::SessionAnswer& answer);
+    /** Records the usage in a session request and adds the shares of the VM to the answer. @param vms Number of live entry VMs, or the number to assume while it is unknown; above 0. */
+    void exchange(const wire::SessionRequest& request, uint32_t vms, TimePoint now, wire::SessionAnswer& answer);
 
     /** Estimates the use of VMs that do not report, and removes those that have not reported for long. Called every few milliseconds. */
     void tick(TimePoint now);
@@ -41,7 +41,7 @@
     size_t closedOrganisations(TimePoint now);
 
 private:
-    void addShares(const std::string& vm, const std::set<std::string>& organisations, uint32_t liveVms, TimePoint now, wire::SessionAnswer& answer);
+    void addShares(const std::string& vm, const std::set<std::string>& organisations, uint32_t vms, TimePoint now, wire::SessionAnswer& answer);
 
     UsageCapLimits limits; ///< Accuracy of the caps.
     Milliseconds shareTerm; ///< Time after which a share expires.
--- a/packages/coordination/include/kingcup/UsageShare.h
+++ b/packages/coordination/include/kingcup/UsageShare.h
@@ -1,6 +1,7 @@
 /** @file UsageShare.h Shares of an entry VM in the usage caps of organisations. */
 #pragma once
 
+#include "kingcup/EntryVmCount.h"
 #include "kingcup/RandomSource.h"
 #include "kingcup/ReplicatedLogTypes.h"
 #include "kingcup/UsageCap.h"
@@ -33,12 +34,15 @@
     /** Returns the permit of a request that ended without having reached a target. */
     void returnPermit(const std::string& organisation, TimePoint now);
 
-    /** Adds the usage of organisations with recent demand to a session request. Removes the others. @param requestId Id under which it is sent. */
+    /** Adds the usage of organisations with recent demand and the number of entry VMs to a session request. Removes organisations without demand. @param requestId Id under which it is sent. */
     void addUsage(uint64_t requestId, TimePoint now, wire::SessionRequest& request);
 
     /** Takes over the shares in the answer to a session request. Answers to other requests than those recorded are ignored. */
     void receiveShares(uint64_t requestId, const wire::SessionAnswer& answer, TimePoint now);
 
+    /** Returns the number of entry VMs to assume while the number of live ones is unknown. */
+    uint32_t assumedVms() const;
+
     /** Returns the number of organisations that the leader has closed. */
     size_t closedOrganisations(TimePoint now) const;
 
@@ -71,7 +75,7 @@
     UsageCapLimits limits; ///< Accuracy of the caps.
     Milliseconds shareTerm; ///< Time after which a share expires.
     mutable std::mutex mutex; ///< Guards all members below.
-    uint32_t liveVms; ///< Last known number of entry VMs.
+    EntryVmCount vmCount; ///< Number of entry VMs that share the caps.
     RandomSource random; ///< Spreads the delays of refused requests and the first permits of rationed shares.
     TimePoint contactEnd {}; ///< Time until which this VM counts as in contact with the leader.
     std::map<std::string, Share> shares; ///< Shares by organisation.
--- a/packages/coordination/src/ProbeBudget.cpp
+++ b/packages/coordination/src/ProbeBudget.cpp
@@ -32,12 +32,17 @@
     this->budget = budget;
 }
 
+void ProbeBudget::setAssumedVms(uint32_t assumedVms)
+{
+    this->assumedVms = std::max(this->minAssumedVms, assumedVms);
+}
+
 void ProbeBudget::setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now)
 {
     this->leaseTerm = leaseTerm;
     // Otherwise more VMs than the assumed number exceed the budget together whenever a new leader doesn't know how many there are.
     if (liveVms)
-        this->assumedVms = std::max(this->minAssumedVms, liveVms);
+        this->setAssumedVms(liveVms);
     // A number that was not renewed within a lease term counts as unknown in between, even without a call with 0.
     bool wasKnown = this->liveVms > 0 && now - this->liveVmsSetAt <= leaseTerm;
     this->liveVmsSetAt = now;
--- a/packages/coordination/src/SessionTable.cpp
+++ b/packages/coordination/src/SessionTable.cpp
@@ -36,6 +36,7 @@
 void SessionTable::becomeLeader(TimePoint now, const std::vector<wire::TargetRecord>& targets)
 {
     this->leaderSince = now;
+    this->statedEntryVms = 0;
     this->entrySessions.clear();
     this->replacedSessions.clear();
     this->heartbeats.clear();
@@ -61,6 +62,7 @@
     session.heldIndex = std::max(session.heldIndex, request.held_index());
     session.heldManifestNumber = std::max(session.heldManifestNumber, request.held_manifest_number());
     session.leaseEnd = now + this->leaseTerm;
+    this->statedEntryVms = std::max(this->statedEntryVms, request.known_entry_vms());
 }
 
 std::vector<EntrySession> SessionTable::takeExpiredSessions(TimePoint now)
@@ -96,6 +98,11 @@
     return static_cast<uint32_t>(this->leaseHolders(now).size());
 }
 
+uint32_t SessionTable::estimatedEntryVms(TimePoint now) const
+{
+    return std::max(this->statedEntryVms, static_cast<uint32_t>(this->leaseHolders(now).size()));
+}
+
 InForceStatus SessionTable::inForceStatus(uint64_t manifestNumber, TimePoint now) const
 {
     std::vector<EntrySession> holders = this->leaseHolders(now);
--- a/packages/coordination/src/limits/UsageLender.cpp
+++ b/packages/coordination/src/limits/UsageLender.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr uint32_t assumedVms = 128; ///< Number of entry VMs while a new leader doesn't know it. It exceeds that of most deployments, so that their shares are not too large.
 constexpr Milliseconds estimateInterval { 100 }; ///< Interval of the estimates for VMs without reports.
 
 } // namespace
@@ -40,7 +39,7 @@
         account->setCap(this->caps.at(name), now);
 }
 
-void UsageLender::exchange(const wire::SessionRequest& request, uint32_t liveVms, TimePoint now, wire::SessionAnswer& answer)
+void UsageLender::exchange(const wire::SessionRequest& request, uint32_t vms, TimePoint now, wire::SessionAnswer& answer)
 {
     std::set<std::string> before;
     before.swap(this->reported[request.entry_vm()]);
@@ -66,11 +65,11 @@
         this->reported.erase(request.entry_vm());
         return;
     }
-    this->addShares(request.entry_vm(), organisations, liveVms, now, answer);
+    this->addShares(request.entry_vm(), organisations, vms, now, answer);
 }
 
 /** Adds the shares of the organisations that a VM reported, and those of all others whose window is nearly used up. */
-void UsageLender::addShares(const std::string& vm, const std::set<std::string>& organisations, uint32_t liveVms, TimePoint now, wire::SessionAnswer& answer)
+void UsageLender::addShares(const std::string& vm, const std::set<std::string>& organisations, uint32_t vms, TimePoint now, wire::SessionAnswer& answer)
 {
     // Until all VMs have reported to a new leader, the parts by demand are unknown; they continue with the shares of the former leader.
     bool knowsDemand = now >= this->leaderSince + this->sessionInterval;
@@ -85,7 +84,7 @@
         auto account = this->accounts.find(name);
         if (account == this->accounts.end() || organisations.contains(name))
             continue;
-        wire::OrganisationShare share = account->second->lendWithoutDemand(liveVms ? liveVms : assumedVms, now);
+        wire::OrganisationShare share = account->second->lendWithoutDemand(vms, now);
         share.set_organisation(name);
         *answer.add_shares() = std::move(share);
     }
--- a/packages/coordination/src/limits/UsageShare.cpp
+++ b/packages/coordination/src/limits/UsageShare.cpp
@@ -26,7 +26,7 @@
 UsageShare::UsageShare(const UsageCapLimits& limits, Milliseconds shareTerm, uint32_t assumedVms, uint64_t seed)
     : limits(limits)
     , shareTerm(shareTerm)
-    , liveVms(assumedVms)
+    , vmCount(assumedVms)
     , random(seed)
 {
 }
@@ -39,9 +39,9 @@
 {
     Share share;
     bool isIsolated = now >= this->contactEnd;
-    share.rate = cap.requestsPerSecond / this->liveVms * (isIsolated ? isolatedFactor : 1);
+    share.rate = cap.requestsPerSecond / this->vmCount.assumedVms() * (isIsolated ? isolatedFactor : 1);
     share.isolatedRate = share.rate;
-    share.depth = isIsolated ? std::max(minIsolatedDepth, share.rate) : std::max(minNewDepth, this->limits.budget(cap) / this->liveVms);
+    share.depth = isIsolated ? std::max(minIsolatedDepth, share.rate) : std::max(minNewDepth, this->limits.budget(cap) / this->vmCount.assumedVms());
     share.level = share.depth;
     share.filled = now;
     return share;
@@ -131,6 +131,7 @@
     std::erase_if(this->reports, [&](const auto& entry) { return entry.second.sent + this->shareTerm <= now; });
     Report& report = this->reports[requestId];
     report.sent = now;
+    request.set_known_entry_vms(this->vmCount.statedVms());
     for (const auto& [name, share] : this->shares) {
         double admitted = std::max(share.unreported, 0.0);
         if (!hasDemand(share) && admitted < 1)
@@ -149,8 +150,7 @@
     auto report = this->reports.find(requestId);
     if (answer.result_code() != static_cast<int>(ResultCode::Ok) || report == this->reports.end())
         return;
-    if (answer.live_entry_vms())
-        this->liveVms = answer.live_entry_vms();
+    this->vmCount.record(answer);
     for (const auto& [name, admitted] : report->second.admitted) {
         if (auto share = this->shares.find(name); share != this->shares.end())
             share->second.unreported -= admitted;
@@ -187,6 +187,12 @@
         share.level = isNew || share.level >= 1 ? this->random.fraction() : share.level;
 }
 
+uint32_t UsageShare::assumedVms() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->vmCount.assumedVms();
+}
+
 size_t UsageShare::closedOrganisations(TimePoint now) const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/packages/coordination/tests/ProbeBudgetTest.cpp
+++ b/packages/coordination/tests/ProbeBudgetTest.cpp
@@ -184,6 +184,16 @@
         EXPECT_LE(budget.granted(), 40u); // The burst of 20 and 2 a second.
         EXPECT_GE(budget.granted(), 20u);
     });
+    section("an estimate counts while the number was never known, and one below the assumed number doesn't", [] {
+        for (auto [estimate, most] : { std::pair(100u, 10u), std::pair(2u, 50u) }) {
+            ProbeBudget budget(MeasuringBudget { 10, 1e9 }, 20);
+            budget.setAssumedVms(estimate);
+            for (double ms = 0; ms < 100000; ms += stepMs)
+                budget.takeProbe("target", 100, timeAt(ms));
+            EXPECT_GE(budget.granted(), most - 1) << estimate;
+            EXPECT_LE(budget.granted(), most) << estimate;
+        }
+    });
     section("a lower number of VMs takes effect only after a lease term", [] {
         ProbeBudget budget(MeasuringBudget { 10, 1e9 }, 20);
         for (double ms = 0; ms < 20000; ms += stepMs) {
--- a/packages/coordination/tests/SessionTableTest.cpp
+++ b/packages/coordination/tests/SessionTableTest.cpp
@@ -48,6 +48,24 @@
         EXPECT_EQ(table.liveEntryVms(timeAt(6000)), 2u);
         EXPECT_TRUE(table.inForceStatus(6, timeAt(6000)).isComplete);
     });
+    section("until then the number is estimated from the sessions and from what their requests state", [&] {
+        // A new leader that assumes a fixed number lends too large shares in deployments with more entry VMs.
+        SessionTable estimating(Milliseconds(1000), Milliseconds(4000));
+        estimating.becomeLeader(timeAt(5000), {});
+        EXPECT_EQ(estimating.estimatedEntryVms(timeAt(5000)), 0u);
+        estimating.renewLease(request("vm1", 1, 7), timeAt(5100));
+        EXPECT_EQ(estimating.estimatedEntryVms(timeAt(5100)), 1u);
+        wire::SessionRequest stating = request("vm2", 1, 7);
+        stating.set_known_entry_vms(300);
+        estimating.renewLease(stating, timeAt(5200));
+        stating.set_entry_vm("vm3");
+        stating.set_known_entry_vms(200);
+        estimating.renewLease(stating, timeAt(5300));
+        EXPECT_EQ(estimating.liveEntryVms(timeAt(5300)), 0u);
+        EXPECT_EQ(estimating.estimatedEntryVms(timeAt(5300)), 300u);
+        estimating.becomeLeader(timeAt(9000), {});
+        EXPECT_EQ(estimating.estimatedEntryVms(timeAt(9000)), 0u);
+    });
     section("a manifest is in force when every VM that holds a lease has confirmed it", [&] {
         InForceStatus partial = table.inForceStatus(7, timeAt(6050));
         EXPECT_EQ(partial.confirmed, 1u);
--- a/packages/coordination/tests/UsageFleet.h
+++ b/packages/coordination/tests/UsageFleet.h
@@ -1,6 +1,7 @@
 /** @file UsageFleet.h Simulated fleet of one leader and many entry VMs that share usage caps, without a network. */
 #pragma once
 
+#include "kingcup/EntryVmCount.h"
 #include "kingcup/UsageLender.h"
 #include "kingcup/UsageShare.h"
 
@@ -194,7 +195,7 @@
             if (this->nowMs < this->leaderAtMs + termMs)
                 live = 0;
             message.answer->set_live_entry_vms(live);
-            this->lender.exchange(message.request, live, now, *message.answer);
+            this->lender.exchange(message.request, live ? live : initialAssumedEntryVms, now, *message.answer);
             message.atMs = this->nowMs + stepMs;
             this->messages.push_back(std::move(message));
         }
--- a/packages/coordination/tests/UsageShareTest.cpp
+++ b/packages/coordination/tests/UsageShareTest.cpp
@@ -31,6 +31,49 @@
         EXPECT_LE(std::max(one.retryAfter, other.retryAfter), Milliseconds(2000));
         EXPECT_FALSE(other.isFirstRefusal);
     });
+    section("an estimate of a new leader lowers the share of an organisation that appears, until the number of VMs is known", [&] {
+        // With the number that a VM assumes at its start, the VMs of a larger deployment exceed the window of the cap together.
+        UsageShare starting(UsageCapLimits(), Milliseconds(1000), 10, 1);
+        auto permitsOf = [&, id = uint64_t(0)](uint32_t live, uint32_t estimated, const std::string& organisation) mutable {
+            wire::SessionRequest sent;
+            wire::SessionAnswer received;
+            received.set_live_entry_vms(live);
+            received.set_estimated_entry_vms(estimated);
+            starting.addUsage(++id, timeAt(0), sent);
+            starting.receiveShares(id, received, timeAt(10));
+            int granted = 0;
+            while (granted < 10000 && starting.takePermit(organisation, UsageCap { 1000, 0 }, timeAt(10)).isGranted)
+                ++granted;
+            return granted;
+        };
+        int assumed = permitsOf(0, 2, "a");
+        EXPECT_NEAR(permitsOf(0, 100, "b"), assumed / 10, 1);
+        EXPECT_NEAR(permitsOf(0, 50, "c"), assumed / 10, 1);
+        EXPECT_NEAR(permitsOf(20, 0, "d"), assumed / 2, 1);
+    });
+    section("the number of VMs that is assumed is the last known one or a larger estimate, and is stated to the leader once there is one", [&] {
+        UsageShare starting(UsageCapLimits(), Milliseconds(1000), 128, 1);
+        auto exchange = [&, id = uint64_t(0)](uint32_t live, uint32_t estimated) mutable {
+            wire::SessionRequest sent;
+            wire::SessionAnswer received;
+            received.set_live_entry_vms(live);
+            received.set_estimated_entry_vms(estimated);
+            starting.addUsage(++id, timeAt(0), sent);
+            starting.receiveShares(id, received, timeAt(10));
+            return sent.known_entry_vms();
+        };
+        EXPECT_EQ(starting.assumedVms(), 128u);
+        EXPECT_EQ(exchange(0, 7), 0u);
+        EXPECT_EQ(starting.assumedVms(), 128u);
+        EXPECT_EQ(exchange(0, 130), 7u);
+        EXPECT_EQ(starting.assumedVms(), 130u);
+        EXPECT_EQ(exchange(16, 0), 130u);
+        EXPECT_EQ(starting.assumedVms(), 16u);
+        EXPECT_EQ(exchange(0, 3), 16u);
+        EXPECT_EQ(starting.assumedVms(), 16u);
+        EXPECT_EQ(exchange(0, 20), 16u);
+        EXPECT_EQ(starting.assumedVms(), 20u);
+    });
     section("usage is reported until a report is answered, and a closed organisation is refused", [&] {
         for (uint64_t id : { 2, 3 }) {
             request.Clear();
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -3,6 +3,7 @@
 
 #include "kingcup/ApplyManifest.h"
 #include "kingcup/ColdAnnouncement.h"
+#include "kingcup/EntryVmCount.h"
 #include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
 #include "kingcup/ManifestParser.h"
@@ -63,11 +64,15 @@
         this->sessions->renewLease(request, now);
         this->sendConfirmedAnswers(now);
         body->set_lease_ms(static_cast<uint64_t>(this->settings.leaseTerm.count()));
-        body->set_live_entry_vms(this->sessions->liveEntryVms(now));
+        uint32_t liveVms = this->sessions->liveEntryVms(now);
+        uint32_t estimatedVms = this->sessions->estimatedEntryVms(now);
+        body->set_live_entry_vms(liveVms);
+        if (!liveVms)
+            body->set_estimated_entry_vms(estimatedVms);
         *body->mutable_changes() = this->changesSince(request.held_index(), request.accepts_compressed());
         this->addControlVms(*body);
         this->addRelays(request, *body, now);
-        this->usageLender->exchange(request, this->sessions->liveEntryVms(now), now, *body);
+        this->usageLender->exchange(request, liveVms ? liveVms : std::max(initialAssumedEntryVms, estimatedVms), now, *body);
         this->subscribers[request.entry_vm()] = { origin, this->stateMachine.configurationIndex(), request.accepts_compressed() };
         if (request.leaving())
             this->subscribers.erase(request.entry_vm());
--- a/programs/kingcupswitchd/entry/Gateway.cpp
+++ b/programs/kingcupswitchd/entry/Gateway.cpp
@@ -3,6 +3,7 @@
 
 #include "Call.h"
 
+#include "kingcup/EntryVmCount.h"
 #include "kingcup/JsonLog.h"
 #include "kingcup/ZonesOutOfUse.h"
 
@@ -16,7 +17,6 @@
 constexpr uint32_t maxIdleConnectionsPerThread = 2000;
 constexpr uint64_t usageSeed = 0x75736167; ///< Makes the random numbers of usage caps differ from those of other users of the seed.
 constexpr Milliseconds departureReportTimeout { 2000 };
-constexpr uint32_t assumedEntryVms = 128; ///< Number of entry VMs that probe budgets and limits of targets assume while the number of live ones is unknown. Larger deployments exceed it, so a known number replaces it.
 
 /** Orders rows so that the first match is the most specific one: rows with a host first, then longer path prefixes, then by name. */
 bool isMoreSpecific(const RequestTableRow& one, const RequestTableRow& other)
@@ -53,11 +53,10 @@
     , relays(this->paths)
     , upstream(settings.upstreamThreads, maxIdleConnectionsPerThread)
     , gate(gate)
-    , usage(settings.usageCap, settings.leaseTerm, assumedEntryVms, seed ^ usageSeed)
+    , usage(settings.usageCap, settings.leaseTerm, initialAssumedEntryVms, seed ^ usageSeed)
     , requestTable(createEmptyTable())
     , availabilityZone(settings.availabilityZone)
     , leaseTerm(settings.leaseTerm)
-    , assumedVms(assumedEntryVms)
     , seed(seed)
     , retryBudget(settings.retryBudget)
     , zoneTransfer(settings.zoneTransfer)
@@ -184,7 +183,7 @@
         std::shared_ptr<ServiceRuntime>& runtime = runtimes[name];
         bool isNew = !runtime;
         if (isNew)
-            runtime = std::make_shared<ServiceRuntime>(*service, this->entryVm, this->availabilityZone, this->retryBudget, this->assumedVms, this->seed ^ std::hash<std::string>()(name), this->timers);
+            runtime = std::make_shared<ServiceRuntime>(*service, this->entryVm, this->availabilityZone, this->retryBudget, std::max(initialAssumedEntryVms, this->usage.assumedVms()), this->seed ^ std::hash<std::string>()(name), this->timers);
         if (isNew && this->zoneTransfer)
             runtime->setZoneTransfer(*this->zoneTransfer);
         const MeasuringBudget& budget = service->kinds.empty() ? this->routeMeasuringBudget : service->measuringBudget;
@@ -229,8 +228,9 @@
 {
     this->leaseEndMs.store(end.time_since_epoch().count());
     TimePoint now = MillisecondClock::now();
+    uint32_t assumedVms = this->usage.assumedVms();
     for (const RequestTableRow& row : this->services())
-        row.runtime->setLiveVms(liveVms, this->leaseTerm, now);
+        row.runtime->setLiveVms(liveVms, assumedVms, this->leaseTerm, now);
 }
 
 std::shared_ptr<const KeyTable> Gateway::keys() const
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -141,7 +141,6 @@
 
     std::string availabilityZone; ///< Availability zone of this VM.
     Milliseconds leaseTerm; ///< Duration of an entry VM's lease.
-    uint32_t assumedVms; ///< Number of entry VMs that probe budgets and limits of targets assume while the number of live ones is unknown.
     void reportZones(const ConfigurationSnapshot& configuration) const;
     void addServices(const ConfigurationSnapshot& configuration, RequestTable& next);
     void addRoutes(const ConfigurationSnapshot& configuration, RequestTable& next) const;
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -129,13 +129,15 @@
     return this->probeBudget.takeProbe(address, bytes, now);
 }
 
-void ServiceRuntime::setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now)
+void ServiceRuntime::setLiveVms(uint32_t liveVms, uint32_t assumedVms, Milliseconds leaseTerm, TimePoint now)
 {
     this->retryPolicy.setLiveVms(liveVms);
     double targetVmShare = std::min(1.0, maxSubsetImbalance * this->router.subsetShare());
-    if (liveVms)
-        this->router.setVmsPerTarget(std::max(1.0, liveVms * targetVmShare));
     std::lock_guard<std::mutex> lock(this->mutex);
+    this->hasKnownLiveVms = this->hasKnownLiveVms || liveVms;
+    // Before the first known number, the assumed one may be too small and is not reduced to a part of the VMs.
+    this->router.setVmsPerTarget(std::max(1.0, (liveVms ? liveVms : assumedVms) * (this->hasKnownLiveVms ? targetVmShare : 1)));
+    this->probeBudget.setAssumedVms(assumedVms);
     this->probeBudget.setLiveVms(liveVms, leaseTerm, now);
     this->probeBudget.setTargetVmShare(targetVmShare);
 }
--- a/programs/kingcupswitchd/entry/ServiceRuntime.h
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.h
@@ -72,8 +72,8 @@
     /** Takes one probe of a target from the budget. Returns false if the budget is used up. @param bytes Expected traffic in both directions. */
     bool takeProbe(const std::string& address, size_t bytes, TimePoint now);
 
-    /** Sets the number of live entry VMs that share the budgets; 0 if unknown. */
-    void setLiveVms(uint32_t liveVms, Milliseconds leaseTerm, TimePoint now);
+    /** Sets the number of live entry VMs that share the budgets, 0 if unknown, and the number to assume while it is. */
+    void setLiveVms(uint32_t liveVms, uint32_t assumedVms, Milliseconds leaseTerm, TimePoint now);
 
     /** Updates the gauges of the service. */
     void updateGauges(const std::string& service, Metrics& metrics, TimePoint now);
@@ -92,6 +92,7 @@
     std::mutex mutex; ///< Guards all members below.
     Admission admission; ///< Request queue and concurrency limit.
     ProbeBudget probeBudget; ///< Limits the probes that this VM sends.
+    bool hasKnownLiveVms = false; ///< Whether the number of live entry VMs was ever known.
     RecentLoad recentLoad; ///< Load in recent answers to probes.
     std::map<std::string, std::unique_ptr<LatencySketch>> processingTimes; ///< Time that targets took for requests, by kind.
     bool hasOnlyTargetsOutOfUse = false; ///< Whether all targets are in availability zones out of use.
