Fix: [Tests] UsageShareTest divides without loss of precision

Cause: the linter refuses an integer division in the check of shares under an estimate. Change: the compared number is a floating-point one; the tolerance stays.

--- a/packages/coordination/tests/UsageShareTest.cpp
+++ b/packages/coordination/tests/UsageShareTest.cpp
@@ -46,7 +46,7 @@
                 ++granted;
             return granted;
         };
-        int assumed = permitsOf(0, 2, "a");
+        double assumed = permitsOf(0, 2, "a");
         EXPECT_NEAR(permitsOf(0, 100, "b"), assumed / 10, 1);
         EXPECT_NEAR(permitsOf(0, 50, "c"), assumed / 10, 1);
         EXPECT_NEAR(permitsOf(20, 0, "d"), assumed / 2, 1);
