Fix: [Entry, Daemon] A retry that may be refused is checked against the end of a stop; the hand-over leaves time to end

A request that every target so far had turned away counted as one that may run, so that its next attempt was sent after SIGTERM without a check of its deadline. The second hand-over of the leadership was bounded by the end of the grace period only, which left no time to join the threads. Change: checkSend() asks mayRunAtTarget(), which knows what targets stated. The hand-over after the last call gets half of what is left of the grace period. The two conditions have no test of their own.

--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -76,7 +76,7 @@
 {
     if (ResultCode code = this->checkKey(); code != ResultCode::Ok)
         return code;
-    bool mayBeRefused = !this->mayHaveRun && !this->hasReachedTarget();
+    bool mayBeRefused = !this->mayHaveRun && !this->mayRunAtTarget();
     return mayBeRefused && !this->gateway.endsBeforeStop(this->deadline) ? ResultCode::Stopping : ResultCode::Ok;
 }
 
--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -224,8 +224,11 @@
     if (this->entry || this->busyRelayedConnections() > 0)
         isClean = this->waitForCalls(schedule.callsEnd(), isAborted);
     // This VM may have been elected again while it waited.
-    TimePoint handOverEnd = MillisecondClock::now() + handOverTimeout;
-    this->handOverLeadership(std::min(handOverEnd, schedule.processEnd().value_or(handOverEnd)));
+    TimePoint now = MillisecondClock::now();
+    TimePoint handOverEnd = now + handOverTimeout;
+    if (std::optional<TimePoint> processEnd = schedule.processEnd())
+        handOverEnd = std::min(handOverEnd, now + (*processEnd - now) / 2);
+    this->handOverLeadership(handOverEnd);
     if (this->entry)
         this->entry->stop();
     if (this->relayListener)
