Codechange: [Coordination, Entry, Soak] Comments of the stop say no more than was shown

Cause: read-through of the diff. The comment of minShutdownTime claimed a measurement that was not made; three functions of the planned soak had no doc comment. Change: comments only.

--- a/packages/coordination/src/stop/StopSchedule.cpp
+++ b/packages/coordination/src/stop/StopSchedule.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double shutdownShare = 0.05; ///< Part of the grace period in which the process ends after its last call.
-constexpr Milliseconds minShutdownTime { 300 }; ///< Closing connections and joining threads takes this long on a small VM.
+constexpr Milliseconds minShutdownTime { 300 }; ///< Time to close connections and join threads, however short the grace period is.
 constexpr Milliseconds answerTime { 200 }; ///< From the deadline of a call until the last byte of its answer is sent.
 
 /** Returns the time after the stop signal at which calls are cut off. */
--- a/programs/kingcupswitchd/entry/Gateway.h
+++ b/programs/kingcupswitchd/entry/Gateway.h
@@ -72,7 +72,7 @@
     /** Returns the log time in milliseconds. */
     int64_t logTimeMs() const;
 
-    /** Sets the latest deadline of calls at the begin of a stop. Calls with a later one are refused, also those that have not been sent to a target yet. */
+    /** Sets the latest deadline of calls when a stop begins. Calls with a later one are refused, also those that have not been sent to a target yet. */
     void setLatestDeadline(TimePoint latest) { this->latestDeadlineMs.store(latest.time_since_epoch().count()); }
 
     /** Returns whether a call with this deadline ends before this VM stops. */
--- a/soak/PlannedRun.cpp
+++ b/soak/PlannedRun.cpp
@@ -54,12 +54,14 @@
     std::string unexpectedEnds() const { return this->ends; } ///< Processes that did not end as told, one per line; after finish().
 
 private:
+    /** Waits for a random time. Returns false if the run ends. */
     bool pause(RandomSource& random)
     {
         Milliseconds length(random.fraction() * longestPauseMs);
         return !waitUntil(length, [this] { return this->isFinishing.load(); });
     }
 
+    /** Reloads an entry VM or stops and restarts it, until the run ends. */
     void workOn(Vm& vm, RandomSource random)
     {
         while (this->pause(random)) {
@@ -80,6 +82,7 @@
         }
     }
 
+    /** Restarts one control VM after the other, until the run ends. */
     void restartControl(RandomSource random)
     {
         while (this->pause(random)) {
