Fix: [Transport] Kept connections with unread bytes are not used again

A target may send a second copy of an answer after its answer ("late copy"). The copy waits in the socket until the connection is used again, seconds later, and the next request reads it as its own answer. Callers without request ids got the answer of another caller; requests with ids ended as invalid.

Change: the loop knows the socket of each connection (open and close hooks of libcurl). Right before a request is sent, a kept connection with unread bytes is left, and the request goes out on a new one. ConnectionAges is KeptConnections now.

--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <cstring>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace kingcup {
@@ -60,18 +61,19 @@
 
 bool UpstreamAttempt::prepareNewConnection()
 {
-    this->wasConnectionIdle = false;
+    this->isConnectionUnsuitable = false;
+    this->openedSocket = CURL_SOCKET_BAD;
     this->forcesNewConnection = true;
     curl_slist_free_all(std::exchange(this->relayHeaderLines, nullptr));
     curl_slist_free_all(std::exchange(this->headerLines, nullptr));
     curl_easy_reset(this->curl);
-    return this->prepare(this->curl, *this->ages);
+    return this->prepare(this->curl, *this->keptConnections);
 }
 
-bool UpstreamAttempt::prepare(CURL* handle, ConnectionAges& connectionAges)
+bool UpstreamAttempt::prepare(CURL* handle, KeptConnections& connections)
 {
     this->curl = handle;
-    this->ages = &connectionAges;
+    this->keptConnections = &connections;
     bool isWellFormed = isToken(this->request.method) && isOriginForm(this->request.target) && this->setHeaders();
     if (!isWellFormed || this->hasDeadlinePassed()) {
         this->isInvalid = !isWellFormed;
@@ -92,8 +94,10 @@
     curl_easy_setopt(this->curl, CURLOPT_XFERINFOFUNCTION, &UpstreamAttempt::onStep);
     curl_easy_setopt(this->curl, CURLOPT_XFERINFODATA, this);
     curl_easy_setopt(this->curl, CURLOPT_NOPROGRESS, 0L);
-    if (isPartitionSimulated() && !this->request.relay)
-        curl_easy_setopt(this->curl, CURLOPT_OPENSOCKETFUNCTION, &UpstreamAttempt::onOpenSocket);
+    curl_easy_setopt(this->curl, CURLOPT_OPENSOCKETFUNCTION, &UpstreamAttempt::onOpenSocket);
+    curl_easy_setopt(this->curl, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(this->curl, CURLOPT_CLOSESOCKETFUNCTION, &UpstreamAttempt::onCloseSocket);
+    curl_easy_setopt(this->curl, CURLOPT_CLOSESOCKETDATA, this->keptConnections);
     return true;
 }
 
@@ -148,9 +152,13 @@
 {
     long newConnections = 0;
     curl_easy_getinfo(this->curl, CURLINFO_NUM_CONNECTS, &newConnections);
-    if (newConnections > 0 || this->request.isRepeatable)
+    if (newConnections > 0) {
+        this->keptConnections->recordSocket(localPort, this->openedSocket);
         return true;
-    return this->ages->wasUsedWithin(localPort, this->request.maxConnectionIdle, MillisecondClock::now());
+    }
+    if (this->keptConnections->hasUnreadBytes(localPort))
+        return false;
+    return this->request.isRepeatable || this->keptConnections->wasUsedWithin(localPort, this->request.maxConnectionIdle, MillisecondClock::now());
 }
 
 void UpstreamAttempt::setRelay()
@@ -271,8 +279,8 @@
 int UpstreamAttempt::onBeforeSend(void* self, char*, char*, int, int localPort)
 {
     auto* attempt = static_cast<UpstreamAttempt*>(self);
-    attempt->wasConnectionIdle = !attempt->isConnected && !attempt->mayUseConnection(localPort);
-    if (attempt->wasConnectionIdle)
+    attempt->isConnectionUnsuitable = !attempt->isConnected && !attempt->mayUseConnection(localPort);
+    if (attempt->isConnectionUnsuitable)
         return CURL_PREREQFUNC_ABORT;
     attempt->connectionPort = localPort;
     // libcurl would send a request again, to the same target, when a reused connection was lost before an answer. That
@@ -297,13 +305,22 @@
     return attempt->isInvalid ? 1 : 0;
 }
 
-curl_socket_t UpstreamAttempt::onOpenSocket(void*, curlsocktype, curl_sockaddr* address)
+curl_socket_t UpstreamAttempt::onOpenSocket(void* self, curlsocktype, curl_sockaddr* address)
 {
-    if (std::optional<SocketAddress> other = simulatedDestination(); other && other->size() <= sizeof(address->addr)) {
+    auto* attempt = static_cast<UpstreamAttempt*>(self);
+    bool mayDivert = isPartitionSimulated() && !attempt->request.relay;
+    if (std::optional<SocketAddress> other = mayDivert ? simulatedDestination() : std::nullopt; other && other->size() <= sizeof(address->addr)) {
         std::memcpy(&address->addr, other->data(), other->size());
         address->addrlen = other->size();
     }
-    return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    attempt->openedSocket = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    return attempt->openedSocket;
+}
+
+int UpstreamAttempt::onCloseSocket(void* connections, curl_socket_t socket)
+{
+    static_cast<KeptConnections*>(connections)->forgetSocket(socket);
+    return close(socket);
 }
 
 void UpstreamAttempt::resumeReceiving()
@@ -349,9 +366,9 @@
 void UpstreamAttempt::end(CURLcode code)
 {
     if (this->connectionPort && code == CURLE_OK && this->mayReuseConnection())
-        this->ages->recordUse(this->connectionPort, MillisecondClock::now());
+        this->keptConnections->recordUse(this->connectionPort, MillisecondClock::now());
     else if (this->connectionPort)
-        this->ages->forget(this->connectionPort);
+        this->keptConnections->forget(this->connectionPort);
     this->endWith(this->outcomeOf(code));
 }
 
--- a/packages/transport/src/UpstreamAttempt.h
+++ b/packages/transport/src/UpstreamAttempt.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "AnswerParser.h"
-#include "ConnectionAges.h"
+#include "KeptConnections.h"
 #include "kingcup/UpstreamClient.h"
 
 #include <curl/curl.h>
@@ -20,12 +20,12 @@
 
     /**
      * Sets all options of the transfer. Returns false if the request is malformed or its deadline has passed; nothing is sent then.
-     * @param connectionAges Kept connections of the event loop.
+     * @param connections Connections of the event loop; must outlive them.
      */
-    bool prepare(CURL* handle, ConnectionAges& connectionAges);
+    bool prepare(CURL* handle, KeptConnections& connections);
 
-    /** Returns whether the transfer ended before anything was sent, because libcurl chose a connection that has been idle for too long. */
-    bool needsNewConnection() const { return this->wasConnectionIdle; }
+    /** Returns whether the transfer ended before anything was sent, because libcurl chose a connection that the request must not use. */
+    bool needsNewConnection() const { return this->isConnectionUnsuitable; }
 
     /** Sets all options again, with a new connection, after a transfer for which needsNewConnection() holds. Returns false like prepare(). */
     bool prepareNewConnection();
@@ -51,6 +51,7 @@
     static size_t onBodyBytes(char* bytes, size_t size, size_t count, void* self);
     static size_t onReadBody(char* buffer, size_t size, size_t count, void* self);
     static curl_socket_t onOpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address);
+    static int onCloseSocket(void* connections, curl_socket_t socket); ///< `connections` are those of the event loop.
     static int onStep(void* self, curl_off_t downloadSize, curl_off_t downloadedBytes, curl_off_t uploadSize, curl_off_t sentBytes);
     static int onBeforeSend(void* self, char* primaryAddress, char* localAddress, int primaryPort, int localPort);
 
@@ -99,10 +100,11 @@
     TimePoint startTime; ///< Time at which start() was called.
     TimePoint firstByteTime {}; ///< Time of the first byte of the answer; TimePoint {} before it.
     CURL* curl = nullptr; ///< Transfer handle, owned by the loop.
-    ConnectionAges* ages = nullptr; ///< Set by prepare().
+    KeptConnections* keptConnections = nullptr; ///< Set by prepare().
     int connectionPort = 0; ///< Local port of the connection; 0 before it is chosen.
-    bool wasConnectionIdle = false; ///< The chosen connection has been idle for too long.
-    bool forcesNewConnection = false; ///< A kept connection was idle for too long.
+    curl_socket_t openedSocket = CURL_SOCKET_BAD; ///< Socket of the connection that was opened for the attempt.
+    bool isConnectionUnsuitable = false; ///< The chosen connection has been idle for too long or has unread bytes.
+    bool forcesNewConnection = false; ///< A kept connection was not suitable.
     curl_slist* relayHeaderLines = nullptr; ///< Header lines for the relay, owned by the attempt.
     curl_slist* headerLines = nullptr; ///< List of header lines, owned by the attempt.
     uint64_t sentBodyBytes = 0; ///< Body bytes passed to libcurl.
--- a/packages/transport/src/UpstreamLoop.cpp
+++ b/packages/transport/src/UpstreamLoop.cpp
@@ -167,7 +167,7 @@
         easy = this->idleHandles.back();
         this->idleHandles.pop_back();
     }
-    if (!attempt->prepare(easy, this->ages)) {
+    if (!attempt->prepare(easy, this->keptConnections)) {
         --this->openAttempts;
         attempt->end(CURLE_OPERATION_TIMEDOUT);
         this->recycleHandle(easy);
--- a/packages/transport/src/UpstreamLoop.h
+++ b/packages/transport/src/UpstreamLoop.h
@@ -91,7 +91,7 @@
     int wakeDescriptor = -1; ///< eventfd for commands and stop().
     std::optional<TimePoint> timer; ///< Expiry of the libcurl timer, if it is set.
     std::unordered_map<UpstreamClient::AttemptHandle, std::unique_ptr<UpstreamAttempt>> attempts; ///< Running attempts by handle.
-    ConnectionAges ages; ///< Kept connections.
+    KeptConnections keptConnections; ///< Connections of this loop.
     std::vector<CURL*> idleHandles; ///< Transfer handles for reuse.
     std::atomic<uint64_t>& openAttempts; ///< Counter of the client.
     std::mutex mutex; ///< Guards the fields below.
--- a/packages/transport/tests/ConnectionReuseTest.cpp
+++ b/packages/transport/tests/ConnectionReuseTest.cpp
@@ -2,7 +2,7 @@
  * @file ConnectionReuseTest.cpp Requests that must not be repeated use a kept connection only while it is fresh. Guards against requests
  * that are lost on a connection that the target has dropped, against resends by libcurl, and against a connection for each request.
  */
-#include "../src/ConnectionAges.h"
+#include "../src/KeptConnections.h"
 #include "TestAttempt.h"
 
 #include "testing/Story.h"
@@ -87,13 +87,60 @@
     EXPECT_EQ(messages, 2) << "libcurl sent the request again";
 }
 
+TEST(ConnectionReuseTest, leavesConnectionsWithLateAnswers)
+{
+    // A target sends a copy of its first answer, which the next request on the connection would take for its own, either at once or where the next answer is due.
+    constexpr auto copyDelay = std::chrono::milliseconds(20);
+    for (bool isAtOnce : { true, false }) {
+        WaitableValue<bool> isCopySent;
+        RawServer target([&](RawSocket& socket, int connection) {
+            std::string own = answerText("connection " + std::to_string(connection));
+            auto sendCopy = [&] {
+                socket.send(answerText("late copy", "X-Request: 1\r\n"));
+                isCopySent.update([](bool& isSent) { isSent = true; });
+            };
+            for (int message = 0; !socket.receiveMessage().empty(); message++) {
+                if (connection == 1 && message == 1 && !isAtOnce)
+                    sendCopy();
+                socket.send(own);
+                if (connection == 1 && message == 0 && isAtOnce) {
+                    std::this_thread::sleep_for(copyDelay);
+                    sendCopy();
+                }
+            }
+        });
+        UpstreamClient client(1, 16);
+        auto probe = [](UpstreamRequest& request) {
+            makeProbe(request);
+            request.isExpectedAnswer = [](const HttpAnswerHead& head) { return !head.headers.find("X-Request"); };
+        };
+        EXPECT_EQ(Attempt(client, target.address(), makeProbe).wait().data, "connection 1");
+        if (isAtOnce) {
+            EXPECT_TRUE(isCopySent.wait([](bool isSent) { return isSent; }));
+            std::this_thread::sleep_for(copyDelay);
+        }
+        section(isAtOnce ? "a connection with unread bytes is not used" : "a probe that gets the copy fails", [&] {
+            Report report = Attempt(client, target.address(), probe).wait();
+            EXPECT_EQ(report.result.outcome, isAtOnce ? UpstreamOutcome::Complete : UpstreamOutcome::Invalid);
+            EXPECT_EQ(report.data, isAtOnce ? "connection 2" : "");
+            EXPECT_EQ(report.result.newConnection, isAtOnce);
+            EXPECT_EQ(report.ends, 1);
+        });
+        section("a request that must not be repeated gets its own answer, on another connection", [&] {
+            Report report = Attempt(client, target.address(), post(longIdle)).wait();
+            EXPECT_EQ(report.data, "connection 2");
+            EXPECT_EQ(report.result.outcome, UpstreamOutcome::Complete);
+        });
+    }
+}
+
 TEST(ConnectionReuseTest, forgetsPorts)
 {
-    ConnectionAges ages;
+    KeptConnections connections;
     TimePoint start { Milliseconds(1000) };
-    ages.recordUse(40000, start);
-    EXPECT_TRUE(ages.wasUsedWithin(40000, Milliseconds(100), start + Milliseconds(100)));
-    EXPECT_FALSE(ages.wasUsedWithin(40000, Milliseconds(100), start + Milliseconds(101)));
-    ages.forget(40000);
-    EXPECT_FALSE(ages.wasUsedWithin(40000, Milliseconds(100), start)) << "another connection may have the port";
+    connections.recordUse(40000, start);
+    EXPECT_TRUE(connections.wasUsedWithin(40000, Milliseconds(100), start + Milliseconds(100)));
+    EXPECT_FALSE(connections.wasUsedWithin(40000, Milliseconds(100), start + Milliseconds(101)));
+    connections.forget(40000);
+    EXPECT_FALSE(connections.wasUsedWithin(40000, Milliseconds(100), start)) << "another connection may have the port";
 }
