Fix: [Entry] A probe does not take the late copy of an answer to a request for its own

Cause: the target had sent a second copy of an earlier answer, which arrives where the next answer is expected. The next exchange on that connection is the load probe of a later search. It took the copy for its own answer and found the target free; the request followed on the same connection and read the probe's answer, which lacks its id. An answer of another request ends the connection, and with it the work of the target. A request that must not be repeated ends so with 502.

Ruled out: targets that leave (the cuts are at targets that stay), the end of the stop (1.3 s after SIGTERM), kept connections that the target closed (the outcome would be connection_lost).

Change: an answer with the id of a request ends a probe as failed, and its connection is closed before a request uses it.

--- a/programs/kingcupswitchd/entry/CallHeaders.cpp
+++ b/programs/kingcupswitchd/entry/CallHeaders.cpp
@@ -113,6 +113,11 @@
     return headers;
 }
 
+bool isProbeAnswer(const HttpAnswerHead& head, const HeaderNames& names)
+{
+    return names.requestId.empty() || !head.headers.find(names.requestId);
+}
+
 HttpHeaders targetHeaders(const HttpRequestHead& head, const HeaderNames& names, Milliseconds remaining, uint32_t depth, const std::string& instance, const CallerIdentity& caller)
 {
     HttpHeaders headers;
--- a/programs/kingcupswitchd/entry/CallHeaders.h
+++ b/programs/kingcupswitchd/entry/CallHeaders.h
@@ -40,6 +40,12 @@
 /** Returns the header fields of a load probe. They name the expected instance, because a later instance on the same address must not answer in its place. */
 HttpHeaders probeHeaders(const HeaderNames& names, const std::string& address, const std::string& instance);
 
+/**
+ * Returns whether an answer to a load probe can belong to it. A probe has no request id, so an answer that repeats one is a late copy of an answer to an
+ * earlier request on the connection; if it counted as that of the probe, the next request would get the probe's own answer.
+ */
+bool isProbeAnswer(const HttpAnswerHead& head, const HeaderNames& names);
+
 /** Returns the answer head for the caller: the target's status and end-to-end fields, the result and the run state. */
 HttpAnswerHead callerHead(const HttpAnswerHead& targetHead, const HeaderNames& names, ResultCode result, RunState run);
 
--- a/programs/kingcupswitchd/entry/Prober.cpp
+++ b/programs/kingcupswitchd/entry/Prober.cpp
@@ -1,6 +1,8 @@
 /** @file Prober.cpp Implementation of the prober. */
 #include "Prober.h"
 
+#include "CallHeaders.h"
+
 #include "kingcup/HttpRules.h"
 #include "kingcup/JsonLog.h"
 
@@ -59,6 +61,7 @@
     request.connectTimeout = probeTimeout;
     request.deadline = MillisecondClock::now() + probeTimeout;
     request.headers.add("Host", address);
+    request.isExpectedAnswer = [this](const HttpAnswerHead& head) { return isProbeAnswer(head, this->gateway.edge.headers); };
     std::optional<uint64_t> incarnation = row.runtime->router.incarnationOf(address);
     request.onHead = [this, row, address, incarnation](const HttpAnswerHead& head) {
         TimePoint now = MillisecondClock::now();
--- a/programs/kingcupswitchd/tests/CallHeadersTest.cpp
+++ b/programs/kingcupswitchd/tests/CallHeadersTest.cpp
@@ -54,6 +54,18 @@
     });
 }
 
+TEST(CallHeadersTest, lateAnswersOfRequestsAreNotThoseOfProbes)
+{
+    HeaderNames names;
+    HttpAnswerHead answer;
+    answer.status = 200;
+    answer.headers.add("X-Request", "9c41");
+    EXPECT_TRUE(isProbeAnswer(answer, names)) << "an edge without the field cannot tell";
+    names.requestId = "x-request";
+    EXPECT_FALSE(isProbeAnswer(answer, names));
+    EXPECT_TRUE(isProbeAnswer(HttpAnswerHead(), names));
+}
+
 TEST(CallHeadersTest, readsExactlyOneBearerKey)
 {
     auto keyOf = [](std::vector<HttpHeader> fields) { return parseApiKey(headWith(std::move(fields)).headers); };
