Change: [Coordination, Entry, Control] After a loss of all VMs, entry VMs get the configuration without polling for the leader

Between leader and configuration lay the polling of the entry VMs (200 ms without an answer, 100 ms after a refusal, 30 ms and up to a tick of 50 ms after a redirect); requests that were sent before a link was open were dropped.

Change: - A control VM holds the session request of an entry VM without a configuration until it knows a leader (SessionBacklog, at most 150 ms); a new leader serves as soon as the first entry of its term is committed, not at its next tick. - An entry VM without a configuration asks all control VMs that it knows, every 50 ms in the first 2 s, and follows a redirect at once. - A former leader repeats its pre-votes every 0.05 election timeouts after a restart; links between control VMs reconnect after 20 ms, links of entry VMs give up a first packet after 150 ms instead of 300 ms.

SessionBacklogTest; ReplicatedLogTest.formerLeaderLeadsOnceAMajorityIsBack fails with the former interval.

--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -33,6 +33,7 @@
     , commitIndex(durable.snapshot.lastIndex)
     , syncedIndex(log.lastIndex())
     , syncedTerm(durable.hardState.term)
+    , startTime(now)
     , lastLeaderContact(now)
 {
     this->resetElectionTimer(now);
--- a/packages/coordination/src/ReplicatedLogElection.cpp
+++ b/packages/coordination/src/ReplicatedLogElection.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double minPreVoteIntervalRatio = 0.25; ///< Shortest time between two pre-votes, in election timeouts.
+constexpr double restartPreVoteIntervalRatio = 0.05; ///< The same for the leader of the current term after its restart, since the only thing it waits for is a majority.
+constexpr double restartDurationRatio = 5; ///< Time after a start, in election timeouts, in which a former leader repeats pre-votes that often.
 
 } // namespace
 
@@ -54,7 +56,11 @@
     // A pre-vote changes no term, so one that was sent too early is repeated soon.
     bool isFormerLeader = this->endedTerm && this->endedTerm == this->hardState.term;
     Milliseconds interval = this->options.electionTimeout * (minPreVoteIntervalRatio * (1 + this->random.fraction()));
-    this->electionDeadline = now + (isFormerLeader ? std::min(interval, this->options.heartbeatInterval) : interval);
+    if (isFormerLeader && now < this->startTime + this->options.electionTimeout * restartDurationRatio)
+        interval = this->options.electionTimeout * restartPreVoteIntervalRatio;
+    else if (isFormerLeader)
+        interval = std::min(interval, this->options.heartbeatInterval);
+    this->electionDeadline = now + interval;
     this->sendVoteRequests(true, false, output);
 }
 
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -150,6 +150,7 @@
     LogIndex syncedIndex = 0; ///< Index of the last entry known to be synced on the disk of this member.
     Term syncedTerm = 0; ///< Newest term known to be synced.
     bool isDiskFull = false;
+    TimePoint startTime; ///< Start of the process.
     TimePoint lastLeaderContact; ///< Time of the last accepted message of a leader. Set at the start as well, because answers that were sent before a restart may still support the lease of the leader.
     TimePoint electionDeadline;
     std::set<MemberId> grantedVotes; ///< Members that granted their vote or pre-vote to this member.
--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -326,6 +326,31 @@
     }
 }
 
+TEST(ReplicatedLogTest, formerLeaderLeadsOnceAMajorityIsBack)
+{
+    // Members return one after the other after a loss of power. The former leader only waits for a majority, so it must not wait for the rest of a pre-vote interval too.
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        LogNetwork network(testSeed(seed), smallOptions(), 5);
+        ASSERT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }));
+        network.runFor(500);
+        VmId former = network.leader()->vm;
+        for (VmId vm = 1; vm <= 5; ++vm)
+            network.crash(vm);
+        network.runFor(1000);
+        network.start(former);
+        VmId other = former % 5 + 1;
+        network.runFor(130);
+        network.start(other);
+        // The third member may return at any time within a pre-vote interval.
+        network.runFor(170 + 5 * static_cast<double>(seed));
+        EXPECT_EQ(network.leaderWithQuorum(), nullptr);
+        network.start(other % 5 + 1);
+        constexpr double electionLimitMs = 80;
+        EXPECT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }, electionLimitMs)) << seed;
+        EXPECT_TRUE(network.violations.empty()) << network.violations.front();
+    }
+}
+
 TEST(ReplicatedLogTest, quorumAndLeadershipTransfer)
 {
     uint64_t seed = testSeed(11);
--- a/packages/transport/include/kingcup/Link.h
+++ b/packages/transport/include/kingcup/Link.h
@@ -41,8 +41,9 @@
     std::string listen; ///< host:port of the ROUTER socket; empty if this process does not listen.
     std::vector<std::string> allowedKeys; ///< Public keys that may connect.
     std::vector<LinkPeer> peers; ///< Control VMs to connect to, each through a DEALER socket.
-    Milliseconds connectTimeout { 300 }; ///< Time after which a connection that is not established is tried again. A starting peer does not answer the first SYN, and TCP retransmits it only after a second.
-    Milliseconds maxReconnectInterval { 200 }; ///< Longest pause between two such tries; the shortest is 50 ms.
+    Milliseconds connectTimeout { 150 }; ///< Time after which a connection that is not established is tried again. A starting peer does not answer the first SYN, and TCP retransmits it only after a second.
+    Milliseconds minReconnectInterval { 50 }; ///< Pause before the second such try; each further one is twice as long as the one before.
+    Milliseconds maxReconnectInterval { 400 }; ///< Longest pause.
     int queueLength = 2000; ///< Send and receive queue per peer, in messages; messages beyond it are dropped.
     size_t maxMessageBytes = 32u << 20; ///< Larger messages are dropped and close the connection.
 };
--- a/packages/transport/src/Link.cpp
+++ b/packages/transport/src/Link.cpp
@@ -20,7 +20,6 @@
 
 constexpr int heartbeatIntervalMs = 500;
 constexpr int heartbeatTimeoutMs = 2000; // A link whose peer vanished without closing it is reopened after this time.
-constexpr int reconnectIntervalMs = 50;
 constexpr int unacknowledgedLimitMs = 2000; // Equal to the heartbeat timeout.
 constexpr int handshakeTimeoutMs = 2000;
 constexpr int lingerMs = 200;
@@ -121,7 +120,7 @@
     setCommonOptions(dealer, this->options);
     // Messages for a peer without a connection are dropped, because they would be stale after a reconnect.
     dealer.set(zmq::sockopt::immediate, true);
-    dealer.set(zmq::sockopt::reconnect_ivl, reconnectIntervalMs);
+    dealer.set(zmq::sockopt::reconnect_ivl, static_cast<int>(this->options.minReconnectInterval.count()));
     dealer.set(zmq::sockopt::reconnect_ivl_max, static_cast<int>(this->options.maxReconnectInterval.count()));
     dealer.set(zmq::sockopt::connect_timeout, static_cast<int>(this->options.connectTimeout.count()));
     if (this->options.isSecured)
--- a/programs/kingcupswitchd/control/ControlLeader.cpp
+++ b/programs/kingcupswitchd/control/ControlLeader.cpp
@@ -22,6 +22,7 @@
         this->sessions->becomeLeader(now, this->stateMachine.targets());
         this->relayDirectory->clear();
         this->usageLender->becomeLeader(now);
+        this->answerHeldSessions();
     }
     this->updateUsageCaps(now);
     for (const EntrySession& session : this->sessions->takeExpiredSessions(now))
@@ -59,6 +60,17 @@
     });
 }
 
+/** Starts to serve entry VMs as soon as a new leader has committed the first entry of its term, without waiting for the next tick. */
+void ControlNode::scheduleLeaderStart()
+{
+    if (!this->isLeader() || this->hasInitialisedSessions)
+        return;
+    this->hub->post([this] {
+        if (this->leaderCode() == ResultCode::Ok && !this->hasInitialisedSessions)
+            this->tickLeader(MillisecondClock::now());
+    });
+}
+
 /**
  * Returns a callback that delays the answer to a new quarantine until every entry VM with a lease has confirmed it, because the
  * caller may retry the request through any of them. Other results are passed on at once.
@@ -141,6 +153,8 @@
 {
     const ReplicatedLog& log = this->driver->log();
     logLine(LogLevel::Info, "role_changed", { { "leads", this->isLeader() }, { "leader", log.leader() }, { "term", log.term() } });
+    if (this->leader() && !this->isLeader())
+        this->answerHeldSessions();
     if (this->isLeader() == this->wasLeader)
         return;
     this->wasLeader = this->isLeader();
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -16,6 +16,7 @@
 constexpr Milliseconds diskCheckInterval { 1000 };
 constexpr uint64_t diskReserveBytes = 32u << 20; ///< New commands are refused while less is free, so that accepted ones can still be written.
 constexpr int stateFailureExitCode = 70;
+constexpr Milliseconds maxSessionHold { 150 };
 
 /** Ends the process without further cleanup, because its durable or replicated state may be wrong. */
 [[noreturn]] void exitAfterFailure(std::error_code error)
@@ -69,6 +70,7 @@
 
 ControlNode::ControlNode()
     : stateMachine(enabledRules())
+    , sessionBacklog(maxSessionHold)
 {
 }
 
@@ -115,6 +117,7 @@
             exitAfterFailure(code);
     };
     hooks.roleChanged = [this] { this->handleRoleChange(); };
+    hooks.entriesCommitted = [this] { this->scheduleLeaderStart(); };
     // After a failed sync the content of the disk is unknown, so nothing more may be acknowledged.
     hooks.diskFailed = [](std::error_code error) { exitAfterFailure(error); };
     this->driver = std::make_unique<LogDriver>(options, this->durable, std::move(this->snapshotData), *this->storage, seed, this->settings.snapshotEntries, hub, std::move(hooks));
@@ -210,6 +213,8 @@
     this->updateRelay(now);
     if (this->leaderCode() == ResultCode::Ok)
         this->tickLeader(now);
+    for (const SessionBacklog::Answer& answer : this->sessionBacklog.takeExpired(now))
+        answer();
 }
 
 /**
--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -168,6 +168,8 @@
     }
     for (const wire::LogEntry& entry : output.committedEntries)
         this->applyEntry(entry);
+    if (!output.committedEntries.empty())
+        this->hooks.entriesCommitted();
     this->takeSnapshotIfDue();
     if (output.hasRoleChanged) {
         if (this->replicatedLog.role() != LogRole::Leader)
--- a/programs/kingcupswitchd/control/LogDriver.h
+++ b/programs/kingcupswitchd/control/LogDriver.h
@@ -20,6 +20,7 @@
     std::function<std::string()> save; ///< Returns the state machine as snapshot data.
     std::function<void(const std::string&)> load; ///< Replaces the state machine by snapshot data.
     std::function<uint64_t()> logTimeMs; ///< Returns the newest log time in the state machine, in milliseconds.
+    std::function<void()> entriesCommitted; ///< Called after committed entries have been applied, also those without a command.
     std::function<void()> roleChanged; ///< Called after the role or the leader has changed.
     std::function<void(std::error_code)> diskFailed; ///< Called on the writer's thread after a disk error; the process must end.
 };
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -8,9 +8,11 @@
 namespace {
 
 constexpr Milliseconds sessionRetryInterval { 200 }; ///< Time without an answer after which a session request is sent to another control VM.
+constexpr Milliseconds startupRetryInterval { 50 }; ///< The same while this VM has no configuration and knows no leader: links may not be open yet, and control VMs hold one request of each VM.
+constexpr Milliseconds startupDuration { 2000 }; ///< Time after the start in which that interval holds.
 constexpr Milliseconds firstConfigurationTimeout { 600 }; ///< The same for the leader while this VM has no configuration: the whole one takes longer on a slow link, and each repetition would send it again.
-constexpr Milliseconds redirectDelay { 30 }; ///< Delay before a session request to the leader that an answer named.
-constexpr Milliseconds electionDelay { 100 }; ///< Delay before the next session request after an answer that named no leader.
+constexpr Milliseconds redirectDelay { 30 }; ///< Shortest time between a session request and the next one to the leader that an answer named.
+constexpr Milliseconds electionDelay { 100 }; ///< Shortest time between a session request and the next one after an answer that named no leader.
 
 /** Returns the options of the listener for callers. */
 HttpListenerOptions listenerOptions(const Settings& settings)
@@ -28,6 +30,7 @@
 
 EntryNode::EntryNode(const Settings& settings, const Edge& edge, LinkHub& hub, LeaderClient& leader, Metrics& metrics, RelayGate& gate, uint64_t incarnation, uint64_t seed)
     : settings(settings)
+    , startTime(MillisecondClock::now())
     , hub(hub)
     , leader(leader)
     , metrics(metrics)
@@ -66,7 +69,8 @@
     if (!envelope.has_session_answer())
         return false;
     const wire::SessionAnswer& answer = envelope.session_answer();
-    this->pendingSessionVm = 0;
+    if (envelope.sender_vm() == this->pendingSessionVm)
+        this->pendingSessionVm = 0;
     if (answer.result_code() != 0) {
         this->followLeaderHint(envelope.sender_vm(), answer.leader_vm(), now);
         return true;
@@ -93,14 +97,19 @@
 /** Redirects session requests to the leader that a control VM named, or to the next control VM if it named none. */
 void EntryNode::followLeaderHint(uint32_t sender, uint32_t leaderVm, TimePoint now)
 {
+    if (leaderVm && leaderVm == this->pendingSessionVm)
+        return;
     if (leaderVm && leaderVm != sender) {
         this->leader.setLeader(leaderVm);
-        this->nextSessionRequest = now + redirectDelay;
+        this->nextSessionRequest = this->lastSessionRequest + redirectDelay;
+        // The next tick may be tens of milliseconds away, and callers wait for the first configuration.
+        if (now >= this->nextSessionRequest && !this->hasManifest.load())
+            this->sendSessionRequest(now);
         return;
     }
     if (!leaderVm)
         this->leader.recordFailure(sender);
-    this->nextSessionRequest = now + electionDelay;
+    this->nextSessionRequest = this->lastSessionRequest + electionDelay;
 }
 
 /** Puts the merged configuration in force on the request path. */
@@ -127,8 +136,25 @@
 
 void EntryNode::sendSessionRequest(TimePoint now)
 {
-    bool expectsFirstConfiguration = !this->hasManifest.load() && this->leader.leader() && this->leader.leader() == this->leader.preferredVm();
-    this->nextSessionRequest = now + (expectsFirstConfiguration ? firstConfigurationTimeout : sessionRetryInterval);
+    // Control VMs hold the request of a VM without a configuration until they know a leader, so the first of them to know it answers.
+    bool asksAll = !this->hasManifest.load() && !this->leader.leader();
+    bool expectsFirstConfiguration = !this->hasManifest.load() && !asksAll;
+    Milliseconds retryInterval = expectsFirstConfiguration ? firstConfigurationTimeout : sessionRetryInterval;
+    if (asksAll && now < this->startTime + startupDuration)
+        retryInterval = startupRetryInterval;
+    this->nextSessionRequest = now + retryInterval;
+    this->lastSessionRequest = now;
+    this->pendingSessionVm = asksAll ? 0 : this->leader.preferredVm();
+    if (asksAll) {
+        for (uint32_t vm : this->leader.controlVms())
+            this->sendSessionRequestTo(vm, now);
+    } else {
+        this->sendSessionRequestTo(this->pendingSessionVm, now);
+    }
+}
+
+void EntryNode::sendSessionRequestTo(uint32_t vm, TimePoint now)
+{
     wire::Envelope envelope;
     uint64_t id = this->leader.allocateRequestId();
     envelope.set_request_id(id);
@@ -139,8 +165,7 @@
     this->gateway.usage.addUsage(id, now, *envelope.mutable_session_request());
     if (std::optional<wire::RelayOffer> offer = this->gate.offer())
         *envelope.mutable_session_request()->mutable_relay_offer() = std::move(*offer);
-    this->pendingSessionVm = this->leader.preferredVm();
-    this->hub.send(this->pendingSessionVm, std::move(envelope));
+    this->hub.send(vm, std::move(envelope));
 }
 
 /** Tells control at once whether this VM relays connections, and asks for its own relays. */
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -64,12 +64,14 @@
 
 private:
     void sendSessionRequest(TimePoint now);
+    void sendSessionRequestTo(uint32_t vm, TimePoint now);
     void followLeaderHint(uint32_t sender, uint32_t leaderVm, TimePoint now);
     void publishConfiguration();
     void handlePathChange();
     void updateGate();
 
     Settings settings; ///< Settings of this process.
+    TimePoint startTime; ///< Start of this process.
     LinkHub& hub; ///< Sends session requests.
     LeaderClient& leader; ///< Selects the control VM for session requests.
     Metrics& metrics; ///< Metrics of this process.
@@ -81,6 +83,7 @@
     KeyLease keyLease; ///< Permission to use API keys; used on the thread of the hub only.
     HttpListener listener; ///< Accepts callers' connections.
     TimePoint nextSessionRequest {}; ///< Time of the next session request.
+    TimePoint lastSessionRequest {}; ///< Time of the latest session request.
     uint32_t pendingSessionVm = 0; ///< Control VM whose answer to the last session request is pending; 0: none.
     std::atomic<bool> hasManifest { false }; ///< Whether a manifest is in force.
     std::atomic<bool> servesIsolated { false }; ///< Whether there are routes, which are served without a lease.
--- a/programs/kingcupswitchd/process/LeaderClient.h
+++ b/programs/kingcupswitchd/process/LeaderClient.h
@@ -54,6 +54,9 @@
     /** Returns the control VM that receives the next request; 0 without any control VM. Hub thread only. */
     uint32_t preferredVm() const { return this->search.preferredVm(); }
 
+    /** Returns the control VMs in the order in which they are tried. Hub thread only. */
+    const std::vector<VmId>& controlVms() const { return this->search.vms(); }
+
     /** Returns a request id that this process has not used yet. Thread-safe. */
     uint64_t allocateRequestId() { return ++this->lastRequestId; }
 
--- a/programs/kingcupswitchd/process/Process.cpp
+++ b/programs/kingcupswitchd/process/Process.cpp
@@ -19,7 +19,7 @@
 constexpr Milliseconds cutOffTimeout { 100 }; ///< Longest time for the answers to calls that are cut off.
 constexpr Milliseconds gaugeUpdateInterval { 1000 };
 constexpr Milliseconds controlConnectTimeout { 100 }; ///< Between control VMs, whose links decide how long an election takes after a loss of power. They are few, so that frequent tries cost little.
-constexpr Milliseconds controlReconnectInterval { 50 };
+constexpr Milliseconds controlReconnectInterval { 20 };
 
 /** Returns a nonzero random number. */
 uint64_t randomNonzero()
@@ -114,6 +114,7 @@
     options.listen = this->settings.control ? this->settings.linkListener : "";
     if (this->settings.control) {
         options.connectTimeout = controlConnectTimeout;
+        options.minReconnectInterval = controlReconnectInterval;
         options.maxReconnectInterval = controlReconnectInterval;
     }
     options.allowedKeys = this->settings.allowedKeys;
