Change: [Control, Entry] Session requests are not held while there is no leader

Polling every 50 ms from three control VMs finds the leader as soon as its answer could, so the backlog, its limit and its test go.

A redirect to a VM without a link waits for the link as before: a message sent at once would be dropped, and the next would follow only after 600 ms.

--- a/programs/kingcupswitchd/control/ControlLeader.cpp
+++ b/programs/kingcupswitchd/control/ControlLeader.cpp
@@ -22,7 +22,6 @@
         this->sessions->becomeLeader(now, this->stateMachine.targets());
         this->relayDirectory->clear();
         this->usageLender->becomeLeader(now);
-        this->answerHeldSessions();
     }
     this->updateUsageCaps(now);
     for (const EntrySession& session : this->sessions->takeExpiredSessions(now))
@@ -153,8 +152,6 @@
 {
     const ReplicatedLog& log = this->driver->log();
     logLine(LogLevel::Info, "role_changed", { { "leads", this->isLeader() }, { "leader", log.leader() }, { "term", log.term() } });
-    if (this->leader() && !this->isLeader())
-        this->answerHeldSessions();
     if (this->isLeader() == this->wasLeader)
         return;
     this->wasLeader = this->isLeader();
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -16,7 +16,6 @@
 constexpr Milliseconds diskCheckInterval { 1000 };
 constexpr uint64_t diskReserveBytes = 32u << 20; ///< New commands are refused while less is free, so that accepted ones can still be written.
 constexpr int stateFailureExitCode = 70;
-constexpr Milliseconds maxSessionHold { 150 };
 
 /** Ends the process without further cleanup, because its durable or replicated state may be wrong. */
 [[noreturn]] void exitAfterFailure(std::error_code error)
@@ -70,7 +69,6 @@
 
 ControlNode::ControlNode()
     : stateMachine(enabledRules())
-    , sessionBacklog(maxSessionHold)
 {
 }
 
@@ -213,8 +211,6 @@
     this->updateRelay(now);
     if (this->leaderCode() == ResultCode::Ok)
         this->tickLeader(now);
-    for (const SessionBacklog::Answer& answer : this->sessionBacklog.takeExpired(now))
-        answer();
 }
 
 /**
--- a/programs/kingcupswitchd/control/ControlNode.h
+++ b/programs/kingcupswitchd/control/ControlNode.h
@@ -10,7 +10,6 @@
 #include "kingcup/DataFolder.h"
 #include "kingcup/Metrics.h"
 #include "kingcup/RelayDirectory.h"
-#include "kingcup/SessionBacklog.h"
 #include "kingcup/SessionTable.h"
 #include "kingcup/Settings.h"
 #include "kingcup/UsageLender.h"
@@ -98,9 +97,6 @@
     void removeHeartbeat(const wire::TargetRecord& target);
     void handleRoleChange();
     void receiveSession(const LinkOrigin& origin, const wire::Envelope& envelope);
-    void answerSession(const LinkOrigin& origin, const wire::Envelope& envelope);
-    bool holdSession(const LinkOrigin& origin, const wire::Envelope& envelope);
-    void answerHeldSessions();
     void scheduleLeaderStart();
     void receiveCommand(const LinkOrigin& origin, const wire::Envelope& envelope);
     void receiveHeartbeats(const LinkOrigin& origin, const wire::Envelope& envelope);
@@ -158,7 +154,6 @@
     ChangesCache changesCache; ///< Compressed changes for answers and pushes.
     std::vector<DelayedAnswer> delayedAnswers; ///< Delayed answers to quarantine requests.
     std::set<std::string> departedInstances; ///< Names of instances that left before they were recorded; their late announcements are ignored.
-    SessionBacklog sessionBacklog; ///< Session requests that wait for a leader.
     bool isPushPosted = false; ///< Whether a push is posted to the hub.
     bool wasLeader = false; ///< Whether this VM was the leader at the last role change.
     bool hasInitialisedSessions = false; ///< Whether the sessions are initialised for the current leadership.
--- a/programs/kingcupswitchd/control/ControlRequests.cpp
+++ b/programs/kingcupswitchd/control/ControlRequests.cpp
@@ -48,30 +48,6 @@
 } // namespace
 
 void ControlNode::receiveSession(const LinkOrigin& origin, const wire::Envelope& envelope)
-{
-    if (!this->holdSession(origin, envelope))
-        this->answerSession(origin, envelope);
-}
-
-/** Holds the request of an entry VM without a configuration while no leader is known or ready. Returns false if it has to be answered. */
-bool ControlNode::holdSession(const LinkOrigin& origin, const wire::Envelope& envelope)
-{
-    const wire::SessionRequest& request = envelope.session_request();
-    bool isOtherLeader = this->leader() && !this->isLeader();
-    if (request.held_index() || isOtherLeader || this->softStateCode() == ResultCode::Ok)
-        return false;
-    return this->sessionBacklog.hold(
-        request.entry_vm(), [this, origin, envelope] { this->answerSession(origin, envelope); }, MillisecondClock::now());
-}
-
-/** Answers the held requests: a leader with the configuration, another VM with the leader that it knows. */
-void ControlNode::answerHeldSessions()
-{
-    for (const SessionBacklog::Answer& answer : this->sessionBacklog.takeAll())
-        answer();
-}
-
-void ControlNode::answerSession(const LinkOrigin& origin, const wire::Envelope& envelope)
 {
     const wire::SessionRequest& request = envelope.session_request();
     wire::Envelope answer;
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -3,15 +3,17 @@
 
 #include "kingcup/JsonLog.h"
 
+#include <algorithm>
+
 namespace kingcup {
 
 namespace {
 
 constexpr Milliseconds sessionRetryInterval { 200 }; ///< Time without an answer after which a session request is sent to another control VM.
-constexpr Milliseconds startupRetryInterval { 50 }; ///< The same while this VM has no configuration and knows no leader: links may not be open yet, and control VMs hold one request of each VM.
+constexpr Milliseconds startupRetryInterval { 50 }; ///< The same while this VM has no configuration and knows no leader: links may not be open yet.
 constexpr Milliseconds startupDuration { 2000 }; ///< Time after the start in which that interval holds.
 constexpr Milliseconds firstConfigurationTimeout { 600 }; ///< The same for the leader while this VM has no configuration: the whole one takes longer on a slow link, and each repetition would send it again.
-constexpr Milliseconds redirectDelay { 30 }; ///< Shortest time between a session request and the next one to the leader that an answer named.
+constexpr Milliseconds redirectDelay { 30 }; ///< Shortest time between a session request and the next one to the leader that an answer named; also from that answer on if there is no link to the leader yet.
 constexpr Milliseconds electionDelay { 100 }; ///< Shortest time between a session request and the next one after an answer that named no leader.
 
 /** Returns the options of the listener for callers. */
@@ -100,8 +102,11 @@
     if (leaderVm && leaderVm == this->pendingSessionVm)
         return;
     if (leaderVm && leaderVm != sender) {
+        const std::vector<VmId>& linkedVms = this->leader.controlVms();
+        bool isLinked = std::find(linkedVms.begin(), linkedVms.end(), leaderVm) != linkedVms.end();
         this->leader.setLeader(leaderVm);
-        this->nextSessionRequest = this->lastSessionRequest + redirectDelay;
+        // A message to a VM whose link is still being opened would be dropped.
+        this->nextSessionRequest = (isLinked ? this->lastSessionRequest : now) + redirectDelay;
         // The next tick may be tens of milliseconds away, and callers wait for the first configuration.
         if (now >= this->nextSessionRequest && !this->hasManifest.load())
             this->sendSessionRequest(now);
@@ -136,7 +141,7 @@
 
 void EntryNode::sendSessionRequest(TimePoint now)
 {
-    // Control VMs hold the request of a VM without a configuration until they know a leader, so the first of them to know it answers.
+    // Any control VM may be the first to know a new leader.
     bool asksAll = !this->hasManifest.load() && !this->leader.leader();
     bool expectsFirstConfiguration = !this->hasManifest.load() && !asksAll;
     Milliseconds retryInterval = expectsFirstConfiguration ? firstConfigurationTimeout : sessionRetryInterval;
