Fix: [Entry] A VM without a configuration opens links to all control VMs that it asks

Found by reading: a leader without a manifest names its members, of which some have no link yet. The requests to all control VMs were dropped for these, and the rotation that opened links one by one no longer takes place while no leader is known.

--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -151,8 +151,10 @@
     this->lastSessionRequest = now;
     this->pendingSessionVm = asksAll ? 0 : this->leader.preferredVm();
     if (asksAll) {
-        for (uint32_t vm : this->leader.controlVms())
+        for (uint32_t vm : this->leader.controlVms()) {
+            this->leader.connect(vm);
             this->sendSessionRequestTo(vm, now);
+        }
     } else {
         this->sendSessionRequestTo(this->pendingSessionVm, now);
     }
--- a/programs/kingcupswitchd/process/LeaderClient.cpp
+++ b/programs/kingcupswitchd/process/LeaderClient.cpp
@@ -56,7 +56,6 @@
     logLine(LogLevel::Info, "control_vms_changed", { { "controlVms", vmIds } });
 }
 
-/** Opens a link to a control VM, which may not be among those known at the start. */
 void LeaderClient::connect(VmId vm)
 {
     if (std::optional<LinkPeer> peer = this->directory.peer(vm))
--- a/programs/kingcupswitchd/process/LeaderClient.h
+++ b/programs/kingcupswitchd/process/LeaderClient.h
@@ -57,6 +57,9 @@
     /** Returns the control VMs in the order in which they are tried. Hub thread only. */
     const std::vector<VmId>& controlVms() const { return this->search.vms(); }
 
+    /** Opens a link to a control VM, which may not be among those known at the start, unless there is one. Hub thread only. */
+    void connect(VmId vm);
+
     /** Returns a request id that this process has not used yet. Thread-safe. */
     uint64_t allocateRequestId() { return ++this->lastRequestId; }
 
@@ -74,7 +77,6 @@
     bool retryRefused(const wire::Envelope& answer, PendingRequest& pending);
 
     void useNextVm();
-    void connect(VmId vm);
 
     LinkHub& hub; ///< Links to the control VMs.
     const ControlDirectory& directory; ///< Addresses of the control VMs.
