--- a/review/harness/Harness.h
+++ b/review/harness/Harness.h
@@ -228,6 +228,13 @@
 
     /** Reads one message. Returns nothing if no whole head arrives within the limit or the peer closes before it. */
     std::optional<HttpMessage> read(double limitMs, bool isAnswer)
+    {
+        std::optional<HttpMessage> message = this->readHead(limitMs);
+        return message ? std::optional(this->readBody(std::move(*message), isAnswer)) : std::nullopt;
+    }
+
+    /** Reads the head of a message. */
+    std::optional<HttpMessage> readHead(double limitMs)
     {
         this->end = nowMs() + limitMs;
         HttpMessage message;
@@ -236,7 +243,7 @@
             return std::nullopt;
         while (this->line(line)) {
             if (line.empty())
-                return this->body(std::move(message), isAnswer);
+                return message;
             size_t colon = line.find(':');
             size_t start = line.find_first_not_of(" \t", colon + 1);
             message.fields.emplace_back(line.substr(0, colon), start == std::string::npos ? "" : line.substr(start));
@@ -244,6 +251,51 @@
         return std::nullopt;
     }
 
+    /** Reads the body of a message whose head has been read. */
+    HttpMessage readBody(HttpMessage message, bool isAnswer)
+    {
+        std::string length = message.field("Content-Length");
+        if (::strcasecmp(message.field("Transfer-Encoding").c_str(), "chunked") == 0) {
+            std::string size;
+            while (this->line(size)) {
+                size_t count = std::strtoul(size.c_str(), nullptr, 16);
+                std::string ignored;
+                if (count && (!this->take(count, message.body) || !this->line(ignored)))
+                    return message;
+                if (!count) {
+                    message.isWhole = this->line(ignored);
+                    return message;
+                }
+            }
+        } else if (!length.empty()) {
+            message.isWhole = this->take(std::stoul(length), message.body);
+        } else if (isAnswer && message.status() != 204 && message.status() != 304) {
+            while (this->fill()) { }
+            message.body.swap(this->buffer);
+            message.isWhole = this->isClosed && !this->hasReset;
+        } else {
+            message.isWhole = true;
+        }
+        return message;
+    }
+
+    /** Reads a chunked body, whose head readHead() has returned. @param onBytes Called with the size of each chunk. Returns whether it ended with its last chunk. */
+    bool readChunks(double limitMs, const std::function<void(size_t)>& onBytes)
+    {
+        this->end = nowMs() + limitMs;
+        std::string size;
+        while (this->line(size)) {
+            size_t count = std::strtoul(size.c_str(), nullptr, 16);
+            std::string ignored;
+            if (!count)
+                return this->line(ignored);
+            if (!this->take(count, ignored) || !this->line(ignored))
+                return false;
+            onBytes(count);
+        }
+        return false;
+    }
+
     bool hasPeerClosed() const { return this->isClosed; }
 
     /** Limits how fast bytes are read. @param bytesPerMs 0: no limit. */
@@ -292,33 +344,6 @@
         return true;
     }
 
-    HttpMessage body(HttpMessage message, bool isAnswer)
-    {
-        std::string length = message.field("Content-Length");
-        if (::strcasecmp(message.field("Transfer-Encoding").c_str(), "chunked") == 0) {
-            std::string size;
-            while (this->line(size)) {
-                size_t count = std::strtoul(size.c_str(), nullptr, 16);
-                std::string ignored;
-                if (count && (!this->take(count, message.body) || !this->line(ignored)))
-                    return message;
-                if (!count) {
-                    message.isWhole = this->line(ignored);
-                    return message;
-                }
-            }
-        } else if (!length.empty()) {
-            message.isWhole = this->take(std::stoul(length), message.body);
-        } else if (isAnswer && message.status() != 204 && message.status() != 304) {
-            while (this->fill()) { }
-            message.body.swap(this->buffer);
-            message.isWhole = this->isClosed && !this->hasReset;
-        } else {
-            message.isWhole = true;
-        }
-        return message;
-    }
-
     int descriptor;
     std::string buffer;
     double end = 0;
@@ -341,6 +366,27 @@
     return method + " " + path + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
 }
 
+/** Sends a body in chunks. @param bytesPerMs Rate of the client. Returns whether all of it was sent. */
+inline bool sendInChunks(const Socket& socket, size_t size, size_t chunkBytes, double bytesPerMs)
+{
+    constexpr size_t burstChunks = 8;
+    double start = nowMs();
+    for (size_t sent = 0; sent < size;) {
+        std::string burst;
+        for (size_t number = 0; number < burstChunks && sent < size; ++number) {
+            std::string chunk(std::min(chunkBytes, size - sent), 'x');
+            char head[16];
+            std::snprintf(head, sizeof(head), "%zx\r\n", chunk.size());
+            burst += head + chunk + "\r\n";
+            sent += chunk.size();
+        }
+        if (!socket.send(burst))
+            return false;
+        sleepMs(start + static_cast<double>(sent) / bytesPerMs - nowMs());
+    }
+    return socket.send("0\r\n\r\n");
+}
+
 /** A process of the deploy file. */
 struct Machine {
     std::string name;
@@ -470,6 +516,17 @@
         std::ofstream(machine.settingsFile) << text;
     }
 
+    /** Returns the position of the control machine that leads, as it says itself; the number of machines if there is none. */
+    size_t leader() const
+    {
+        for (size_t number = 0; number < this->controls.size(); ++number) {
+            std::optional<HttpMessage> status = exchange(this->controls[number].control(), "GET /v1/dump HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n", 1000);
+            if (status && status->body.find("\"role\":\"leader\"") != std::string::npos)
+                return number;
+        }
+        return this->controls.size();
+    }
+
     /** Returns a free address for a stand-in. */
     std::string nextAddress() { return this->backendNetwork + std::to_string(100 + this->backendCount++) + ":8080"; }
 
@@ -573,6 +630,12 @@
         return this->run(connection, request);
     }
 
+    /** Returns whether serveUpload() reads the chunked bodies. */
+    virtual bool servesUploads() const { return false; }
+
+    /** Reads and answers a request with a chunked body. Returns whether the connection stays open. */
+    virtual bool serveUpload(BackendConnection&, HttpReader&, const HttpMessage&) { return false; }
+
     virtual std::string healthAnswer()
     {
         return "HTTP/1.1 200 OK\r\nBackend-Id: " + this->id + "\r\nBackend-Load: " + this->load() + "\r\nContent-Length: 0\r\n\r\n";
@@ -634,8 +697,17 @@
             if (::poll(&waited, 1, 100) <= 0)
                 continue;
             reader.setRate(this->readRate);
-            std::optional<HttpMessage> request = reader.read(this->readLimitMs, false);
-            if (!request || !request->isWhole)
+            std::optional<HttpMessage> request = reader.readHead(this->readLimitMs);
+            if (!request)
+                continue;
+            bool isUpload = ::strcasecmp(request->field("Transfer-Encoding").c_str(), "chunked") == 0;
+            if (isUpload && this->servesUploads()) {
+                if (!this->serveUpload(connection, reader, *request))
+                    return;
+                continue;
+            }
+            request = reader.readBody(std::move(*request), false);
+            if (!request->isWhole)
                 continue;
             if (!connection.lateBytes.empty() && !connection.socket.send(std::exchange(connection.lateBytes, {})))
                 return;
@@ -696,22 +768,39 @@
     std::thread thread;
 };
 
-/** Sends an order to one machine after the other until it is acknowledged, as the operator of the platform does. Returns the status; 0: none came. */
-inline int sendOrder(Record& record, const std::string& name, const std::vector<std::string>& machines, const std::string& request, double limitMs = 10000)
-{
-    double end = nowMs() + limitMs;
-    for (size_t attempt = 0; nowMs() < end; ++attempt) {
-        const std::string& machine = machines[attempt % machines.size()];
-        record.line("operator: %s is sent to %s", name.c_str(), machine.c_str());
-        std::optional<HttpMessage> answer = exchange(machine, request, 1000);
-        int status = answer ? answer->status() : 0;
-        record.line("operator: %s: %s", name.c_str(), status ? ("answered " + std::to_string(status)).c_str() : "no answer within a second");
-        if (status == 200 || status == 400 || status == 409 || status == 412 || status == 413 || status == 422)
-            return status;
-        sleepMs(100 * static_cast<double>(attempt + 1));
-    }
-    return 0;
-}
+/** The operator of the platform. */
+class Operator {
+public:
+    explicit Operator(Record& record)
+        : record(record)
+    {
+    }
+
+    /**
+     * Sends an order to one machine after the other, with growing pauses, until it is acknowledged or refused. A connection on which no answer has come within a second is
+     * closed. Returns the status; 0: none came.
+     */
+    int send(const std::string& name, const std::vector<std::string>& machines, const std::string& request, double limitMs = 10000)
+    {
+        double end = nowMs() + limitMs;
+        for (size_t attempt = 0; nowMs() < end; ++attempt) {
+            const std::string& machine = machines[attempt % machines.size()];
+            this->record.line("operator: %s is sent to %s", name.c_str(), machine.c_str());
+            std::optional<HttpMessage> answer = exchange(machine, request, answerLimitMs);
+            int status = answer ? answer->status() : 0;
+            this->record.line("operator: %s: %s", name.c_str(), status ? ("answered " + std::to_string(status)).c_str() : "no answer within a second");
+            if (status == 200 || status == 400 || status == 409 || status == 412 || status == 413 || status == 422)
+                return status;
+            sleepMs(100 * static_cast<double>(attempt + 1));
+        }
+        return 0;
+    }
+
+private:
+    static constexpr double answerLimitMs = 1000;
+
+    Record& record;
+};
 
 /** Ends the process with exitNotRun when the time of a run is over. */
 inline void startRunLimit(const std::function<void()>& cleanUp)
