--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -47,9 +47,7 @@
     }
     if (!deployment.startAll())
         return exitNotRun;
-    std::vector<std::string> controls;
-    for (const Machine& machine : deployment.controls)
-        controls.push_back(machine.control());
+    std::vector<std::string> controls = deployment.controlAddresses();
     if (platformOperator.send("desired state 1 (route to archive)", controls, jsonRequest("POST", "/v1/manifest", manifest(1, "archive", usualRank)), 20000) != 200)
         return exitNotRun;
     int result = exitNotRun;
--- a/review/harness/Deployment.h
+++ b/review/harness/Deployment.h
@@ -140,6 +140,16 @@
         std::ofstream(machine.settingsFile) << text;
     }
 
+    /** Returns the addresses to which orders and pings go. */
+    std::vector<std::string> controlAddresses() const
+    {
+        std::vector<std::string> addresses;
+        addresses.reserve(this->controls.size());
+        for (const Machine& machine : this->controls)
+            addresses.push_back(machine.control());
+        return addresses;
+    }
+
     /** Returns the position of the control machine that leads, as it says itself; the number of machines if there is none. */
     size_t leader() const
     {
