--- a/packages/coordination/include/kingcup/RetryPolicy.h
+++ b/packages/coordination/include/kingcup/RetryPolicy.h
@@ -37,6 +37,9 @@
     /** Sets the number of entry VMs that share the budget. 0 (unknown) keeps the last number. */
     void setLiveVms(uint32_t count);
 
+    /** Returns the extra attempts that the shared budget allows this VM now, possibly a fraction or negative; empty without a shared budget. */
+    std::optional<double> remainingBudget(TimePoint now);
+
     /** Counts a new call, which adds to the budgets. */
     void countCall(TimePoint now);
 
--- a/packages/coordination/src/RetryPolicy.cpp
+++ b/packages/coordination/src/RetryPolicy.cpp
@@ -94,6 +94,12 @@
         this->state->budget->setLiveVms(count);
 }
 
+std::optional<double> RetryPolicy::remainingBudget(TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->state->budgetMutex);
+    return this->state->budget ? std::optional(this->state->budget->remainingAttempts(now)) : std::nullopt;
+}
+
 void RetryPolicy::countCall(TimePoint now)
 {
     constexpr double minHedgeShare = 0.001; // Bounds the tokens saved up for kinds with a small share.
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -4,6 +4,7 @@
 #include "kingcup/JsonLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcup {
 
@@ -85,10 +86,12 @@
     bool hasChanged = this->configuration.receiveAnswer(envelope.request_id(), answer, now);
     this->keyLease.renew(this->configuration.lastConfirmedRequest());
     // Calls that wait for the first configuration are checked against the lease when it is published.
-    this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
+    uint32_t liveVms = this->configuration.liveEntryVms(now);
+    this->recordLiveVms(liveVms);
+    this->gateway.setLease(this->configuration.leaseEnd(), liveVms);
     if (hasChanged) {
         this->publishConfiguration();
-        this->gateway.setLease(this->configuration.leaseEnd(), this->configuration.liveEntryVms(now));
+        this->gateway.setLease(this->configuration.leaseEnd(), liveVms);
         this->sendSessionRequest(now);
     } else {
         this->gateway.setKeyLease(this->keyLease.end());
@@ -96,6 +99,16 @@
     return true;
 }
 
+/** Logs a change of the number of entry VMs among which shared limits are divided. */
+void EntryNode::recordLiveVms(uint32_t liveVms)
+{
+    uint32_t before = std::exchange(this->loggedLiveVms, liveVms);
+    if (liveVms == before)
+        return;
+    this->metrics.setGauge("kingcup_live_entry_vms", liveVms);
+    logLine(LogLevel::Info, "live_entry_vms_changed", { { "before", before }, { "live", liveVms } });
+}
+
 /** Redirects session requests to the leader that a control VM named, or to the next control VM if it named none. */
 void EntryNode::followLeaderHint(uint32_t sender, uint32_t leaderVm, TimePoint now)
 {
--- a/programs/kingcupswitchd/entry/EntryNode.h
+++ b/programs/kingcupswitchd/entry/EntryNode.h
@@ -67,6 +67,7 @@
     void sendSessionRequestTo(uint32_t vm, TimePoint now);
     void followLeaderHint(uint32_t sender, uint32_t leaderVm, TimePoint now);
     void publishConfiguration();
+    void recordLiveVms(uint32_t liveVms);
     void handlePathChange();
     void updateGate();
 
@@ -80,6 +81,7 @@
     Gateway gateway; ///< Serves callers' requests.
     Prober prober; ///< Probes the load of targets.
     EntryConfiguration configuration; ///< Merged configuration and lease; used on the thread of the hub only.
+    uint32_t loggedLiveVms = 0; ///< Number of live entry VMs in the last log line about it.
     KeyLease keyLease; ///< Permission to use API keys; used on the thread of the hub only.
     HttpListener listener; ///< Accepts callers' connections.
     TimePoint nextSessionRequest {}; ///< Time of the next session request.
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -187,6 +187,8 @@
     metrics.setGauge("kingcup_outstanding_attempts", this->router.outstanding(), service);
     if (std::optional<ZoneTransferState> transfer = this->router.zoneTransfer())
         metrics.setGauge("kingcup_zone_transfer_share", transfer->share, service);
+    if (std::optional<double> left = this->retryPolicy.remainingBudget(now))
+        metrics.setGauge("kingcup_retry_budget_left", *left, service);
     std::lock_guard<std::mutex> lock(this->mutex);
     metrics.setGauge("kingcup_queue_length", this->admission.queueLength(), service);
     metrics.setGauge("kingcup_calls_in_flight", this->admission.inFlight(), service);
