Fix: [Coordination, Control] Isolated entry VMs are counted while they may use their part of shared limits

Callers saw: retries of all entry VMs together beyond the budget (BUDGET). A service that was already failing got more load than the deployment allows, in windows in which entry VMs were cut off from control.

Cause: the leader told how many entry VMs hold a lease, and each divided the slack of the retry budget by this number. A VM that is cut off goes on serving and kept its part by the last number, while the others divided all of it among themselves. With two halves cut off in turn, the parts within a window added up to twice the slack.

Fix: the leader counts a VM until 60 s after the end of its lease, and a new leader at least what VMs state at first. RetryBudget lets a lower number take effect a window later, and uses no slack after 60 s without contact, nor for a lease term and a window after the number became known. So the parts of all VMs that can send within a window add up to the slack at most, also when a deployment shrinks for good. Probes, limits of targets, cold targets and organisations without demand are divided by the same number.

Still open: a deployment that grows while VMs are isolated.

--- a/packages/coordination/include/kingcup/EntryVmCount.h
+++ b/packages/coordination/include/kingcup/EntryVmCount.h
@@ -13,6 +13,12 @@
  */
 constexpr uint32_t initialAssumedEntryVms = 128;
 
+/**
+ * Time without contact to the leader, after the end of its lease, for which an entry VM uses its part of shared limits and the leader
+ * counts it. It may be isolated and go on serving, so its part must not be divided among the others.
+ */
+constexpr Milliseconds isolationTerm { 60000 };
+
 /** Number of entry VMs as a VM knows it from the answers to its session requests. Not thread-safe. */
 class EntryVmCount {
 public:
--- a/packages/coordination/include/kingcup/ProbeBudget.h
+++ b/packages/coordination/include/kingcup/ProbeBudget.h
@@ -1,6 +1,7 @@
 /** @file ProbeBudget.h Bounds the load that probes put on targets and on this VM. */
 #pragma once
 
+#include "kingcup/DelayedVmCount.h"
 #include "kingcup/ManifestTypes.h"
 
 #include <map>
@@ -49,14 +50,11 @@
     double targetVmShare = 1; ///< Share of the entry VMs that may use the same target.
     uint32_t minAssumedVms; ///< Number of entry VMs to assume at least while the number of live ones is unknown.
     uint32_t assumedVms; ///< Number of entry VMs to assume while the number of live ones is unknown; the last known one if it is larger.
-    uint32_t liveVms = 0; ///< Number of live entry VMs in effect; 0 if unknown.
+    DelayedVmCount liveVms; ///< Number of live entry VMs.
     Milliseconds leaseTerm { 0 }; ///< Last lease term received; 0 if none yet.
     TimePoint liveVmsSetAt {}; ///< Time of the last setLiveVms().
     TimePoint countedFrom {}; ///< Time from which all other VMs count this one.
     bool isCounted = false; ///< Whether the rate of a VM that the others count is in use.
-    uint32_t pendingLiveVms = 0; ///< Lower number of live entry VMs that takes effect after a lease term; 0 if none.
-    TimePoint pendingSince {}; ///< Time at which a lower number was first set.
-    Milliseconds pendingDelay { 0 }; ///< Delay until the lower number takes effect.
     std::map<std::string, Bucket> buckets; ///< Buckets by target address.
     double byteTokens = 0; ///< Bytes that may be sent and received now, over all targets.
     TimePoint bytesRefilledAt {}; ///< Time of the last refill of the byte tokens.
--- a/packages/coordination/include/kingcup/RetryBudget.h
+++ b/packages/coordination/include/kingcup/RetryBudget.h
@@ -1,7 +1,7 @@
 /** @file RetryBudget.h Bounds the extra attempts (retries and hedges) that all entry VMs together send to a service. */
 #pragma once
 
-#include "kingcup/MillisecondClock.h"
+#include "kingcup/DelayedVmCount.h"
 #include "kingcup/Settings.h"
 
 #include <array>
@@ -11,15 +11,18 @@
 
 /**
  * This VM's part of a budget per sliding window: a share of its own requests, plus an equal part of the slack. Not
- * thread-safe. A VM gets no slack during the first window after its start, because its previous process may have spent it,
- * nor while the number of entry VMs is unknown.
+ * thread-safe. The parts of all VMs that send attempts within a window add up to the slack at most: a lower number of entry VMs takes
+ * effect after a window, and a VM gets no slack while the number is unknown, nor in the first window after that.
  */
 class RetryBudget {
 public:
     RetryBudget(const RetryBudgetLimits& limits, TimePoint now);
 
-    /** Sets the number of entry VMs that share the slack; 0 if unknown. */
-    void setLiveVms(uint32_t count) { this->liveVms = count; }
+    /**
+     * Sets the number of entry VMs that share the slack; 0 if the leader does not know it. Called at every session answer. Without a number
+     * above 0 for the isolation term, the number is unknown. @param leaseTerm Time after which all other VMs count this one.
+     */
+    void setLiveVms(uint32_t count, Milliseconds leaseTerm, TimePoint now);
 
     /** Counts a request for the service, which adds to the budget. */
     void countRequest(TimePoint now);
@@ -40,10 +43,12 @@
     };
 
     void advanceWindow(TimePoint now);
+    bool isVmCountKnown(TimePoint now) const;
 
     RetryBudgetLimits limits; ///< Budget of all entry VMs together.
-    TimePoint startedAt; ///< Time since which this process counts.
-    uint32_t liveVms = 0; ///< Entry VMs that share the slack; 0 if unknown.
+    DelayedVmCount liveVms; ///< Entry VMs that share the slack.
+    TimePoint liveVmsSetAt {}; ///< Time at which a number above 0 was last set.
+    TimePoint slackFrom {}; ///< Time from which this VM uses its part of the slack.
     std::array<Bucket, bucketsPerWindow + 1> buckets {}; ///< Ring buffer; one bucket more than a window, because the window covers the oldest one only in part.
     int64_t newestBucket = 0; ///< Number of the newest bucket.
     Bucket totals; ///< Total over all buckets.
--- a/packages/coordination/include/kingcup/RetryPolicy.h
+++ b/packages/coordination/include/kingcup/RetryPolicy.h
@@ -34,8 +34,8 @@
     /** Bounds retries and hedges by a budget that all entry VMs share. It replaces the retry share of the service's limits. */
     void setBudget(const RetryBudgetLimits& budget, TimePoint now);
 
-    /** Sets the number of entry VMs that share the budget. 0 (unknown) keeps the last number. */
-    void setLiveVms(uint32_t count);
+    /** Sets the number of entry VMs that share the budget, as RetryBudget::setLiveVms() does. */
+    void setLiveVms(uint32_t count, Milliseconds leaseTerm, TimePoint now);
 
     /** Returns the extra attempts that the shared budget allows this VM now, possibly a fraction or negative; empty without a shared budget. */
     std::optional<double> remainingBudget(TimePoint now);
--- a/packages/coordination/include/kingcup/SessionTable.h
+++ b/packages/coordination/include/kingcup/SessionTable.h
@@ -50,13 +50,14 @@
     std::vector<EntrySession> takeExpiredSessions(TimePoint now);
 
     /**
-     * Returns the number of entry VMs that may hold a lease; 0 while unknown, which is for one lease term after
-     * becomeLeader().
+     * Returns the number of entry VMs that may serve, by which shared limits are divided: those that were in contact within the isolation
+     * term, and for that time after becomeLeader() at least the largest number that a session request has stated. 0 while unknown,
+     * which is for one lease term after becomeLeader().
      */
     uint32_t liveEntryVms(TimePoint now) const;
 
     /**
-     * Returns the number of entry VMs that this leader has heard of: those that may hold a lease, or the largest number that
+     * Returns the number of entry VMs that this leader has heard of: those that were in contact, or the largest number that
      * a session request has stated. It replaces liveEntryVms() while that is unknown and may be too small then.
      */
     uint32_t estimatedEntryVms(TimePoint now) const;
@@ -94,12 +95,14 @@
     };
     std::vector<RankedLoad> rankedLoads(TimePoint now) const;
     std::vector<EntrySession> leaseHolders(TimePoint now) const;
+    uint32_t servingEntryVms(TimePoint now) const;
 
     Milliseconds leaseTerm; ///< Duration of an entry VM's lease.
     Milliseconds targetLease; ///< Time without a heartbeat after which a target has timed out.
     TimePoint leaderSince {}; ///< Time at which this VM became the leader.
-    uint32_t statedEntryVms = 0; ///< Largest number of live entry VMs that a session request has stated to this leader.
+    uint32_t statedEntryVms = 0; ///< Largest number of live entry VMs that the first request of a VM has stated to this leader.
     std::map<std::string, EntrySession> entrySessions; ///< Session of the newest incarnation, by VM name.
+    std::map<std::string, TimePoint> leaseEnds; ///< End of the latest lease of each entry VM that may serve, also after it has expired, by VM name.
     std::vector<EntrySession> replacedSessions; ///< Sessions of older incarnations that may still hold a lease.
     std::map<std::pair<std::string, std::string>, TargetHeartbeat> heartbeats; ///< Targets by service and address.
 };
--- a/packages/coordination/src/ProbeBudget.cpp
+++ b/packages/coordination/src/ProbeBudget.cpp
@@ -44,7 +44,7 @@
     if (liveVms)
         this->setAssumedVms(liveVms);
     // A number that was not renewed within a lease term counts as unknown in between, even without a call with 0.
-    bool wasKnown = this->liveVms > 0 && now - this->liveVmsSetAt <= leaseTerm;
+    bool wasKnown = this->liveVms.value() > 0 && now - this->liveVmsSetAt <= leaseTerm;
     this->liveVmsSetAt = now;
     if ((liveVms > 0) != wasKnown) {
         // Tokens saved up at the old rate must not be spent in addition to those of the new rate.
@@ -52,20 +52,10 @@
         this->isCounted = false;
         this->countedFrom = now + leaseTerm;
     }
-    if (!liveVms || !wasKnown || liveVms >= this->liveVms) {
-        this->liveVms = liveVms;
-        this->pendingLiveVms = 0;
-        return;
-    }
-    if (!this->pendingLiveVms) {
-        this->pendingSince = now;
-        this->pendingDelay = leaseTerm;
-    }
-    this->pendingLiveVms = std::max(this->pendingLiveVms, liveVms);
-    if (now - this->pendingSince < this->pendingDelay)
-        return;
-    this->liveVms = this->pendingLiveVms;
-    this->pendingLiveVms = 0;
+    if (liveVms && wasKnown)
+        this->liveVms.set(liveVms, leaseTerm, now);
+    else
+        this->liveVms.reset(liveVms);
 }
 
 bool ProbeBudget::takeProbe(const std::string& address, size_t bytes, TimePoint now)
@@ -115,9 +105,9 @@
 {
     double rate = std::max(this->budget.probesPerSecondPerTarget, 0.0);
     if (this->isCounted)
-        return rate / std::max(1.0, this->liveVms * this->targetVmShare);
+        return rate / std::max(1.0, this->liveVms.value() * this->targetVmShare);
     // The other VMs may not count this one, so its probes exceed their budget; at most one is allowed per lease term.
-    double uncountedRate = rate / std::max(1.0, std::max(this->assumedVms, this->liveVms) * this->targetVmShare);
+    double uncountedRate = rate / std::max(1.0, std::max(this->assumedVms, this->liveVms.value()) * this->targetVmShare);
     if (this->budget.burstSeconds > 0)
         return uncountedRate; // The burst covers the excess of one lease term.
     double leaseTermMs = this->leaseTerm.count();
@@ -126,7 +116,7 @@
 
 void ProbeBudget::applyCountedShare(TimePoint now)
 {
-    if (this->isCounted || !this->liveVms || now < this->countedFrom)
+    if (this->isCounted || !this->liveVms.value() || now < this->countedFrom)
         return;
     this->isCounted = true;
     this->buckets.clear();
--- a/packages/coordination/src/RetryBudget.cpp
+++ b/packages/coordination/src/RetryBudget.cpp
@@ -1,6 +1,8 @@
 /** @file RetryBudget.cpp Sliding window of requests and extra attempts. */
 #include "kingcup/RetryBudget.h"
 
+#include "kingcup/EntryVmCount.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -14,7 +16,6 @@
 
 RetryBudget::RetryBudget(const RetryBudgetLimits& limits, TimePoint now)
     : limits(limits)
-    , startedAt(now)
 {
     this->advanceWindow(now);
 }
@@ -34,6 +35,24 @@
     this->newestBucket = std::max(this->newestBucket, newest);
 }
 
+bool RetryBudget::isVmCountKnown(TimePoint now) const
+{
+    return this->liveVms.value() > 0 && now - this->liveVmsSetAt < isolationTerm;
+}
+
+void RetryBudget::setLiveVms(uint32_t count, Milliseconds leaseTerm, TimePoint now)
+{
+    if (!count)
+        return;
+    if (!this->isVmCountKnown(now)) {
+        // Within this time, the previous process of this VM or the VMs that do not count this one yet may have used all of the slack.
+        this->slackFrom = now + leaseTerm + this->limits.window;
+        this->liveVms.reset(count);
+    }
+    this->liveVmsSetAt = now;
+    this->liveVms.set(count, this->limits.window, now);
+}
+
 void RetryBudget::countRequest(TimePoint now)
 {
     this->advanceWindow(now);
@@ -44,8 +63,8 @@
 double RetryBudget::remainingAttempts(TimePoint now)
 {
     this->advanceWindow(now);
-    bool hasSlack = this->liveVms > 0 && now - this->startedAt >= this->limits.window;
-    double slack = hasSlack ? this->limits.slack / this->liveVms : 0;
+    bool hasSlack = this->isVmCountKnown(now) && now >= this->slackFrom;
+    double slack = hasSlack ? this->limits.slack / this->liveVms.value() : 0;
     return usableShare * (this->limits.share * this->totals.requests + slack) - this->totals.extraAttempts;
 }
 
--- a/packages/coordination/src/RetryPolicy.cpp
+++ b/packages/coordination/src/RetryPolicy.cpp
@@ -87,11 +87,11 @@
     this->state->budget.emplace(budget, now);
 }
 
-void RetryPolicy::setLiveVms(uint32_t count)
+void RetryPolicy::setLiveVms(uint32_t count, Milliseconds leaseTerm, TimePoint now)
 {
     std::lock_guard<std::mutex> lock(this->state->budgetMutex);
-    if (this->state->budget && count > 0)
-        this->state->budget->setLiveVms(count);
+    if (this->state->budget)
+        this->state->budget->setLiveVms(count, leaseTerm, now);
 }
 
 std::optional<double> RetryPolicy::remainingBudget(TimePoint now)
--- a/packages/coordination/src/SessionTable.cpp
+++ b/packages/coordination/src/SessionTable.cpp
@@ -1,6 +1,8 @@
 /** @file SessionTable.cpp Leases of entry VMs and heartbeats of targets. */
 #include "kingcup/SessionTable.h"
 
+#include "kingcup/EntryVmCount.h"
+
 #include <algorithm>
 #include <cmath>
 #include <google/protobuf/io/coded_stream.h>
@@ -39,6 +41,7 @@
     this->statedEntryVms = 0;
     this->entrySessions.clear();
     this->replacedSessions.clear();
+    this->leaseEnds.clear();
     this->heartbeats.clear();
     for (const wire::TargetRecord& target : targets) {
         TargetHeartbeat& heartbeat = this->heartbeats[{ target.service(), target.address() }];
@@ -62,12 +65,16 @@
     session.heldIndex = std::max(session.heldIndex, request.held_index());
     session.heldManifestNumber = std::max(session.heldManifestNumber, request.held_manifest_number());
     session.leaseEnd = now + this->leaseTerm;
-    this->statedEntryVms = std::max(this->statedEntryVms, request.known_entry_vms());
+    auto [leaseEnd, isFirstRequest] = this->leaseEnds.insert_or_assign(request.entry_vm(), session.leaseEnd);
+    // Later requests state the number that this leader has answered, which may count a replaced process.
+    if (isFirstRequest)
+        this->statedEntryVms = std::max(this->statedEntryVms, request.known_entry_vms());
 }
 
 std::vector<EntrySession> SessionTable::takeExpiredSessions(TimePoint now)
 {
     std::erase_if(this->replacedSessions, [&](const EntrySession& session) { return session.leaseEnd <= now; });
+    std::erase_if(this->leaseEnds, [&](const auto& entry) { return entry.second + isolationTerm <= now; });
     std::vector<EntrySession> expired;
     std::erase_if(this->entrySessions, [&](const auto& entry) {
         bool isExpired = entry.second.leaseEnd <= now;
@@ -91,16 +98,26 @@
     return holders;
 }
 
+/** Returns the number of known entry VMs that may serve, with or without a lease. A replaced process counts beside its successor while it may hold a lease. */
+uint32_t SessionTable::servingEntryVms(TimePoint now) const
+{
+    auto mayServe = [&](const auto& entry) { return entry.second + isolationTerm > now; };
+    auto holdsLease = [&](const EntrySession& session) { return session.leaseEnd > now; };
+    return static_cast<uint32_t>(std::count_if(this->leaseEnds.begin(), this->leaseEnds.end(), mayServe) + std::count_if(this->replacedSessions.begin(), this->replacedSessions.end(), holdsLease));
+}
+
 uint32_t SessionTable::liveEntryVms(TimePoint now) const
 {
     if (now < this->leaderSince + this->leaseTerm)
         return 0;
-    return static_cast<uint32_t>(this->leaseHolders(now).size());
+    // Until then, VMs that have not reached this leader may serve, counted by the former one.
+    bool mayMissVms = now < this->leaderSince + this->leaseTerm + isolationTerm;
+    return mayMissVms ? this->estimatedEntryVms(now) : this->servingEntryVms(now);
 }
 
 uint32_t SessionTable::estimatedEntryVms(TimePoint now) const
 {
-    return std::max(this->statedEntryVms, static_cast<uint32_t>(this->leaseHolders(now).size()));
+    return std::max(this->statedEntryVms, this->servingEntryVms(now));
 }
 
 InForceStatus SessionTable::inForceStatus(uint64_t manifestNumber, TimePoint now) const
--- a/programs/kingcupswitchd/entry/ServiceRuntime.cpp
+++ b/programs/kingcupswitchd/entry/ServiceRuntime.cpp
@@ -131,7 +131,7 @@
 
 void ServiceRuntime::setLiveVms(uint32_t liveVms, uint32_t assumedVms, Milliseconds leaseTerm, TimePoint now)
 {
-    this->retryPolicy.setLiveVms(liveVms);
+    this->retryPolicy.setLiveVms(liveVms, leaseTerm, now);
     double targetVmShare = std::min(1.0, maxSubsetImbalance * this->router.subsetShare());
     std::lock_guard<std::mutex> lock(this->mutex);
     this->hasKnownLiveVms = this->hasKnownLiveVms || liveVms;
