Fix: [Entry] A resumed download takes its attempt from the retry budget

Callers saw: nothing directly.

Cause: Call::resumeDownload() started an attempt without asking the retry policy. The check for stalled downloads cancelled the silent attempt first, whether or not another one was allowed.

Fix: the resume is a retry: it takes its attempt from the budget and obeys maxAttempts and the depth. A silent attempt is cancelled only once the next one is taken, so that a download which may not be resumed waits for its target.

Test: DownloadBudgetTest. Before: the cut download without a budget reached two targets instead of one, the silent one two instead of one and ended broken, and a kind with a single attempt reached two. AnswerTest, which resumes downloads, passes unchanged.

--- a/programs/kingcupswitchd/entry/Call.h
+++ b/programs/kingcupswitchd/entry/Call.h
@@ -118,6 +118,7 @@
     void writeAnswerBytes(const std::string& data);
     void sendBufferedAnswer(const AttemptPointer& attempt);
     void handleStreamEnd(const AttemptPointer& attempt, const UpstreamResult& result);
+    bool takeResume(AttemptOutcome outcome);
     bool resumeDownload();
     void scheduleStallCheck();
     void checkStall(uint64_t previousBytes);
@@ -166,7 +167,7 @@
     TimerId stallTimer = 0; ///< Timer of the next stall check; 0 when none is pending.
     std::optional<ResumePoint> downloadResumePoint; ///< Resume point of a streamed answer; empty when the download cannot be resumed.
     uint64_t deliveredBytes = 0; ///< Body bytes written to the caller; while a claimed request runs on, also those after the caller disconnected.
-    int resumeCount = 0; ///< Number of times that the download was resumed on another target.
+    bool hasTakenResume = false; ///< Whether the next attempt that resumes the download was taken from the retry budget.
     std::atomic<bool> isAnswerBlocked { false }; ///< Whether the caller's write buffer is full, which pauses the upstream transfer.
     bool isCallerPresent = true; ///< Whether the caller is still connected.
     bool hasEnded = false; ///< Whether the call has ended; later events are ignored.
--- a/programs/kingcupswitchd/entry/CallAnswer.cpp
+++ b/programs/kingcupswitchd/entry/CallAnswer.cpp
@@ -13,7 +13,6 @@
 
 constexpr Milliseconds stallCheckInterval { 500 };
 constexpr int stallIntervals = 4; ///< Number of intervals without a byte after which a download is resumed on another target.
-constexpr int maxResumes = 3;
 constexpr double maxLoggedAgeMs = 1e6; ///< Upper limit of the age in the log; also logged when there is no load report.
 
 } // namespace
@@ -77,15 +76,22 @@
     this->endCall(ResultCode::AnswerTruncated);
 }
 
+/** Takes the attempt that resumes the download from the retry budget, unless it was taken before. Returns false if the download may not be resumed. */
+bool Call::takeResume(AttemptOutcome outcome)
+{
+    bool canResume = this->downloadResumePoint && this->deliveredBytes < this->downloadResumePoint->length;
+    this->hasTakenResume = this->hasTakenResume || (canResume && this->takeRetry(true, outcome));
+    return this->hasTakenResume;
+}
+
 /** Resumes the download on another target. Returns false when that is not possible. */
 bool Call::resumeDownload()
 {
-    bool canResume = this->downloadResumePoint && this->isCallerPresent && this->resumeCount < maxResumes && this->deliveredBytes < this->downloadResumePoint->length;
-    if (!canResume || MillisecondClock::now() >= this->deadline)
+    if (!this->isCallerPresent || !this->takeResume(AttemptOutcome::ConnectionLost))
         return false;
+    this->hasTakenResume = false;
     if (!this->startAttempt(false, this->deliveredBytes))
         return false;
-    this->resumeCount++;
     this->selectedAttempt = this->attempts.back();
     this->gateway.metrics.incrementCounter("kingcup_resumes_total", this->match.service->name);
     this->scheduleStallCheck();
@@ -102,14 +108,14 @@
     });
 }
 
-/** Cancels the attempt of a download that has delivered no byte since the last check, unless the caller's full buffer is the cause. */
+/** Cancels the attempt of a download that has delivered no byte since the last check, unless the caller's full buffer is the cause or the download may not be resumed. */
 void Call::checkStall(uint64_t previousBytes)
 {
     this->stallTimer = 0;
     if (this->hasEnded || !this->selectedAttempt)
         return;
     bool isStalled = this->deliveredBytes == previousBytes && !this->isAnswerBlocked.load();
-    if (isStalled && this->resumeCount < maxResumes) {
+    if (isStalled && this->takeResume(AttemptOutcome::TimedOut)) {
         this->selectedAttempt->isStalled = true;
         this->gateway.upstream.cancel(this->selectedAttempt->handle);
         return;
