Fix: [Entry, Transport] A connection is closed after an answer whose late copy could be taken for that of another request

Callers saw: a request that must not be repeated, and that ran, was answered 503 "not run" (REFUSED), so that they sent it again; or the entry VM itself ran it on a second target (TWICE).

Cause: a target writes an earlier rejection once more where the next answer on the kept connection is due. A rejection does not name its request, so nothing tells the copy from the answer to the next request, and its statement that it was not run was believed. The load probes share the connections, and their rejections do not name a request either.

Fix: an answer that does not name its request ends its connection, unless it is a success, which is not accepted as the answer to a request without the id. So no rejection without an id can be a copy on any connection that is used again, and the first on a connection is genuine. An edge without request ids closes the connection after each statement that a request was not run, and after each probe that is not answered with a success.

Left: copies of an answer that names its request, and of a probe's success, still end the request after them as unknown (502), which promises nothing.

--- a/packages/transport/include/kingcup/UpstreamClient.h
+++ b/packages/transport/include/kingcup/UpstreamClient.h
@@ -77,6 +77,7 @@
     bool acceptsUnframedAnswer = false; ///< Whether the end of the connection may delimit an answer without length; a connection reset makes the answer truncated.
     std::function<bool()> maySend; ///< Optional check right before the request is sent on an established connection, on the event-loop thread; if it returns false, nothing is sent and the attempt is cancelled.
     std::function<bool(const HttpAnswerHead&)> isExpectedAnswer; ///< Optional check whether the answer belongs to this request; if it returns false, the answer is invalid and the connection is closed.
+    std::function<bool(const HttpAnswerHead&)> mayKeepConnection; ///< Optional check whether the connection may be used again after this answer; if it returns false, the connection is closed after it.
 
     std::function<void(const HttpAnswerHead&)> onHead; ///< Called with the header of the final answer; interim answers (1xx) are skipped.
     std::function<bool(std::string_view)> onData; ///< Called with body bytes, which it always consumes; returning false pauses receiving until resume().
--- a/packages/transport/src/UpstreamAttempt.cpp
+++ b/packages/transport/src/UpstreamAttempt.cpp
@@ -237,7 +237,13 @@
     this->isInvalid = isUnexpected || progress == AnswerParser::Progress::Invalid;
     if (this->isInvalid)
         return false;
-    if (progress == AnswerParser::Progress::Complete && this->request.onHead)
+    if (progress != AnswerParser::Progress::Complete)
+        return true;
+    if (this->request.mayKeepConnection && !this->request.mayKeepConnection(this->parser.head())) {
+        this->closesConnection = true;
+        curl_easy_setopt(this->curl, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (this->request.onHead)
         this->request.onHead(this->parser.head());
     return true;
 }
@@ -365,7 +371,7 @@
 
 void UpstreamAttempt::end(CURLcode code)
 {
-    if (this->connectionPort && code == CURLE_OK && this->mayReuseConnection())
+    if (this->connectionPort && code == CURLE_OK && this->mayReuseConnection() && !this->closesConnection)
         this->keptConnections->recordUse(this->connectionPort, MillisecondClock::now());
     else if (this->connectionPort)
         this->keptConnections->forget(this->connectionPort);
--- a/packages/transport/src/UpstreamAttempt.h
+++ b/packages/transport/src/UpstreamAttempt.h
@@ -118,6 +118,7 @@
     bool isInvalid = false; ///< The answer is malformed.
     bool isSendRefused = false; ///< maySend returned false.
     bool isBodyAborted = false; ///< The body source failed or did not match the announced length.
+    bool closesConnection = false; ///< mayKeepConnection returned false.
     bool isReceivingPaused = false; ///< onData returned false.
     bool isSendingPaused = false; ///< bodySource returned bodyPause.
 };
--- a/packages/transport/tests/ConnectionReuseTest.cpp
+++ b/packages/transport/tests/ConnectionReuseTest.cpp
@@ -134,6 +134,35 @@
     }
 }
 
+// Guards against the late copy of a rejection that is taken for the answer to the next request on the connection.
+TEST(ConnectionReuseTest, leavesConnectionsAfterAnswersThatNameNoRequest)
+{
+    RawServer target([](RawSocket& socket, int) {
+        std::string rejection = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
+        if (socket.receiveMessage().empty())
+            return;
+        socket.send(rejection);
+        while (!socket.receiveMessage().empty())
+            socket.send(rejection + answerText("done"));
+    });
+    UpstreamClient client(1, 16);
+    auto mayNotKeep = [](UpstreamRequest& request) { request.mayKeepConnection = [](const HttpAnswerHead& head) { return head.status < 300; }; };
+    for (bool isRepeatable : { false, true }) {
+        section(isRepeatable ? "repeatable requests open a connection, too" : "a request that must not be repeated opens a connection", [&] {
+            for (int call = 0; call < 3; ++call) {
+                Report report = Attempt(client, target.address(), [&](UpstreamRequest& request) {
+                    post(longIdle)(request);
+                    mayNotKeep(request);
+                    request.isRepeatable = isRepeatable;
+                }).wait();
+                EXPECT_EQ(report.result.outcome, UpstreamOutcome::Complete);
+                EXPECT_EQ(report.data, "busy");
+                EXPECT_TRUE(report.result.newConnection);
+            }
+        });
+    }
+}
+
 TEST(ConnectionReuseTest, forgetsPorts)
 {
     KeptConnections connections;
--- a/programs/kingcupswitchd/entry/CallAttempts.cpp
+++ b/programs/kingcupswitchd/entry/CallAttempts.cpp
@@ -172,6 +172,7 @@
     }
     request.acceptsUnframedAnswer = this->gateway.edge.acceptsCloseDelimitedAnswers;
     request.isExpectedAnswer = [self](const HttpAnswerHead& answer) { return self->hasMatchingRequestId(answer); };
+    request.mayKeepConnection = [self](const HttpAnswerHead& answer) { return mayKeepConnection(answer, self->gateway.edge.headers, self->isReportedNotRun(answer)); };
     request.onHead = [self, attempt](const HttpAnswerHead& answer) {
         self->executor.post([self, attempt, answer] { self->handleHead(attempt, answer); });
     };
@@ -214,7 +215,6 @@
  */
 bool Call::hasMatchingRequestId(const HttpAnswerHead& head) const
 {
-    constexpr int firstRedirectStatus = 300;
     const std::string& field = this->gateway.edge.headers.requestId;
     if (field.empty() || this->parameters.requestId.empty())
         return true;
--- a/programs/kingcupswitchd/entry/CallHeaders.cpp
+++ b/programs/kingcupswitchd/entry/CallHeaders.cpp
@@ -118,6 +118,14 @@
     return names.requestId.empty() || !head.headers.find(names.requestId);
 }
 
+bool mayKeepConnection(const HttpAnswerHead& answer, const HeaderNames& names, bool isNotRun)
+{
+    if (names.requestId.empty())
+        return !isNotRun;
+    // A success that does not name its request is not accepted as the answer to a request.
+    return answer.status < firstRedirectStatus || answer.headers.find(names.requestId);
+}
+
 HttpHeaders targetHeaders(const HttpRequestHead& head, const HeaderNames& names, Milliseconds remaining, uint32_t depth, const std::string& instance, const CallerIdentity& caller)
 {
     HttpHeaders headers;
--- a/programs/kingcupswitchd/entry/CallHeaders.h
+++ b/programs/kingcupswitchd/entry/CallHeaders.h
@@ -22,6 +22,8 @@
     std::string requestId; ///< Empty when the caller sent none.
 };
 
+constexpr int firstRedirectStatus = 300; ///< Lowest status that is not a success.
+
 /** Parses the deadline, depth, idempotency key and request id of a request. Errors are returned in `code`. */
 CallParameters parseCallParameters(const HttpHeaders& headers, const HeaderNames& names);
 
@@ -46,6 +48,13 @@
  */
 bool isProbeAnswer(const HttpAnswerHead& head, const HeaderNames& names);
 
+/**
+ * Returns whether the connection may be used again after an answer. A target may send a late copy of an answer, which arrives where the next one is due. If it does not
+ * name its request, it would be taken for the answer to that of the next one, and a rejection would say of a request that runs that it does not.
+ * @param isNotRun Whether the answer states that its request was not run. Without request ids only such answers end the connection.
+ */
+bool mayKeepConnection(const HttpAnswerHead& answer, const HeaderNames& names, bool isNotRun);
+
 /** Returns the answer head for the caller: the target's status and end-to-end fields, the result and the run state. */
 HttpAnswerHead callerHead(const HttpAnswerHead& targetHead, const HeaderNames& names, ResultCode result, RunState run);
 
--- a/programs/kingcupswitchd/entry/CallPlacement.cpp
+++ b/programs/kingcupswitchd/entry/CallPlacement.cpp
@@ -64,6 +64,7 @@
     probe.deadline = now + probeTimeout;
     probe.headers = probeHeaders(this->gateway.edge.headers, pick.address, pick.instance);
     probe.isExpectedAnswer = [self](const HttpAnswerHead& head) { return isProbeAnswer(head, self->gateway.edge.headers); };
+    probe.mayKeepConnection = [self](const HttpAnswerHead& head) { return mayKeepConnection(head, self->gateway.edge.headers, head.status >= firstRedirectStatus); };
     std::shared_ptr<TargetSearchRound> round = attempt->searchRound;
     probe.onHead = [self, attempt, round, position](const HttpAnswerHead& head) {
         self->executor.post([self, attempt, round, position, head] { self->handleProbeHead(attempt, round, position, head); });
--- a/programs/kingcupswitchd/entry/Prober.cpp
+++ b/programs/kingcupswitchd/entry/Prober.cpp
@@ -62,6 +62,7 @@
     request.deadline = MillisecondClock::now() + probeTimeout;
     request.headers.add("Host", address);
     request.isExpectedAnswer = [this](const HttpAnswerHead& head) { return isProbeAnswer(head, this->gateway.edge.headers); };
+    request.mayKeepConnection = [this](const HttpAnswerHead& head) { return mayKeepConnection(head, this->gateway.edge.headers, head.status >= firstRedirectStatus); };
     std::optional<uint64_t> incarnation = row.runtime->router.incarnationOf(address);
     request.onHead = [this, row, address, incarnation](const HttpAnswerHead& head) {
         TimePoint now = MillisecondClock::now();
--- a/programs/kingcupswitchd/tests/CallHeadersTest.cpp
+++ b/programs/kingcupswitchd/tests/CallHeadersTest.cpp
@@ -66,6 +66,27 @@
     EXPECT_TRUE(isProbeAnswer(HttpAnswerHead(), names));
 }
 
+TEST(CallHeadersTest, lateCopiesOfRejectionsFindNoConnection)
+{
+    HeaderNames names;
+    HttpAnswerHead rejection;
+    rejection.status = 503;
+    section("without request ids, a statement that a request was not run ends its connection", [&] {
+        EXPECT_FALSE(mayKeepConnection(rejection, names, true));
+        EXPECT_TRUE(mayKeepConnection(rejection, names, false));
+    });
+    section("with request ids, every answer but a success has to name its request", [&] {
+        names.requestId = "x-request";
+        EXPECT_FALSE(mayKeepConnection(rejection, names, true));
+        EXPECT_FALSE(mayKeepConnection(rejection, names, false));
+        HttpAnswerHead success;
+        success.status = 200;
+        EXPECT_TRUE(mayKeepConnection(success, names, false)) << "answers to probes name no request";
+        rejection.headers.add("X-Request", "9c41");
+        EXPECT_TRUE(mayKeepConnection(rejection, names, true));
+    });
+}
+
 TEST(CallHeadersTest, readsExactlyOneBearerKey)
 {
     auto keyOf = [](std::vector<HttpHeader> fields) { return parseApiKey(headWith(std::move(fields)).headers); };
