Fix: [Transport] A connection of a caller is suspended once

A single caller that uploads bodies of megabytes in chunks to a slow target could end any entry process with SIGSEGV.

Cause: libmicrohttpd passes on the chunks that it has read already, also after the connection was suspended because the body buffer is full. ServedExchange suspended it again for each of them, which corrupts the daemon's lists of connections. A hang ended with an abort at SIGTERM, since a connection counted as suspended for ever.

Fix: suspend() and resume() hold what the connection waits for (space for the body, an answer, bytes of a streamed answer), and are the only places that call libmicrohttpd for it. A suspension of a suspended connection only changes the reason, and a reader of the body resumes the connection only if it waits for space.

--- a/packages/transport/src/ServedAnswer.cpp
+++ b/packages/transport/src/ServedAnswer.cpp
@@ -127,7 +127,7 @@
     if (this->stream.size() == 0) {
         if (this->answerState == AnswerState::Finished)
             return MHD_CONTENT_READER_END_OF_STREAM;
-        this->suspend();
+        this->suspend(SuspendReason::AnswerBytes);
         return 0;
     }
     size_t count = this->stream.take(buffer, limit);
--- a/packages/transport/src/ServedExchange.cpp
+++ b/packages/transport/src/ServedExchange.cpp
@@ -35,7 +35,7 @@
         return this->isBodyComplete ? BodyState::End : BodyState::Pending;
     bytes.resize(std::min(limit, this->body.size()));
     this->body.take(bytes.data(), bytes.size());
-    if (!this->isBodyComplete && this->body.size() < this->context->options.bodyBufferBytes)
+    if (this->suspendReason == SuspendReason::BodySpace && this->body.size() < this->context->options.bodyBufferBytes)
         this->resume();
     return BodyState::More;
 }
@@ -110,16 +110,17 @@
 
 void ServedExchange::resume()
 {
-    if (!this->connection || !std::exchange(this->isSuspended, false))
+    if (!this->connection || std::exchange(this->suspendReason, SuspendReason::None) == SuspendReason::None)
         return;
     this->bodyTimeoutStart = MillisecondClock::now();
     MHD_resume_connection(this->connection);
 }
 
-void ServedExchange::suspend()
+void ServedExchange::suspend(SuspendReason reason)
 {
-    MHD_suspend_connection(this->connection);
-    this->isSuspended = true;
+    // libmicrohttpd passes on chunks that it has read already, also after a suspension. A second one would corrupt its lists.
+    if (std::exchange(this->suspendReason, reason) == SuspendReason::None)
+        MHD_suspend_connection(this->connection);
 }
 
 void ServedExchange::markEnded(bool wasCompleted)
@@ -216,7 +217,7 @@
         return MHD_NO;
     if (this->answerState != AnswerState::None)
         return this->queueAnswer();
-    this->suspend();
+    this->suspend(SuspendReason::Answer);
     return MHD_YES;
 }
 
@@ -244,7 +245,7 @@
     // because an early answer closes the connection.
     this->isBodyComplete = this->bodyBytes == this->framing.contentLength;
     if (!this->isBodyComplete && this->body.size() >= this->context->options.bodyBufferBytes)
-        this->suspend();
+        this->suspend(SuspendReason::BodySpace);
     return MHD_YES;
 }
 
@@ -274,7 +275,7 @@
 void ServedExchange::onSweep(TimePoint now)
 {
     Lock lock(this->mutex);
-    bool isWaitingForBody = !this->isBodyComplete && !this->hasBodyFailed && !this->isSuspended && !this->isOver;
+    bool isWaitingForBody = !this->isBodyComplete && !this->hasBodyFailed && this->suspendReason == SuspendReason::None && !this->isOver;
     if (!isWaitingForBody || now - this->bodyTimeoutStart < this->context->options.slowSenderTimeout)
         return;
     this->hasBodyFailed = true;
--- a/packages/transport/src/ServedExchange.h
+++ b/packages/transport/src/ServedExchange.h
@@ -86,6 +86,14 @@
         AbortedAfterHeader, ///< abort() was called after startAnswer(); the header is still sent.
     };
 
+    /** What a connection waits for while it is suspended in libmicrohttpd. */
+    enum class SuspendReason {
+        None, ///< It is not suspended.
+        BodySpace, ///< The body buffer is full.
+        Answer, ///< The request is complete and has no answer yet.
+        AnswerBytes, ///< All bytes of a streamed answer that were written are sent.
+    };
+
     /** Hooks that have to be called. */
     struct DueHooks {
         bool isReadableDue = false; ///< Call the readable hook.
@@ -102,11 +110,11 @@
     /** Removes and returns the next pending hook, or an empty function. */
     std::function<void()> takeDueHook();
 
-    /** Resumes the connection in libmicrohttpd. */
+    /** Resumes the connection in libmicrohttpd if it is suspended. The only place that does, like suspend(). */
     void resume();
 
     /** Suspends the connection in libmicrohttpd until resume(). */
-    void suspend();
+    void suspend(SuspendReason reason);
 
     /** Marks the exchange as ended and its closed hook as pending, and frees the buffers. */
     void markEnded(bool completed);
@@ -142,7 +150,7 @@
 
     std::mutex mutex; ///< Guards the fields below.
     MHD_Connection* connection; ///< Null once the exchange is over.
-    bool isSuspended = false; ///< Whether the connection is suspended in libmicrohttpd.
+    SuspendReason suspendReason = SuspendReason::None; ///< What the connection waits for in libmicrohttpd.
     bool isDisconnected = false; ///< Whether the caller has disconnected or the listener stops.
     bool isOver = false; ///< Whether the closed hook is pending or was called.
     bool isCompleted = false; ///< Whether the complete answer was sent.
