Add: [Tests] A head that its target cuts off is no answer

UpstreamClientTest.cutHeadsAreNoAnswers cuts a head after each of its bytes, also behind an interim answer, on new and on kept connections, with answers without a length accepted: no attempt is complete, no head or body byte is passed on, and no request is sent twice.

--- a/packages/transport/tests/UpstreamClientTest.cpp
+++ b/packages/transport/tests/UpstreamClientTest.cpp
@@ -105,6 +105,41 @@
     }
 }
 
+// Guards against a target that stops in the middle of its answer's head and closes: the end of the connection must not be taken for the end of an answer without a length.
+TEST(UpstreamClientTest, cutHeadsAreNoAnswers)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\nContent-Length: 3\r\n\r\n";
+    UpstreamClient client(1, 16);
+    for (const std::string& before : { std::string(), interim }) {
+        std::string whole = before + head;
+        for (size_t sentBytes = 0; sentBytes < whole.size(); sentBytes++) {
+            std::atomic<int> requests = 0;
+            RawServer target([&](RawSocket& socket, int connection) {
+                auto receiveRequest = [&] { requests += socket.receiveMessage().empty() ? 0 : 1; };
+                receiveRequest();
+                if (connection == 1) {
+                    socket.send(answerText("first"));
+                    receiveRequest();
+                }
+                socket.send(std::string_view(whole).substr(0, sentBytes));
+            });
+            for (bool isKeptConnection : { true, false }) {
+                auto readUnframed = [](UpstreamRequest& request) { request.isRepeatable = request.acceptsUnframedAnswer = true; };
+                if (isKeptConnection) {
+                    EXPECT_EQ(Attempt(client, target.address(), readUnframed).wait().result.outcome, UpstreamOutcome::Complete);
+                }
+                Report report = Attempt(client, target.address(), readUnframed).wait();
+                EXPECT_NE(report.result.outcome, UpstreamOutcome::Complete) << "after " << sentBytes << " bytes of " << whole;
+                EXPECT_TRUE(report.result.maybeSent);
+                EXPECT_EQ(report.head.status, 0) << "a head that was cut was passed on";
+                EXPECT_EQ(report.data, "");
+            }
+            EXPECT_EQ(requests, 3) << "one more on the kept connection";
+        }
+    }
+}
+
 TEST(UpstreamClientTest, reportsNotSentOnlyWithoutConnection)
 {
     UpstreamClient client(2, 16);
