Fix: [Protocol] Numbers beyond the range of their type keep their meaning

Cause: the priority is read as a number of up to 32 bits without sign and kept in an int. It became negative, was stored so, and the stored document was refused by the same parser on every entry VM.

Fix: JsonReader::integer() reads a value that the type cannot hold as its largest one, for all callers; priorities are then reduced to the lowest as before.

Test: RouteParserTest.storedDocumentsOfAcceptedManifestsCanBeParsed sets every number of a route, a service and the limits for callers to the edges of 32 and 64 bits: each is refused, or all stored documents can be parsed.

Left: a deployment that has acknowledged such a route with an older build holds the negative number until a new version replaces it.

--- a/packages/protocol/src/JsonReader.h
+++ b/packages/protocol/src/JsonReader.h
@@ -5,6 +5,7 @@
 #include "kingcup/ManifestParser.h"
 #include "kingcup/MillisecondClock.h"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -71,12 +72,12 @@
     /** Reads a duration in milliseconds. */
     void milliseconds(std::string_view key, Milliseconds& out, Presence presence, double min, double max);
 
-    /** Reads an integer. */
+    /** Reads an integer. A value in the range that the type cannot hold becomes its largest one. */
     template <typename Integer>
     void integer(std::string_view key, Integer& out, Presence presence, uint64_t min, uint64_t max)
     {
         if (std::optional<uint64_t> value = this->whole(key, presence, min, max))
-            out = static_cast<Integer>(*value);
+            out = static_cast<Integer>(std::min(*value, static_cast<uint64_t>(std::numeric_limits<Integer>::max())));
     }
 
     /** Reads a value of an enumeration by its name. */
--- a/packages/protocol/tests/RouteParserTest.cpp
+++ b/packages/protocol/tests/RouteParserTest.cpp
@@ -69,6 +69,41 @@
     });
 }
 
+// Guards against a manifest that control accepts and no entry VM can put in force, because the stored document is refused: a number beyond the range of its type was stored as another one.
+TEST(RouteParserTest, storedDocumentsOfAcceptedManifestsCanBeParsed)
+{
+    const uint64_t edges[] = { 0, 1, 9, 10, INT32_MAX - 1ull, INT32_MAX, INT32_MAX + 1ull, UINT32_MAX, UINT32_MAX + 1ull, INT64_MAX, INT64_MAX + 1ull, UINT64_MAX };
+    const char* places[] = { "/number", "/routes/0/priority", "/routes/0/maxAttempts", "/routes/0/deadlineMs", "/routes/0/objectiveMs", "/routes/0/split/0/weight", "/routes/0/split/1/weight",
+        "/services/0/maxConnections", "/services/0/coldStartSeconds", "/services/0/coldRequestsPerSecond", "/callerLimits/maxHeaderBytes", "/callerLimits/maxBodyBytes", "/callerLimits/headerTimeoutMs", "/callerLimits/idleTimeoutMs" };
+    auto isReadable = [](const std::string& key, const std::string& text) {
+        switch (documentType(key)) {
+        case DocumentType::Route:
+            return std::holds_alternative<Route>(parseRoute(text));
+        case DocumentType::Service:
+            return std::holds_alternative<Service>(parseService(text));
+        case DocumentType::CallerLimits:
+            return std::holds_alternative<CallerLimits>(parseCallerLimits(text));
+        default:
+            return true;
+        }
+    };
+    size_t accepted = 0;
+    for (const char* place : places) {
+        for (uint64_t edge : edges) {
+            json changed = routedManifest();
+            changed[json::json_pointer(place)] = edge;
+            auto result = parseManifest(changed.dump());
+            auto* checked = std::get_if<CheckedManifest>(&result);
+            if (!checked)
+                continue;
+            accepted++;
+            for (const auto& [key, text] : checked->documents)
+                EXPECT_TRUE(isReadable(key, text)) << place << " " << edge << ": " << text;
+        }
+    }
+    EXPECT_GT(accepted, std::size(places)) << "most places accept several of the numbers";
+}
+
 // Documents of earlier versions have no rules for cold targets. A manifest without these rules must keep its digest when the version changes.
 TEST(RouteParserTest, readsRulesForColdTargets)
 {
