Fix: [Protocol] A route to an unknown service beside its split is refused

Operators saw: a manifest whose route names an unknown service and has a split of known ones was acknowledged (CONFIG: what is invalid is acknowledged). The service beside a split was read and ignored.

The service becomes a share of weight 0, so that it is checked like the others and gets no requests.

Test: RouteParserTest.refusesInvalidRoutes; the new section fails without the change.

--- a/packages/protocol/src/RouteParser.cpp
+++ b/packages/protocol/src/RouteParser.cpp
@@ -71,8 +71,11 @@
         nested.integer("weight", share.weight, Presence::Required, 0, UINT32_MAX);
         nested.finish();
     }
+    auto isOnly = [&](const RouteShare& share) { return share.service == only.service; };
     if (shares.empty() && !only.service.empty())
         shares.push_back(only);
+    else if (!only.service.empty() && std::none_of(shares.begin(), shares.end(), isOnly))
+        shares.push_back({ only.service, 0 }); // Gets no requests beside a split, but has to be known.
     if (shares.empty())
         reader.fail(manifestCodes.missingKey, "service", "or a split is required");
     auto hasWeight = [](const RouteShare& share) { return share.weight > 0; };
--- a/packages/protocol/tests/RouteParserTest.cpp
+++ b/packages/protocol/tests/RouteParserTest.cpp
@@ -125,6 +125,10 @@
 {
     section("a route to an unknown service", [] { EXPECT_EQ(errorOf("/routes/1/service", "nobody").code, ResultCode::ManifestOutOfRange); });
     section("a share of an unknown service", [] { EXPECT_EQ(errorOf("/routes/0/split/1/service", "nobody").pointer, "/routes/0"); });
+    section("an unknown service beside a split of known ones", [] {
+        EXPECT_EQ(errorOf("/routes/0/service", "nobody").pointer, "/routes/0");
+        EXPECT_EQ(errorOf("/routes/0/service", "ledger").code, ResultCode::Ok);
+    });
     section("a deadline over ten minutes", [] {
         EXPECT_EQ(errorOf("/routes/0/deadlineMs", 600001).pointer, "/routes/0/deadlineMs");
         EXPECT_EQ(errorOf("/routes/0/deadlineMs", 600000).code, ResultCode::Ok);
