Fix: [Entry] An entry VM without a manifest refuses calls as not run

Callers saw: 404 from an entry VM that had a lease but no manifest yet, as if there were no such service; they do not retry it. Right after the start of a deployment the lease can come before the first manifest.

A call that no manifest can match now waits for the first configuration, or is refused with 503, as without a lease.

Test: Startup.callsAreRefusedAsNotRunWhileThereIsNoManifest; before, 404.

--- a/programs/kingcupswitchd/entry/Call.cpp
+++ b/programs/kingcupswitchd/entry/Call.cpp
@@ -97,7 +97,8 @@
 {
     if (this->gateway.isStopping.load())
         return ResultCode::Stopping;
-    bool isIsolated = !this->gateway.isLeaseValid();
+    // Without any manifest, nothing can be said about the services. A lease may come before the first one.
+    bool isIsolated = !this->gateway.isLeaseValid() || !this->manifestNumber;
     if (!this->match.service)
         return isIsolated ? ResultCode::Isolated : ResultCode::NoService;
     if (!this->match.kind)
--- a/tests/StartupTest.cpp
+++ b/tests/StartupTest.cpp
@@ -63,3 +63,23 @@
             EXPECT_LT(record.latency, Milliseconds(200)) << record.result;
     });
 }
+
+// Guards against an entry VM that has a lease but no manifest yet and answers as if there were no such service, which callers do not retry.
+TEST(Startup, callsAreRefusedAsNotRunWhileThereIsNoManifest)
+{
+    Deployment deployment(testOptions(98, 1, {}));
+    ASSERT_TRUE(deployment.startControl());
+    ASSERT_TRUE(deployment.bootstrap(Milliseconds(8000)));
+    ASSERT_TRUE(deployment.startEntries());
+    auto status = [&] {
+        std::optional<HttpMessage> answer = exchangeOnce(deployment.callerAddresses()[0], makeRequest("GET", "/matters/x"), Milliseconds(9000));
+        return answer ? answer->status() : 0;
+    };
+    ASSERT_TRUE(waitUntil(Milliseconds(8000), [&] { return status() != 0; })) << deployment.logs();
+    TimePoint end = MillisecondClock::now() + maxStartupWait + Milliseconds(2000);
+    while (MillisecondClock::now() < end)
+        ASSERT_EQ(status(), 503);
+    std::optional<HttpMessage> metrics = exchangeOnce(deployment.entryVms()[0].operatorAddress, makeRequest("GET", "/metrics"), Milliseconds(1000));
+    ASSERT_TRUE(metrics);
+    EXPECT_NE(metrics->body.find("kingcup_lease_valid 1"), std::string::npos) << "without a lease every call is refused";
+}
