Fix: [Operators, Transport] A command whose operator has left is not started or sent again

A command to restore it had been sent to the leading control VM while that was frozen; the operator gave up after a second, had it accepted by another VM, and evacuated the zone again. When the frozen VM woke, it read the old command from its connection and carried it out through the new leader.

Cause: nothing in a command for a zone tells a late copy from a new one. The listener drops requests of callers that have left, but its watcher runs on another thread, and the two race in a process that wakes.

Fix: the listener asks the socket itself, right before it passes a request on, whether the caller has closed its side; this holds for the requests of all listeners. A command for a zone is sent again only while its operator is there.

Left: a copy of a command that the network itself delays, with its connection open, and a late `leave` of a target that has started again under its id, are still carried out.

--- a/packages/transport/include/kingcup/HttpListener.h
+++ b/packages/transport/include/kingcup/HttpListener.h
@@ -34,6 +34,9 @@
 
     virtual const HttpRequestHead& head() const = 0; ///< Start line and header fields of the request.
 
+    /** Returns whether the caller has closed its side, also if no hook was called yet, as in a process that was suspended meanwhile. */
+    virtual bool hasCallerLeft() = 0;
+
     /** Result of readBody(). */
     enum class BodyState {
         More, ///< Bytes were returned and more may follow.
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -196,7 +196,8 @@
 {
     exchange->isHeadHandled = true;
     bool isAccepted = exchange->onHead(raw);
-    if (isAccepted && !exchange->registerCallerHooks())
+    // A request must not be carried out late for a caller that has given up and may have sent another since. The watcher may not have seen its end yet.
+    if (isAccepted && (!exchange->registerCallerHooks() || exchange->hasCallerLeft()))
         return MHD_NO;
     if (isAccepted && !this->isStopping)
         this->handler(exchange);
--- a/packages/transport/src/ServedExchange.cpp
+++ b/packages/transport/src/ServedExchange.cpp
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -26,6 +27,15 @@
 
 ServedExchange::~ServedExchange() = default;
 
+bool ServedExchange::hasCallerLeft()
+{
+    Lock lock(this->mutex);
+    if (!this->connection || this->isDisconnected)
+        return true;
+    pollfd polled { this->caller->socket, POLLRDHUP, 0 };
+    return poll(&polled, 1, 0) > 0;
+}
+
 HttpExchange::BodyState ServedExchange::readBody(std::string& bytes, size_t limit)
 {
     Lock lock(this->mutex);
--- a/packages/transport/src/ServedExchange.h
+++ b/packages/transport/src/ServedExchange.h
@@ -33,6 +33,7 @@
     ~ServedExchange() override;
 
     const HttpRequestHead& head() const override { return this->requestHead; }
+    bool hasCallerLeft() override;
     BodyState readBody(std::string& bytes, size_t limit) override;
     void discardBody() override;
     void setReadableHook(std::function<void()> hook) override;
--- a/programs/kingcupswitchd/operators/OperatorApi.cpp
+++ b/programs/kingcupswitchd/operators/OperatorApi.cpp
@@ -369,12 +369,14 @@
     wire::Command command;
     command.mutable_change_zone()->set_availability_zone(*zone);
     command.mutable_change_zone()->set_out_of_use(isOutOfUse);
-    this->leaderClient.sendCommand(std::move(command), commandTimeout, [exchange](const wire::CommandResult& result) {
+    auto answer = [exchange](const wire::CommandResult& result) {
         constexpr int statusUnavailable = 503;
         ResultCode code = static_cast<ResultCode>(result.result_code());
         bool isRepeatable = code == ResultCode::Ok || resultCodeRow(code).httpStatus == statusUnavailable;
         answerResult(exchange, isRepeatable ? code : ResultCode::NoQuorum, result.detail());
-    });
+    };
+    // An operator that has left may have had a later command for the zone accepted by another VM.
+    this->leaderClient.sendCommand(std::move(command), commandTimeout, std::move(answer), [exchange] { return !exchange->hasCallerLeft(); });
 }
 
 void OperatorApi::announceTarget(const Exchange& exchange, const std::string& body)
--- a/programs/kingcupswitchd/process/LeaderClient.cpp
+++ b/programs/kingcupswitchd/process/LeaderClient.cpp
@@ -62,25 +62,26 @@
         this->hub.connect(std::move(*peer));
 }
 
-void LeaderClient::sendRequest(wire::Envelope envelope, Milliseconds timeout, Done done)
+void LeaderClient::sendRequest(wire::Envelope envelope, Milliseconds timeout, Done done, std::function<bool()> isWanted)
 {
     uint64_t id = this->allocateRequestId();
     envelope.set_request_id(id);
     TimePoint deadline = MillisecondClock::now() + timeout;
-    this->hub.post([this, id, deadline, envelope = std::move(envelope), done = std::move(done)]() mutable {
+    this->hub.post([this, id, deadline, envelope = std::move(envelope), done = std::move(done), isWanted = std::move(isWanted)]() mutable {
         PendingRequest& entry = this->pendingRequests[id];
         entry.request = std::move(envelope);
         entry.done = std::move(done);
+        entry.isWanted = std::move(isWanted);
         entry.deadline = deadline;
         this->send(entry, MillisecondClock::now());
     });
 }
 
-void LeaderClient::sendCommand(wire::Command command, Milliseconds timeout, std::function<void(const wire::CommandResult&)> done)
+void LeaderClient::sendCommand(wire::Command command, Milliseconds timeout, std::function<void(const wire::CommandResult&)> done, std::function<bool()> isWanted)
 {
     wire::Envelope envelope;
     *envelope.mutable_command_request()->mutable_command() = std::move(command);
-    this->sendRequest(std::move(envelope), timeout, [done = std::move(done)](ResultCode code, const wire::Envelope& answer) {
+    auto receive = [done = std::move(done)](ResultCode code, const wire::Envelope& answer) {
         if (code == ResultCode::Ok && answer.has_command_answer()) {
             done(answer.command_answer().result());
             return;
@@ -88,7 +89,8 @@
         wire::CommandResult failed;
         failed.set_result_code(static_cast<int>(ResultCode::CommandTimeout));
         done(failed);
-    });
+    };
+    this->sendRequest(std::move(envelope), timeout, std::move(receive), std::move(isWanted));
 }
 
 /** Sends a request to the leader, or to the next control VM in turn while no leader is known. */
@@ -172,12 +174,13 @@
     std::vector<Done> expired;
     for (auto entry = this->pendingRequests.begin(); entry != this->pendingRequests.end();) {
         PendingRequest& pending = entry->second;
-        if (now >= pending.deadline) {
+        bool isDue = now >= pending.resendTime;
+        if (now >= pending.deadline || (isDue && pending.isWanted && !pending.isWanted())) {
             expired.push_back(std::move(pending.done));
             entry = this->pendingRequests.erase(entry);
             continue;
         }
-        if (now >= pending.resendTime) {
+        if (isDue) {
             if (!pending.isRefused && this->search.recordTimeout(pending.sentTo, pending.sentTime))
                 this->useNextVm();
             this->send(pending, now);
--- a/programs/kingcupswitchd/process/LeaderClient.h
+++ b/programs/kingcupswitchd/process/LeaderClient.h
@@ -31,10 +31,13 @@
     void setControlVms(std::vector<VmId> vms);
 
     /** Starts a request. Thread-safe; `done` is called on the hub's thread. @param timeout Time after which the request fails with CommandTimeout. */
-    void sendRequest(wire::Envelope envelope, Milliseconds timeout, Done done);
+    void sendRequest(wire::Envelope envelope, Milliseconds timeout, Done done, std::function<bool()> isWanted = {});
 
-    /** Sends a command as a request. Thread-safe; `done` is called on the hub's thread, after a timeout with the result code CommandTimeout. */
-    void sendCommand(wire::Command command, Milliseconds timeout, std::function<void(const wire::CommandResult&)> done);
+    /**
+     * Sends a command as a request. Thread-safe; `done` is called on the hub's thread, after a timeout with the result code CommandTimeout.
+     * @param isWanted Called on the hub's thread before the command is sent again, which ends with CommandTimeout if it returns false. Needed by commands that undo each other.
+     */
+    void sendCommand(wire::Command command, Milliseconds timeout, std::function<void(const wire::CommandResult&)> done, std::function<bool()> isWanted = {});
 
     /** Handles an answer. Returns false if the envelope does not belong to a pending request. Hub thread only. */
     bool receiveAnswer(const wire::Envelope& envelope);
@@ -67,6 +70,7 @@
     struct PendingRequest {
         wire::Envelope request; ///< Request to resend.
         Done done; ///< Receives the answer or the timeout.
+        std::function<bool()> isWanted; ///< Returns whether the request may be sent again; may be empty.
         TimePoint deadline {}; ///< Time at which the request fails with CommandTimeout.
         TimePoint sentTime {}; ///< Time of the latest transmission.
         TimePoint resendTime {}; ///< Time of the next transmission.
