--- a/packages/transport/tests/UploadTest.cpp
+++ b/packages/transport/tests/UploadTest.cpp
@@ -115,8 +115,10 @@
         auto reading = static_cast<Reading>(random.below(5));
         std::string body(random.below(3) == 0 ? random.below(100) : random.below(maxBodyBytes), static_cast<char>('a' + random.below(26)));
         bool isChunked = random.below(3) > 0;
-        std::string head = "POST /" + std::to_string(static_cast<int>(reading)) + " HTTP/1.1\r\nHost: service\r\n";
-        std::string text = isChunked ? head + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, random) : head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::string text = "POST /" + std::to_string(static_cast<int>(reading)) + " HTTP/1.1\r\nHost: service\r\n";
+        text += isChunked ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(body.size());
+        text += "\r\n\r\n";
+        text += isChunked ? chunked(body, random) : body;
         bool leaves = random.below(8) == 0;
         if (leaves)
             text.resize(text.size() / 2);
