--- a/programs/kingcupswitchd/entry/CallHeaders.h
+++ b/programs/kingcupswitchd/entry/CallHeaders.h
@@ -51,7 +51,7 @@
 /**
  * Returns whether the connection may be used again after an answer. A target may send a late copy of an answer, which arrives where the next one is due. If it does not
  * name its request, it would be taken for the answer to that of the next one, and a rejection would say of a request that runs that it does not.
- * @param isNotRun Whether the answer states that its request was not run. Without request ids only such answers end the connection.
+ * @param isNotRun Whether the answer states that its request was not run; for a probe, whether it is no success. Without request ids only such answers end the connection.
  */
 bool mayKeepConnection(const HttpAnswerHead& answer, const HeaderNames& names, bool isNotRun);
 
