Fix: [Protocol] Lists that grow when a manifest is stored do not keep it out of force

A manifest is acknowledged, and all requests go on by the former one (CONFIG); an entry VM that starts again serves nothing.

Cause: the same limits are checked again when an entry VM reads the stored document, although two lists are longer there than in the manifest: a route that names a service beside a split of 1,000 others is stored with a split of 1,001, and the keys and the hashes of keys of an organisation, up to 100 each, are stored as one list of up to 200 hashes.

Fix: limits of lists hold for submitted documents only. A stored document was accepted by the log, so its readers take it whole. The same holds for a limit that a later build lowers.

--- a/packages/protocol/src/JsonReader.cpp
+++ b/packages/protocol/src/JsonReader.cpp
@@ -248,7 +248,8 @@
     const json* found = this->member(key, presence, json::value_t::array);
     if (!found)
         return nullptr;
-    if (found->size() >= minElements && found->size() <= maxElements)
+    bool isTooLong = found->size() > maxElements && this->codes.origin == DocumentOrigin::Submitted;
+    if (found->size() >= minElements && !isTooLong)
         return found;
     this->fail(this->codes.outOfRange, key, absl::StrCat("must have ", minElements, " to ", maxElements, " elements"));
     return nullptr;
--- a/packages/protocol/src/JsonReader.h
+++ b/packages/protocol/src/JsonReader.h
@@ -15,6 +15,12 @@
 
 namespace kingcup {
 
+/** Where a document comes from. */
+enum class DocumentOrigin {
+    Submitted, ///< From a person or a pipeline; everything is checked.
+    Stored, ///< From the replicated log, which accepted it. A list may be longer than a submitted one, since it holds what two submitted ones held.
+};
+
 /** Error codes for one type of document. */
 struct DocumentCodes {
     ResultCode syntax; ///< Not JSON, a repeated key, or nested too deeply.
@@ -23,6 +29,7 @@
     ResultCode outOfRange; ///< A value outside its bounds.
     ResultCode missingKey; ///< A required key is absent.
     UnknownKeys unknownKeys = UnknownKeys::Refuse; ///< Whether unknown keys are errors.
+    DocumentOrigin origin = DocumentOrigin::Submitted; ///< Whether the document was accepted before.
 };
 
 /** Whether a key must be present. */
@@ -94,7 +101,7 @@
             this->fail(this->codes.outOfRange, key, "not one of the allowed names");
     }
 
-    /** Returns an array whose size is within the bounds, or null if it is absent or invalid. */
+    /** Returns an array whose size is within the bounds, or null if it is absent or invalid. Arrays of stored documents have no upper bound. */
     const nlohmann::json* array(std::string_view key, Presence presence, size_t minElements, size_t maxElements);
 
     /** Returns a nested object, or null if it is absent or no object. */
--- a/packages/protocol/src/ManifestParser.cpp
+++ b/packages/protocol/src/ManifestParser.cpp
@@ -374,15 +374,15 @@
     return documents;
 }
 
-/** Parses one document with the read function of its type. */
+/** Parses one stored document with the read function of its type. */
 template <typename Model>
 std::variant<Model, DocumentError> parseDocument(std::string_view text, Model (*read)(const json&, const std::string&, const DocumentCodes&, DocumentError&))
 {
-    std::variant<json, DocumentError> document = parseJson(text, manifestCodes);
+    std::variant<json, DocumentError> document = parseJson(text, storedDocumentCodes);
     if (auto* failure = std::get_if<DocumentError>(&document))
         return *failure;
     DocumentError error;
-    Model model = read(std::get<json>(document), "", manifestCodes, error);
+    Model model = read(std::get<json>(document), "", storedDocumentCodes, error);
     if (error.code != ResultCode::Ok)
         return error;
     return model;
--- a/packages/protocol/src/ManifestText.cpp
+++ b/packages/protocol/src/ManifestText.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/** Returns the error codes of manifests with the given treatment of unknown keys. */
-constexpr DocumentCodes codesWith(UnknownKeys unknownKeys)
+/** Returns the error codes of manifests or their stored documents with the given treatment of unknown keys. */
+constexpr DocumentCodes codesWith(UnknownKeys unknownKeys, DocumentOrigin origin = DocumentOrigin::Submitted)
 {
     return {
         ResultCode::ManifestSyntax,
@@ -19,6 +19,7 @@
         ResultCode::ManifestOutOfRange,
         ResultCode::ManifestMissingKey,
         unknownKeys,
+        origin,
     };
 }
 
@@ -56,6 +57,7 @@
 
 const DocumentCodes manifestCodes = codesWith(UnknownKeys::Refuse);
 const DocumentCodes lenientManifestCodes = codesWith(UnknownKeys::Ignore);
+const DocumentCodes storedDocumentCodes = codesWith(UnknownKeys::Refuse, DocumentOrigin::Stored);
 const TextRule methodText = { 1, 16, isMethod, "an uppercase HTTP method or \"*\"" };
 const TextRule kindPathText = { 1, 512, isKindPath, "a path, or a prefix that ends in \"/*\"" };
 const TextRule prefixText = { 1, 512, isPlainPath, "an absolute path" };
--- a/packages/protocol/src/ManifestText.h
+++ b/packages/protocol/src/ManifestText.h
@@ -11,6 +11,8 @@
 extern const DocumentCodes manifestCodes;
 /** Error codes of manifests whose unknown keys are ignored. */
 extern const DocumentCodes lenientManifestCodes;
+/** Error codes of the stored documents of accepted manifests. */
+extern const DocumentCodes storedDocumentCodes;
 
 extern const TextRule methodText; ///< An HTTP method, or "*".
 extern const TextRule kindPathText; ///< Path of a kind.
