Fix: [Protocol] A stored negative priority is read as the lowest one

An entry VM that starts serves nothing.

Cause: earlier builds stored such a priority as a negative number, and the parser refuses it in stored documents as it does in manifests.

Fix: a negative integer of 32 bits in a stored document is read as the number that it was before it wrapped; priorities are then reduced to the lowest, as everywhere. Manifests with negative numbers are refused as before.

--- a/packages/protocol/src/JsonReader.cpp
+++ b/packages/protocol/src/JsonReader.cpp
@@ -217,8 +217,11 @@
     const json* found = this->member(key, presence, json::value_t::number_float);
     if (!found)
         return std::nullopt;
-    bool isValid = this->checkWhole(*found, this->pointerOf(key), min, max);
-    return isValid ? std::optional(found->get<uint64_t>()) : std::nullopt;
+    // Earlier builds stored an integer from 2^31 to 2^32 - 1 as a negative one.
+    bool wasWrapped = this->codes.origin == DocumentOrigin::Stored && found->is_number_integer() && !found->is_number_unsigned() && found->get<int64_t>() >= INT32_MIN;
+    const json original = wasWrapped ? json(static_cast<uint32_t>(found->get<int64_t>())) : *found;
+    bool isValid = this->checkWhole(original, this->pointerOf(key), min, max);
+    return isValid ? std::optional(original.get<uint64_t>()) : std::nullopt;
 }
 
 bool JsonReader::integerElement(const json& array, size_t position, std::string_view key, uint64_t& out, uint64_t min, uint64_t max)
--- a/packages/protocol/tests/RouteParserTest.cpp
+++ b/packages/protocol/tests/RouteParserTest.cpp
@@ -104,6 +104,26 @@
     EXPECT_GT(accepted, std::size(places)) << "most places accept several of the numbers";
 }
 
+// Guards against a route that stays out of force after an upgrade: an earlier build stored its priority, a number above 2^31, as a negative one.
+TEST(RouteParserTest, storedNegativePrioritiesAreTheLowestPriority)
+{
+    auto priorityOf = [](int64_t stored) {
+        json route = json::parse(R"({"name": "r", "host": "a.example", "pathPrefix": "/", "kind": "safe", "deadlineMs": 100, "split": [{"service": "a", "weight": 1}]})");
+        route["priority"] = stored;
+        auto parsed = parseRoute(route.dump());
+        return std::holds_alternative<Route>(parsed) ? std::get<Route>(parsed).rules.priority : -1;
+    };
+    section("a stored number that was above 2^31 is read as the lowest priority", [&] {
+        EXPECT_EQ(priorityOf(-1), 9);
+        EXPECT_EQ(priorityOf(INT32_MIN), 9);
+        EXPECT_EQ(priorityOf(0), 0);
+    });
+    section("a submitted negative number is refused, and so is a stored one that no build has written", [&] {
+        EXPECT_EQ(errorOf("/routes/0/priority", -1).code, ResultCode::ManifestOutOfRange);
+        EXPECT_EQ(priorityOf(INT32_MIN - 1ll), -1);
+    });
+}
+
 // Documents of earlier versions have no rules for cold targets. A manifest without these rules must keep its digest when the version changes.
 TEST(RouteParserTest, readsRulesForColdTargets)
 {
