Add: [Entry, Docs] Log line and metric for a configuration that cannot be read

Now it logs `configuration_refused` with the document and the place, once for each configuration, and counts `kingcup_configurations_refused_total`.

Test: EntryConfigurationTest.reportsUnreadableDocuments.

--- a/packages/coordination/include/kingcup/EntryConfiguration.h
+++ b/packages/coordination/include/kingcup/EntryConfiguration.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "kingcup/LogClock.h"
+#include "kingcup/ManifestParser.h"
 #include "kingcup/ManifestTypes.h"
 #include "kingcup/ReplicatedLogTypes.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,6 +62,9 @@
  */
 class EntryConfiguration {
 public:
+    /** Called when a document of received changes cannot be read, so that the configuration in force stays. */
+    using UnreadableHook = std::function<void(const std::string& document, const DocumentError& error)>;
+
     EntryConfiguration(std::string entryVm, uint64_t incarnation, std::string availabilityZone, Milliseconds leaseTerm);
 
     /**
@@ -99,6 +104,9 @@
      */
     std::optional<TimePoint> lastConfirmedRequest() const { return this->lastConfirmed; }
 
+    /** Sets the hook that reports unreadable documents, once for each index of a configuration. */
+    void setUnreadableHook(UnreadableHook hook) { this->unreadableHook = std::move(hook); }
+
     const LogClock& logClock() const { return this->clock; } ///< Time of the replicated log, advanced by received changes.
 
 private:
@@ -109,6 +117,7 @@
         Changed, ///< A newer configuration is in force.
     };
     MergeResult merge(const wire::ConfigurationChanges& received, TimePoint now);
+    void reportUnreadable(LogIndex index, const std::string& document, const DocumentError& error);
 
     std::string entryVm; ///< Name of this VM.
     uint64_t incarnation; ///< Incarnation of this process.
@@ -119,6 +128,8 @@
     std::optional<TimePoint> lastConfirmed; ///< Send time of the latest confirmed session request.
     uint32_t liveVms = 0; ///< Number of live entry VMs in the answer that last extended the lease.
     std::shared_ptr<const ConfigurationSnapshot> current; ///< Configuration in force; never null.
+    UnreadableHook unreadableHook; ///< Empty: nothing is reported.
+    LogIndex unreadableIndex = 0; ///< Index of the configuration that was reported last.
     LogClock clock; ///< Time of the replicated log, by which quarantines expire.
 };
 
--- a/packages/coordination/src/EntryConfiguration.cpp
+++ b/packages/coordination/src/EntryConfiguration.cpp
@@ -7,23 +7,24 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace kingcup {
 
 namespace {
 
-/** Stores a parsed document. Returns false and stores nothing if parsing failed. */
+/** Stores a parsed document. Returns the error and stores nothing if parsing failed. */
 template <typename Document>
-bool storeParsed(std::variant<Document, DocumentError> parsed, std::shared_ptr<const Document>& destination)
+std::optional<DocumentError> storeParsed(std::variant<Document, DocumentError> parsed, std::shared_ptr<const Document>& destination)
 {
-    if (!std::holds_alternative<Document>(parsed))
-        return false;
+    if (auto* error = std::get_if<DocumentError>(&parsed))
+        return *error;
     destination = std::make_shared<const Document>(std::get<Document>(std::move(parsed)));
-    return true;
+    return std::nullopt;
 }
 
-/** Parses a changed document and stores it by its type. Returns false if it is invalid. */
-bool mergeDocument(const wire::ServiceDocument& document, ConfigurationSnapshot& snapshot)
+/** Parses a changed document and stores it by its type. Returns an error if it is invalid. */
+std::optional<DocumentError> mergeDocument(const wire::ServiceDocument& document, ConfigurationSnapshot& snapshot)
 {
     switch (documentType(document.name())) {
     case DocumentType::Service:
@@ -35,13 +36,13 @@
     case DocumentType::CallerLimits:
         return storeParsed(parseCallerLimits(document.json()), snapshot.callerLimits);
     case DocumentType::Source:
-        return true;
+        break;
     }
-    return false;
+    return std::nullopt;
 }
 
-/** Applies removed and changed documents. Returns false if a document is invalid; the snapshot is then incomplete. */
-bool mergeDocuments(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
+/** Removes the documents that are no longer part of the manifest. */
+void removeDocuments(const wire::ConfigurationChanges& changes, ConfigurationSnapshot& snapshot)
 {
     for (const std::string& name : changes.removed_services()) {
         snapshot.services.erase(name);
@@ -50,8 +51,6 @@
         if (documentType(name) == DocumentType::CallerLimits)
             snapshot.callerLimits.reset();
     }
-    auto isReadable = [&](const wire::ServiceDocument& document) { return mergeDocument(document, snapshot); };
-    return std::all_of(changes.services().begin(), changes.services().end(), isReadable);
 }
 
 /** Changed target records of one service, by address. */
@@ -193,6 +192,12 @@
     return this->leaseEndTime;
 }
 
+void EntryConfiguration::reportUnreadable(LogIndex index, const std::string& document, const DocumentError& error)
+{
+    if (std::exchange(this->unreadableIndex, index) != index && this->unreadableHook)
+        this->unreadableHook(document, error);
+}
+
 EntryConfiguration::MergeResult EntryConfiguration::merge(const wire::ConfigurationChanges& received, TimePoint now)
 {
     this->clock.advance(received.log_time_ms(), now);
@@ -210,8 +215,13 @@
     next->index = changes.to_index();
     next->manifestNumber = changes.manifest_number();
     next->manifestDigest = changes.manifest_digest();
-    if (!mergeDocuments(changes, *next))
-        return MergeResult::Refused;
+    removeDocuments(changes, *next);
+    for (const wire::ServiceDocument& document : changes.services()) {
+        if (std::optional<DocumentError> error = mergeDocument(document, *next)) {
+            this->reportUnreadable(changes.to_index(), document.name(), *error);
+            return MergeResult::Refused;
+        }
+    }
     mergeTargets(changes, *next);
     mergeQuarantines(changes, *next);
     mergeZones(changes, *next);
--- a/packages/coordination/tests/EntryConfigurationTest.cpp
+++ b/packages/coordination/tests/EntryConfigurationTest.cpp
@@ -80,6 +80,26 @@
     });
 }
 
+// Guards against a VM that serves an old configuration for good while nothing tells which document it cannot read.
+TEST(EntryConfigurationTest, reportsUnreadableDocuments)
+{
+    ControlStateMachine machine;
+    machine.apply(1, manifestCommand(machine, 1, { { "a", document("a") }, { "b", R"({"name":"b","maxConnections":-5000000000})" } }));
+    EntryConfiguration entry("vm1", 1, "espoo", Milliseconds(2500));
+    std::vector<std::string> reports;
+    entry.setUnreadableHook([&](const std::string& name, const DocumentError& error) { reports.push_back(name + error.pointer); });
+    section("the document and the place are reported once for each configuration", [&] {
+        for (int repetition = 0; repetition < 3; repetition++)
+            EXPECT_FALSE(entry.receivePush(pushOf(machine.changesSince(0)), timeAt(0)));
+        EXPECT_EQ(reports, (std::vector<std::string> { "b/maxConnections" }));
+    });
+    section("nothing is reported of a configuration that can be read", [&] {
+        machine.apply(2, manifestCommand(machine, 2, { { "a", document("a") }, { "b", document("b") } }));
+        EXPECT_TRUE(entry.receivePush(pushOf(machine.changesSince(0)), timeAt(0)));
+        EXPECT_EQ(reports.size(), 1u);
+    });
+}
+
 TEST(EntryConfigurationTest, mergesConfigurationChanges)
 {
     ControlStateMachine machine;
--- a/programs/kingcupswitchd/entry/EntryNode.cpp
+++ b/programs/kingcupswitchd/entry/EntryNode.cpp
@@ -48,6 +48,10 @@
           listenerOptions(settings), [this](std::shared_ptr<HttpExchange> exchange) { this->gateway.handleRequest(std::move(exchange)); },
           [this](ResultCode code) { this->metrics.countCall("", "", code); })
 {
+    this->configuration.setUnreadableHook([this](const std::string& document, const DocumentError& error) {
+        this->metrics.incrementCounter("kingcup_configurations_refused_total");
+        logLine(LogLevel::Error, "configuration_refused", { { "document", document }, { "place", error.pointer }, { "error", error.text } });
+    });
 }
 
 std::error_code EntryNode::start()
