Fix: [State] A full disk that refuses a sync, a rename or a truncation does not end the process

A file system that allocates late tells of a full disk at the sync (also of a folder), at the rename or when a partial write is removed, not at the write.

Cause: only a refused write was treated as a full disk. A lock file or folder that cannot be created on a full disk was reported as a file error.

Fix: ENOSPC and EDQUOT are DiskFull at each of these operations, and the operation can be repeated. Other errors of a sync still end the process.

Test: JournalTest.fullDiskAtAnyOperation, in which a refused sync also drops half of the file.

--- a/packages/state/src/DataFolder.cpp
+++ b/packages/state/src/DataFolder.cpp
@@ -79,7 +79,7 @@
     std::string name = this->path + "/" + lockFileName;
     this->lock = FileDescriptor(::open(name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
     if (this->lock.get() < 0)
-        return ResultCode::FileError;
+        return writeErrorCode(errno);
     if (!::flock(this->lock.get(), LOCK_EX | LOCK_NB))
         return {};
     return errno == EWOULDBLOCK ? ResultCode::DataFolderLocked : ResultCode::FileError;
@@ -90,7 +90,7 @@
     std::error_code error;
     std::filesystem::create_directories(path, error);
     if (error)
-        return ResultCode::FileError;
+        return writeErrorCode(error.value());
     std::unique_ptr<DataFolder> opened(new DataFolder);
     opened->state->path = path;
     error = opened->state->acquireLock();
--- a/packages/state/src/FileIo.cpp
+++ b/packages/state/src/FileIo.cpp
@@ -52,31 +52,44 @@
     return {};
 }
 
+ResultCode syncErrorCode(int errorNumber)
+{
+    return writeErrorCode(errorNumber) == ResultCode::DiskFull ? ResultCode::DiskFull : ResultCode::SyncFailed;
+}
+
 std::error_code syncFolder(const std::string& folder, const FileHooks& hooks)
 {
     FileDescriptor descriptor(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-    if (descriptor.get() < 0 || hooks.sync(descriptor.get()))
+    if (descriptor.get() < 0)
         return ResultCode::SyncFailed;
-    return {};
+    int errorNumber = hooks.sync(descriptor.get());
+    return errorNumber ? syncErrorCode(errorNumber) : ResultCode::Ok;
 }
 
-std::error_code replaceFile(const std::string& folder, const std::string& name, std::string_view content, const FileHooks& hooks)
+std::error_code writeReplacement(const std::string& folder, const std::string& name, std::string_view content, const FileHooks& hooks)
 {
     std::string path = folder + "/" + name;
     std::string temporaryPath = path + ".tmp";
     FileDescriptor file(::open(temporaryPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
     if (file.get() < 0)
         return writeErrorCode(errno);
-    int errorNumber = hooks.write(file.get(), content);
-    if (errorNumber) {
+    ResultCode code = ResultCode::Ok;
+    if (int errorNumber = hooks.write(file.get(), content))
+        code = writeErrorCode(errorNumber);
+    else if (int syncError = hooks.sync(file.get()))
+        code = syncErrorCode(syncError);
+    else if (int renameError = hooks.rename(temporaryPath, path))
+        code = writeErrorCode(renameError);
+    // On a full disk the temporary file would take the space that the next attempt needs.
+    if (code != ResultCode::Ok && code != ResultCode::SyncFailed)
         ::unlink(temporaryPath.c_str());
-        return writeErrorCode(errorNumber);
-    }
-    if (hooks.sync(file.get()))
-        return ResultCode::SyncFailed;
-    if (::rename(temporaryPath.c_str(), path.c_str()))
-        return writeErrorCode(errno);
-    return syncFolder(folder, hooks);
+    return code;
+}
+
+std::error_code replaceFile(const std::string& folder, const std::string& name, std::string_view content, const FileHooks& hooks)
+{
+    std::error_code error = writeReplacement(folder, name, content, hooks);
+    return error ? error : syncFolder(folder, hooks);
 }
 
 } // namespace kingcup
--- a/packages/state/src/Journal.cpp
+++ b/packages/state/src/Journal.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <bit>
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <optional>
@@ -120,24 +121,40 @@
 
 } // namespace
 
+int truncateFile(int descriptor, uint64_t sizeBytes)
+{
+    return ::ftruncate(descriptor, static_cast<off_t>(sizeBytes)) ? errno : 0;
+}
+
+int renameFile(const std::string& from, const std::string& to)
+{
+    return std::rename(from.c_str(), to.c_str()) ? errno : 0;
+}
+
 FileHooks systemFileHooks()
 {
-    return {
-        [](int descriptor) { return ::fdatasync(descriptor) ? errno : 0; },
-        writeAll,
-    };
+    FileHooks hooks;
+    hooks.sync = [](int descriptor) { return ::fdatasync(descriptor) ? errno : 0; };
+    hooks.write = writeAll;
+    return hooks;
 }
 
 /** State of an open journal. */
 struct Journal::State {
     std::error_code openFile();
     std::error_code createFile();
+    std::error_code repairTail();
+    std::error_code syncFolder();
+    std::error_code fail(ResultCode code);
 
     std::string folder; ///< Folder that holds the file.
     FileHooks hooks;
     FileDescriptor file; ///< Opened for appending.
     uint64_t end = 0; ///< Size of the file.
     uint64_t syncedEnd = 0; ///< Size of the file at the last sync.
+    std::string unsyncedBytes; ///< Bytes from `syncedEnd` to `end`. After a sync that failed on a full disk, only this copy of them is reliable.
+    bool isTailUnreliable = false; ///< Whether the file after `syncedEnd` may differ from `unsyncedBytes`, because a full disk refused a sync or the removal of a partial write.
+    bool isFolderSyncPending = false; ///< Whether the file was renamed and a full disk refused the sync of the folder.
     std::error_code permanentError; ///< Set after a failure that leaves the content on disk unknown; every later operation returns it.
 };
 
@@ -161,6 +178,36 @@
     return error ? error : this->openFile();
 }
 
+/** Stores a permanent error, unless the disk is full, which may end. Returns the error. */
+std::error_code Journal::State::fail(ResultCode code)
+{
+    if (code != ResultCode::DiskFull)
+        this->permanentError = code;
+    return code;
+}
+
+/** Writes the unsynced bytes again if the file may not hold them. Errors: DiskFull, FileError. */
+std::error_code Journal::State::repairTail()
+{
+    if (!this->isTailUnreliable)
+        return {};
+    int errorNumber = this->hooks.truncate(this->file.get(), this->syncedEnd);
+    if (!errorNumber)
+        errorNumber = this->hooks.write(this->file.get(), this->unsyncedBytes);
+    if (errorNumber)
+        return this->fail(writeErrorCode(errorNumber));
+    this->isTailUnreliable = false;
+    return {};
+}
+
+/** Syncs the folder after a rename. Errors: DiskFull, SyncFailed. */
+std::error_code Journal::State::syncFolder()
+{
+    std::error_code error = kingcup::syncFolder(this->folder, this->hooks);
+    this->isFolderSyncPending = static_cast<bool>(error);
+    return error ? this->fail(static_cast<ResultCode>(error.value())) : error;
+}
+
 std::error_code Journal::open(const std::string& folder, FileHooks hooks, std::unique_ptr<Journal>& journal, std::vector<JournalRecord>& records)
 {
     std::unique_ptr<Journal> opened(new Journal);
@@ -183,8 +230,9 @@
     std::optional<uint64_t> end = readRecords(content, records);
     if (!end)
         return ResultCode::JournalDamaged;
-    if (*end < content.size() && ::ftruncate(state.file.get(), static_cast<off_t>(*end)))
-        return ResultCode::FileError;
+    int errorNumber = *end < content.size() ? state.hooks.truncate(state.file.get(), *end) : 0;
+    if (errorNumber)
+        return writeErrorCode(errorNumber);
     state.end = *end;
     // The records may be in the page cache only; sync them before any decision depends on them.
     error = opened->sync();
@@ -204,14 +252,18 @@
     std::string bytes;
     for (const JournalRecord& record : records)
         encodeRecord(record, state.syncedEnd, state.end + bytes.size(), bytes);
+    if (std::error_code error = state.repairTail())
+        return error;
     int errorNumber = state.hooks.write(state.file.get(), bytes);
     if (!errorNumber) {
         state.end += bytes.size();
+        state.unsyncedBytes += bytes;
         return {};
     }
-    if (::ftruncate(state.file.get(), static_cast<off_t>(state.end))) {
-        state.permanentError = ResultCode::FileError;
-        return state.permanentError;
+    if (int truncateError = state.hooks.truncate(state.file.get(), state.end)) {
+        if (std::error_code error = state.fail(writeErrorCode(truncateError)); error != ResultCode::DiskFull)
+            return error;
+        state.isTailUnreliable = true;
     }
     return writeErrorCode(errorNumber);
 }
@@ -221,12 +273,15 @@
     State& state = *this->state;
     if (state.permanentError)
         return state.permanentError;
-    if (state.hooks.sync(state.file.get())) {
-        state.permanentError = ResultCode::SyncFailed;
-        return state.permanentError;
+    if (std::error_code error = state.repairTail())
+        return error;
+    if (int errorNumber = state.hooks.sync(state.file.get())) {
+        state.isTailUnreliable = true;
+        return state.fail(syncErrorCode(errorNumber));
     }
     state.syncedEnd = state.end;
-    return {};
+    state.unsyncedBytes = {};
+    return state.isFolderSyncPending ? state.syncFolder() : std::error_code();
 }
 
 std::error_code Journal::rewrite(const std::vector<JournalRecord>& records)
@@ -241,15 +296,19 @@
     std::string content(fileMagic);
     for (const JournalRecord& record : records)
         encodeRecord(record, size, content.size(), content);
-    std::error_code error = replaceFile(state.folder, journalFileName, content, state.hooks);
+    std::error_code error = writeReplacement(state.folder, journalFileName, content, state.hooks);
     if (error == ResultCode::SyncFailed)
         state.permanentError = error;
     if (error)
         return error;
     state.permanentError = state.openFile();
+    if (state.permanentError)
+        return state.permanentError;
     state.end = content.size();
     state.syncedEnd = content.size();
-    return state.permanentError;
+    state.unsyncedBytes = {};
+    state.isTailUnreliable = false;
+    return state.syncFolder();
 }
 
 uint64_t Journal::sizeBytes() const
--- a/packages/state/tests/JournalTest.cpp
+++ b/packages/state/tests/JournalTest.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 using namespace kingcup;
@@ -151,3 +152,95 @@
         EXPECT_EQ(journal->rewrite({}), ResultCode::SyncFailed);
     });
 }
+
+// Guards against a process that ends, or loses records, because a full disk refused a sync, a rename or a truncation in place of a write. File systems that allocate late do so.
+TEST(JournalTest, fullDiskAtAnyOperation)
+{
+    ScratchFolder folder;
+    std::unique_ptr<Journal> journal;
+    std::vector<JournalRecord> records;
+    bool refusesWrite = false;
+    bool refusesSync = false;
+    bool refusesFolderSync = false;
+    bool refusesRename = false;
+    bool refusesTruncate = false;
+    FileHooks hooks = systemFileHooks();
+    hooks.write = [&](int descriptor, std::string_view data) {
+        int failure = systemFileHooks().write(descriptor, refusesWrite ? data.substr(0, data.size() / 2) : data);
+        return refusesWrite ? ENOSPC : failure;
+    };
+    hooks.sync = [&](int descriptor) {
+        struct stat status { };
+        ::fstat(descriptor, &status);
+        if (S_ISDIR(status.st_mode))
+            return refusesFolderSync ? ENOSPC : 0;
+        if (!refusesSync)
+            return 0;
+        // After a failed sync the kernel may drop what was not written.
+        EXPECT_EQ(truncateFile(descriptor, static_cast<uint64_t>(status.st_size) / 2), 0);
+        return ENOSPC;
+    };
+    hooks.rename = [&](const std::string& from, const std::string& to) { return refusesRename ? ENOSPC : renameFile(from, to); };
+    hooks.truncate = [&](int descriptor, uint64_t size) { return refusesTruncate ? ENOSPC : truncateFile(descriptor, size); };
+    ASSERT_FALSE(openJournal(folder.path(), journal, records, hooks));
+    ASSERT_FALSE(journal->append({ { 1, "first" } }));
+    ASSERT_FALSE(journal->sync());
+
+    section("a refused sync can be repeated and loses no record", [&] {
+        ASSERT_FALSE(journal->append({ { 1, "second" }, { 1, "third" } }));
+        refusesSync = true;
+        EXPECT_EQ(journal->sync(), ResultCode::DiskFull);
+        EXPECT_EQ(journal->sync(), ResultCode::DiskFull);
+        refusesSync = false;
+        ASSERT_FALSE(journal->sync());
+        ASSERT_FALSE(openJournal(folder.path(), journal, records, hooks));
+        EXPECT_EQ(contents(records), (Contents { "first", "second", "third" }));
+    });
+    section("a partial write that cannot be removed at once is removed before the next record", [&] {
+        refusesWrite = true;
+        refusesTruncate = true;
+        EXPECT_EQ(journal->append({ { 1, "refused" } }), ResultCode::DiskFull);
+        refusesWrite = false;
+        EXPECT_EQ(journal->append({ { 1, "refused" } }), ResultCode::DiskFull);
+        refusesTruncate = false;
+        ASSERT_FALSE(journal->append({ { 1, "fourth" } }));
+        ASSERT_FALSE(journal->sync());
+        ASSERT_FALSE(openJournal(folder.path(), journal, records, hooks));
+        EXPECT_EQ(contents(records), (Contents { "first", "second", "third", "fourth" }));
+    });
+    for (bool* refusal : { &refusesWrite, &refusesSync, &refusesRename }) {
+        section("a refused rewrite leaves no temporary file and the former records, to which records can be appended", [&] {
+            *refusal = true;
+            EXPECT_EQ(journal->rewrite({ { 2, "new" } }), ResultCode::DiskFull);
+            *refusal = false;
+            EXPECT_FALSE(std::filesystem::exists(folder.path() + "/journal.tmp"));
+            ASSERT_FALSE(journal->append({ { 1, "more" } }));
+            ASSERT_FALSE(journal->sync());
+            ASSERT_FALSE(openJournal(folder.path(), journal, records, hooks));
+            EXPECT_EQ(records.back().data, "more");
+            EXPECT_EQ(records.front().data, "first");
+        });
+    }
+    section("after a rewrite whose sync of the folder is refused, records are appended to the new file and nothing is synced before the folder", [&] {
+        refusesFolderSync = true;
+        EXPECT_EQ(journal->rewrite({ { 2, "new" } }), ResultCode::DiskFull);
+        ASSERT_FALSE(journal->append({ { 1, "after" } }));
+        EXPECT_EQ(journal->sync(), ResultCode::DiskFull);
+        refusesFolderSync = false;
+        ASSERT_FALSE(journal->sync());
+        ASSERT_FALSE(openJournal(folder.path(), journal, records, hooks));
+        EXPECT_EQ(contents(records), (Contents { "new", "after" }));
+    });
+    section("a journal that cannot be opened on a full disk can be opened once it has room", [&] {
+        journal.reset();
+        writeAll(folder.path() + "/journal", readAll(folder.path() + "/journal") + "torn");
+        refusesTruncate = true;
+        EXPECT_EQ(openJournal(folder.path(), journal, records, hooks), ResultCode::DiskFull);
+        refusesTruncate = false;
+        refusesFolderSync = true;
+        EXPECT_EQ(openJournal(folder.path(), journal, records, hooks), ResultCode::DiskFull);
+        refusesFolderSync = false;
+        ASSERT_FALSE(openJournal(folder.path(), journal, records, hooks));
+        EXPECT_EQ(contents(records), (Contents { "new", "after" }));
+    });
+}
