--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -118,7 +118,9 @@
     hooks.entriesCommitted = [this] { this->scheduleLeaderStart(); };
     // After a failed sync the content of the disk is unknown, so nothing more may be acknowledged.
     hooks.diskFailed = [](std::error_code error) { exitAfterFailure(error); };
-    this->driver = std::make_unique<LogDriver>(options, this->durable, std::move(this->snapshotData), *this->storage, seed, this->settings.snapshotEntries, hub, std::move(hooks));
+    hooks.send = [&hub](VmId vm, wire::Envelope envelope) { hub.send(vm, std::move(envelope)); };
+    hooks.post = [&hub](std::function<void()> task) { hub.post(std::move(task)); };
+    this->driver = std::make_unique<LogDriver>(options, this->durable, std::move(this->snapshotData), *this->storage, seed, this->settings.snapshotEntries, std::move(hooks));
     this->durable = {};
     MembershipManagerOptions membershipOptions;
     membershipOptions.self = options.self;
--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -5,6 +5,7 @@
 #include "kingcup/FailPoint.h"
 #include "kingcup/JsonLog.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace kingcup {
@@ -23,19 +24,18 @@
 
 } // namespace
 
-LogDriver::LogDriver(ReplicatedLogOptions options, const DurableLogState& durable, std::string snapshotData, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LinkHub& hub, LogDriverHooks hooks)
+LogDriver::LogDriver(ReplicatedLogOptions options, const DurableLogState& durable, std::string snapshotData, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LogDriverHooks hooks, LogWriter::Thread writerThread)
     : options(options)
-    , hub(hub)
     , hooks(std::move(hooks))
     , snapshotData(std::move(snapshotData))
     , replicatedLog(
-          options, durable, RandomSource(seed), [this] { return this->snapshotData; }, MillisecondClock::now())
+          options, durable, RandomSource(seed), [this] { return this->snapshotData; }, this->hooks.now())
     , lastAppliedIndex(durable.snapshot.lastIndex)
     , lastAppliedTerm(durable.snapshot.lastTerm)
     , snapshotIndex(durable.snapshot.lastIndex)
     , snapshotEntries(snapshotEntries)
     , writer(
-          storage, [this](bool isFull) { this->hub.post([this, isFull] { this->setWriterBlocked(isFull); }); }, [this](std::error_code error) { this->hooks.diskFailed(error); })
+          storage, [this](bool isFull) { this->hooks.post([this, isFull] { this->setWriterBlocked(isFull); }); }, [this](std::error_code error) { this->hooks.diskFailed(error); }, writerThread)
 {
 }
 
@@ -49,7 +49,7 @@
     if (this->isFlushPosted)
         return;
     this->isFlushPosted = true;
-    this->hub.post([this] { this->flushProposals(); });
+    this->hooks.post([this] { this->flushProposals(); });
 }
 
 /** Proposes the waiting commands as one batch, unless an earlier write is still pending. */
@@ -60,7 +60,7 @@
         return;
     std::vector<std::string> payloads;
     std::vector<Done> done;
-    uint64_t logTimeMs = this->logTimeMs(MillisecondClock::now());
+    uint64_t logTimeMs = this->logTimeMs(this->hooks.now());
     while (!this->pendingProposals.empty() && payloads.size() < maxProposalsPerBatch) {
         PendingProposal& next = this->pendingProposals.front();
         next.command.set_log_time_ms(logTimeMs);
@@ -69,7 +69,7 @@
         this->pendingProposals.pop_front();
     }
     ReplicatedLog::Proposal proposal;
-    ReplicatedLogOutput output = this->replicatedLog.propose(payloads, MillisecondClock::now(), proposal);
+    ReplicatedLogOutput output = this->replicatedLog.propose(payloads, this->hooks.now(), proposal);
     for (size_t position = 0; position < done.size(); position++) {
         if (proposal.code == ResultCode::Ok)
             this->uncommittedEntries[proposal.index + position] = { proposal.term, std::move(done[position]) };
@@ -89,32 +89,32 @@
 ResultCode LogDriver::proposeMembership(const wire::Membership& next)
 {
     ReplicatedLog::Proposal proposal;
-    this->processOutput(this->replicatedLog.proposeMembership(next, MillisecondClock::now(), proposal));
+    this->processOutput(this->replicatedLog.proposeMembership(next, this->hooks.now(), proposal));
     return proposal.code;
 }
 
 ResultCode LogDriver::bootstrap(const wire::Membership& membership)
 {
     ReplicatedLogOutput output;
-    ResultCode code = this->replicatedLog.bootstrap(membership, MillisecondClock::now(), output);
+    ResultCode code = this->replicatedLog.bootstrap(membership, this->hooks.now(), output);
     this->processOutput(std::move(output));
     return code;
 }
 
 void LogDriver::receive(VmId from, uint64_t fromIncarnation, const wire::LogMessage& message)
 {
-    this->processOutput(this->replicatedLog.receive(from, fromIncarnation, message, MillisecondClock::now()));
+    this->processOutput(this->replicatedLog.receive(from, fromIncarnation, message, this->hooks.now()));
 }
 
 void LogDriver::tick()
 {
-    this->processOutput(this->replicatedLog.tick(MillisecondClock::now()));
+    this->processOutput(this->replicatedLog.tick(this->hooks.now()));
     this->flushProposals();
 }
 
 void LogDriver::transferLeadership()
 {
-    this->processOutput(this->replicatedLog.transferLeadership(MillisecondClock::now()));
+    this->processOutput(this->replicatedLog.transferLeadership(this->hooks.now()));
 }
 
 void LogDriver::setSpaceShort(bool isShort)
@@ -122,13 +122,18 @@
     if (isShort != this->isSpaceShort)
         logLine(LogLevel::Warning, isShort ? "disk_space_short" : "disk_space_regained");
     this->isSpaceShort = isShort;
-    this->replicatedLog.setDiskFull(this->isSpaceShort || this->isWriterBlocked);
+    this->updateDiskSpace();
 }
 
 void LogDriver::setWriterBlocked(bool isBlocked)
 {
     logLine(LogLevel::Warning, isBlocked ? "disk_full" : "disk_writable");
     this->isWriterBlocked = isBlocked;
+    this->updateDiskSpace();
+}
+
+void LogDriver::updateDiskSpace()
+{
     this->replicatedLog.setDiskFull(this->isSpaceShort || this->isWriterBlocked);
 }
 
@@ -154,12 +159,12 @@
         job.write = std::move(output.write);
         job.receivedSnapshot = std::move(output.receivedSnapshot);
         job.written = [this, lastIndex, lastTerm, hardStateTerm, messages = std::move(output.messagesAfterSync)] {
-            this->hub.post([this, lastIndex, lastTerm, hardStateTerm, messages] {
+            this->hooks.post([this, lastIndex, lastTerm, hardStateTerm, messages] {
                 this->replicatedLog.recordHardStateSync(hardStateTerm);
                 this->sendMessages(messages);
                 if (lastIndex) {
                     checkFailPoint("log.batch_synced");
-                    this->processOutput(this->replicatedLog.recordSync(lastIndex, lastTerm, MillisecondClock::now()));
+                    this->processOutput(this->replicatedLog.recordSync(lastIndex, lastTerm, this->hooks.now()));
                 }
                 this->flushProposals();
             });
@@ -184,7 +189,7 @@
         wire::Envelope envelope;
         envelope.set_group(this->options.group);
         *envelope.mutable_log() = outgoing.message;
-        this->hub.send(outgoing.to, std::move(envelope));
+        this->hooks.send(outgoing.to, std::move(envelope));
     }
 }
 
@@ -243,7 +248,7 @@
     logLine(LogLevel::Info, "snapshot_taken", { { "index", this->lastAppliedIndex }, { "bytes", snapshot.data.size() } });
     LogWriteJob job;
     job.written = [this, snapshot] {
-        this->hub.post([this, snapshot] {
+        this->hooks.post([this, snapshot] {
             this->isSnapshotRunning = false;
             // A newer snapshot may have been received from the leader in the meantime.
             if (snapshot.meta.lastIndex <= this->snapshotIndex)
--- a/programs/kingcupswitchd/control/LogDriver.h
+++ b/programs/kingcupswitchd/control/LogDriver.h
@@ -3,7 +3,6 @@
 
 #include "LogWriter.h"
 
-#include "kingcup/Link.h"
 #include "kingcup/LogClock.h"
 #include "kingcup/ReplicatedLog.h"
 
@@ -23,6 +22,9 @@
     std::function<void()> entriesCommitted; ///< Called after committed entries have been applied, also those without a command.
     std::function<void()> roleChanged; ///< Called after the role or the leader has changed.
     std::function<void(std::error_code)> diskFailed; ///< Called on the writer's thread after a disk error; the process must end.
+    std::function<void(VmId, wire::Envelope)> send; ///< Sends a message to another control VM; drops it if there is no connection.
+    std::function<void(std::function<void()>)> post; ///< Queues a task for the hub's thread. Called on the writer's thread, too.
+    std::function<TimePoint()> now = MillisecondClock::now;
 };
 
 /**
@@ -35,11 +37,11 @@
     using Done = std::function<void(const wire::CommandResult&)>;
 
     /**
-     * The storage and the hub must outlive this object.
+     * The storage must outlive this object.
      * @param durable Log as read from the storage. @param snapshotData Snapshot data of `durable`; empty: none.
      * @param snapshotEntries Number of applied entries after which a snapshot is taken.
      */
-    LogDriver(ReplicatedLogOptions options, const DurableLogState& durable, std::string snapshotData, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LinkHub& hub, LogDriverHooks hooks);
+    LogDriver(ReplicatedLogOptions options, const DurableLogState& durable, std::string snapshotData, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LogDriverHooks hooks, LogWriter::Thread writerThread = LogWriter::Thread::Own);
 
     /**
      * Proposes a command. Proposals that arrive during a sync are batched into the next one.
@@ -68,6 +70,9 @@
     /** Sets whether the disk space is short. The log refuses new commands while it is. */
     void setSpaceShort(bool isShort);
 
+    /** Writes as LogWriter::writeJobs() does. Only for LogWriter::Thread::Caller. */
+    bool writeJobs() { return this->writer.writeJobs(); }
+
     /** Finishes all pending writes. Must be called after the hub's thread has ended. */
     void stop() { this->writer.stop(); }
 
@@ -89,6 +94,7 @@
         Done done; ///< Receives the result.
     };
     void setWriterBlocked(bool isBlocked);
+    void updateDiskSpace();
     void flushProposals();
     void processOutput(ReplicatedLogOutput output);
     void sendMessages(const std::vector<OutgoingLogMessage>& messages);
@@ -98,7 +104,6 @@
     void takeSnapshotIfDue();
 
     ReplicatedLogOptions options; ///< Identity, timing and size limits of the log.
-    LinkHub& hub; ///< Sends messages and runs posted tasks.
     LogDriverHooks hooks; ///< Callbacks of the owner.
     std::string snapshotData; ///< Data of the newest snapshot. Its position is always the one that the log records as its newest.
     ReplicatedLog replicatedLog; ///< Consensus algorithm, which does no I/O of its own.
--- a/programs/kingcupswitchd/control/LogWriter.cpp
+++ b/programs/kingcupswitchd/control/LogWriter.cpp
@@ -9,12 +9,14 @@
 
 } // namespace
 
-LogWriter::LogWriter(LogStorage& storage, DiskFullHook diskFullHook, FailureHook failureHook)
+LogWriter::LogWriter(LogStorage& storage, DiskFullHook diskFullHook, FailureHook failureHook, Thread thread)
     : storage(storage)
     , diskFullHook(std::move(diskFullHook))
     , failureHook(std::move(failureHook))
-    , thread([this] { this->run(); })
+    , journalSize(storage.journalBytes())
 {
+    if (thread == Thread::Own)
+        this->thread = std::thread([this] { this->run(); });
 }
 
 LogWriter::~LogWriter()
@@ -45,65 +47,89 @@
 void LogWriter::run()
 {
     for (;;) {
-        std::deque<LogWriteJob> batch;
-        {
-            std::unique_lock<std::mutex> lock(this->mutex);
+        bool hasWritten = this->writeJobs();
+        std::unique_lock<std::mutex> lock(this->mutex);
+        if (!hasWritten)
+            this->queueChanged.wait_for(lock, diskFullRetryInterval, [this] { return this->isStopping; });
+        else
             this->queueChanged.wait(lock, [this] { return this->isStopping || !this->jobs.empty(); });
-            if (this->jobs.empty())
-                return;
-            batch.swap(this->jobs);
-        }
-        this->writeBatch(batch);
+        if (this->isStopping && (!hasWritten || this->jobs.empty()))
+            return;
     }
 }
 
-/** Writes a batch of jobs with one journal sync and calls their callbacks, unless a step fails. */
-void LogWriter::writeBatch(std::deque<LogWriteJob>& batch)
+bool LogWriter::writeJobs()
 {
-    bool isSuccessful = true;
-    bool needsSync = false;
-    for (LogWriteJob& job : batch) {
-        if (job.receivedSnapshot)
-            isSuccessful = isSuccessful && this->retryWhileDiskFull([&] { return this->storage.storeSnapshot(job.receivedSnapshot->meta, job.receivedSnapshot->data); });
-        if (!job.write.empty()) {
-            needsSync = true;
-            isSuccessful = isSuccessful && this->retryWhileDiskFull([&] { return this->storage.write(job.write); });
-        }
+    while (this->takeJobs()) {
+        if (!this->writeBatch())
+            return this->hasFailed;
+        this->journalSize = this->storage.journalBytes();
     }
-    if (needsSync && isSuccessful) {
-        this->syncCount++;
-        isSuccessful = this->retryWhileDiskFull([&] { return this->storage.sync(); });
+    return true;
+}
+
+/** Makes the queued jobs the next batch, unless one is being written. Returns whether there is one to write. */
+bool LogWriter::takeJobs()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->batch.empty())
+        this->batch.swap(this->jobs);
+    return !this->batch.empty() && !this->hasFailed;
+}
+
+/** Writes the rest of the batch with one journal sync and calls its callbacks. Returns false at the first step that fails. */
+bool LogWriter::writeBatch()
+{
+    for (; this->writtenJobs < this->batch.size(); this->writtenJobs++) {
+        LogWriteJob& job = this->batch[this->writtenJobs];
+        if (job.receivedSnapshot && !this->checkStep(this->storage.storeSnapshot(job.receivedSnapshot->meta, job.receivedSnapshot->data)))
+            return false;
+        if (job.write.empty())
+            continue;
+        if (!this->checkStep(this->storage.write(job.write)))
+            return false;
+        this->needsSync = true;
     }
-    for (LogWriteJob& job : batch) {
-        if (job.takenSnapshot)
-            isSuccessful = isSuccessful && this->retryWhileDiskFull([&] { return this->storage.storeSnapshot(job.takenSnapshot->meta, job.takenSnapshot->data); });
-        if (isSuccessful && job.written)
-            job.written();
+    if (this->needsSync && !this->checkStep(this->storage.sync()))
+        return false;
+    this->syncCount += this->needsSync ? 1 : 0;
+    this->needsSync = false;
+    while (!this->batch.empty()) {
+        if (!this->finishJob(this->batch.front()))
+            return false;
+        this->batch.pop_front();
+        this->writtenJobs--;
         this->unfinishedJobs--;
     }
+    return true;
 }
 
-/** Repeats a step while the disk is full. Returns false after another error or if stop() was called meanwhile. */
-bool LogWriter::retryWhileDiskFull(const std::function<std::error_code()>& step)
+/** Stores the own snapshot of a job whose write is synced, and calls its callback. Returns false if the step fails. */
+bool LogWriter::finishJob(LogWriteJob& job)
 {
-    bool isDiskFull = false;
-    for (;;) {
-        std::error_code error = step();
-        if (error != ResultCode::DiskFull) {
-            if (isDiskFull)
-                this->diskFullHook(false);
-            if (error)
-                this->failureHook(error);
-            return !error;
-        }
-        if (!isDiskFull)
-            this->diskFullHook(true);
-        isDiskFull = true;
-        std::unique_lock<std::mutex> lock(this->mutex);
-        this->queueChanged.wait_for(lock, diskFullRetryInterval, [this] { return this->isStopping; });
-        if (this->isStopping)
-            return false;
+    std::error_code error;
+    if (job.takenSnapshot)
+        error = this->storage.storeSnapshot(job.takenSnapshot->meta, job.takenSnapshot->data);
+    if (!this->checkStep(error))
+        return false;
+    if (job.written)
+        job.written();
+    return true;
+}
+
+/** Reports a full disk, the end of one, and a permanent error. Returns whether the step succeeded. */
+bool LogWriter::checkStep(std::error_code error)
+{
+    bool isFull = error == ResultCode::DiskFull;
+    if (isFull != this->isDiskFull) {
+        this->isDiskFull = isFull;
+        this->diskFullHook(isFull);
+    }
+    if (error && !isFull) {
+        this->hasFailed = true;
+        this->failureHook(error);
     }
+    return !error;
 }
 
 } // namespace kingcup
