Fix: [Coordination] A group whose disks are short of space elects a leader that can serve

While a majority of the control VMs has less than 32 MiB of space, a change of the leader takes the whole control plane away: entry VMs lose their leases, reads of the manifest fail, and commands that a leader with space accepts stay unanswered.

Cause: a follower short of the reserve refused all entries, as on a full disk, although it can write them. So a new leader never committed the first entry of its term. The reserve is there so that what was accepted can still be written; only the acceptance was meant to stop.

Fix: a member distinguishes DiskSpace::Short from DiskSpace::Full. Followers refuse entries only on a full disk. The leader refuses commands at once with disk_full while it lacks space itself, or while the voters that report space are no majority. Membership changes, which may be the repair, are refused on a full disk only.

--- a/packages/coordination/include/kingcup/ReplicatedLog.h
+++ b/packages/coordination/include/kingcup/ReplicatedLog.h
@@ -65,8 +65,12 @@
      */
     void compact(const SnapshotMeta& meta);
 
-    /** Sets whether the disk is full. While it is, proposals fail with DiskFull and a follower accepts no new entries. */
-    void setDiskFull(bool isFull);
+    /**
+     * Sets the free space on the disk of this member. Commands fail with DiskFull while the disk of the leader, or those of so many
+     * voters that the others are no majority, lack space. A follower refuses entries only on a full disk: if all that lack space
+     * refused them, a new leader could not commit the first entry of its term, and entry VMs would lose their leases.
+     */
+    void setDiskSpace(DiskSpace space);
 
     /** Starts a leadership transfer to the most up-to-date voter. Does nothing unless this member is the leader. */
     ReplicatedLogOutput transferLeadership(TimePoint now);
--- a/packages/coordination/include/kingcup/ReplicatedLogTypes.h
+++ b/packages/coordination/include/kingcup/ReplicatedLogTypes.h
@@ -33,6 +33,13 @@
     { LogRole::Leader, "leader" },
 };
 
+/** Free space on the disk of a member. */
+enum class DiskSpace {
+    Sufficient,
+    Short, ///< Below the reserve. What a leader has accepted is still written; a leader accepts no new commands.
+    Full, ///< The latest write was refused. Nothing more is accepted.
+};
+
 /** Timing and size limits of the replicated log. */
 struct ReplicatedLogOptions {
     GroupId group = 0; ///< Log that this member belongs to.
--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -120,6 +120,8 @@
         largestPayloadBytes = std::max(largestPayloadBytes, payload.size());
     }
     proposal.code = member.checkProposal(now);
+    if (proposal.code == ResultCode::Ok && !member.hasSpaceForCommands())
+        proposal.code = ResultCode::DiskFull;
     if (proposal.code != ResultCode::Ok)
         return output;
     if (largestPayloadBytes > member.options.maxCommandBytes)
@@ -176,9 +178,9 @@
         member.log.compact(meta, member.options.maxBytesPerMessage);
 }
 
-void ReplicatedLog::setDiskFull(bool isFull)
+void ReplicatedLog::setDiskSpace(DiskSpace space)
 {
-    this->state->isDiskFull = isFull;
+    this->state->diskSpace = space;
 }
 
 ReplicatedLogOutput ReplicatedLog::transferLeadership(TimePoint now)
--- a/packages/coordination/src/ReplicatedLogElection.cpp
+++ b/packages/coordination/src/ReplicatedLogElection.cpp
@@ -175,7 +175,7 @@
     this->recentRounds.clear();
     this->peers.clear();
     this->leadershipTransfer.reset();
-    this->diskFullSince.reset();
+    this->spaceLackingSince.reset();
     this->incomingSnapshot.reset();
     this->uncommittedBytes = 0;
     this->termStartIndex = this->appendNewEntry(wire::ENTRY_EMPTY, {}, output);
--- a/packages/coordination/src/ReplicatedLogFollower.cpp
+++ b/packages/coordination/src/ReplicatedLogFollower.cpp
@@ -32,30 +32,31 @@
             answer.set_accepted(true);
             answer.set_match_index(matchIndex);
             this->commitTo(std::min<LogIndex>(request.commit_index(), matchIndex), output);
-        } else if (!this->isDiskFull) {
+        } else if (this->diskSpace != DiskSpace::Full) {
             answer.set_conflict_index(this->conflictIndex(previousIndex));
         }
         // While the disk is full, the refusal has no conflict index, so that the leader does not send the entries again at once.
     }
     answer.set_term(this->hardState.term);
-    answer.set_disk_full(this->isDiskFull);
-    this->sendRoundAnswer(from, answer, output);
+    answer.set_disk_full(this->diskSpace != DiskSpace::Sufficient);
+    if (answer.accepted())
+        this->sendRoundAnswer(from, request.term(), request.round(), output);
     this->send(from, std::move(message), false, output);
 }
 
-void ReplicatedLog::State::sendRoundAnswer(const MemberId& from, const wire::AppendAnswer& answer, ReplicatedLogOutput& output) const
+void ReplicatedLog::State::sendRoundAnswer(const MemberId& from, Term leaderTerm, uint64_t round, ReplicatedLogOutput& output) const
 {
     // Without this answer, a disk that stalls for longer than the election timeout would look like a lost member to the leader.
     bool isCurrentTermSynced = this->syncedTerm == this->hardState.term && !output.write.hardState;
-    if (!answer.accepted() || !isCurrentTermSynced)
+    if (leaderTerm != this->hardState.term || !isCurrentTermSynced)
         return;
     wire::LogMessage message;
     wire::AppendAnswer& roundAnswer = *message.mutable_append_answer();
-    roundAnswer.set_term(answer.term());
+    roundAnswer.set_term(leaderTerm);
     roundAnswer.set_accepted(true);
-    roundAnswer.set_round(answer.round());
+    roundAnswer.set_round(round);
     roundAnswer.set_round_only(true);
-    roundAnswer.set_disk_full(answer.disk_full());
+    roundAnswer.set_disk_full(this->diskSpace != DiskSpace::Sufficient);
     this->send(from, std::move(message), true, output);
 }
 
@@ -65,7 +66,7 @@
     for (const wire::LogEntry& entry : request.entries()) {
         bool isHeld = entry.index() <= this->commitIndex || this->log.termAt(entry.index()) == entry.term();
         if (!isHeld) {
-            if (this->isDiskFull)
+            if (this->diskSpace == DiskSpace::Full)
                 break;
             if (entry.index() <= this->log.lastIndex()) {
                 this->log.truncateFrom(entry.index());
@@ -112,7 +113,7 @@
         if (isHeld) {
             this->commitTo(request.last_index(), output);
             answer.set_installed(true);
-        } else if (!this->isDiskFull && this->storeChunk(request)) {
+        } else if (this->diskSpace != DiskSpace::Full && this->storeChunk(request)) {
             this->installSnapshot(output);
             answer.set_installed(true);
         }
--- a/packages/coordination/src/ReplicatedLogLeader.cpp
+++ b/packages/coordination/src/ReplicatedLogLeader.cpp
@@ -177,7 +177,7 @@
     LogPeer* peer = this->acceptAnswer(from, answer.term(), answer.round(), now, output);
     if (!peer)
         return;
-    peer->isDiskFull = answer.disk_full();
+    peer->lacksDiskSpace = answer.disk_full();
     if (answer.round_only())
         return;
     if (answer.accepted()) {
@@ -289,17 +289,17 @@
 /** Transfers leadership from a full disk, because this leader can neither replace lost members nor put a configuration in force. */
 void ReplicatedLog::State::transferFromFullDisk(TimePoint now, ReplicatedLogOutput& output)
 {
-    if (!this->isDiskFull)
-        this->diskFullSince.reset();
-    else if (!this->diskFullSince)
-        this->diskFullSince = now;
-    else if (now - *this->diskFullSince >= fullDiskTransferDelay)
+    if (this->diskSpace == DiskSpace::Sufficient)
+        this->spaceLackingSince.reset();
+    else if (!this->spaceLackingSince)
+        this->spaceLackingSince = now;
+    else if (now - *this->spaceLackingSince >= fullDiskTransferDelay)
         this->startLeadershipTransfer(TransferTargets::VotersWithRoom, now, output);
 }
 
 bool ReplicatedLog::State::canLead(const LogPeer& peer, TimePoint now) const
 {
-    return !peer.isDiskFull && peer.answeredRoundTime && now - *peer.answeredRoundTime < this->options.electionTimeout;
+    return !peer.lacksDiskSpace && peer.answeredRoundTime && now - *peer.answeredRoundTime < this->options.electionTimeout;
 }
 
 void ReplicatedLog::State::startLeadershipTransfer(TransferTargets targets, TimePoint now, ReplicatedLogOutput& output)
--- a/packages/coordination/src/ReplicatedLogMembership.cpp
+++ b/packages/coordination/src/ReplicatedLogMembership.cpp
@@ -139,7 +139,15 @@
         return ResultCode::NotBootstrapped;
     if (this->role != LogRole::Leader || this->leadershipTransfer || this->hasLostQuorum(now))
         return ResultCode::NotLeader;
-    return this->isDiskFull ? ResultCode::DiskFull : ResultCode::Ok;
+    return this->diskSpace == DiskSpace::Full ? ResultCode::DiskFull : ResultCode::Ok;
+}
+
+bool ReplicatedLog::State::hasSpaceForCommands() const
+{
+    size_t votersWithSpace = this->selfIsVoter() ? 1 : 0;
+    for (const auto& [id, peer] : this->peers)
+        votersWithSpace += peer.isVoter && !peer.lacksDiskSpace ? 1 : 0;
+    return this->diskSpace == DiskSpace::Sufficient && votersWithSpace >= this->quorumSize();
 }
 
 ResultCode ReplicatedLog::State::checkFirstMembership(const wire::Membership& membership) const
--- a/packages/coordination/src/ReplicatedLogState.h
+++ b/packages/coordination/src/ReplicatedLogState.h
@@ -27,7 +27,7 @@
     bool isProbing = true; ///< Whether the end of the log of the member is unknown. No entries are sent until the member accepts a message.
     std::deque<std::pair<LogIndex, size_t>> inFlight {}; ///< Last index and size in bytes of each message with entries that is not acknowledged.
     size_t inFlightBytes = 0; ///< Total size of these messages.
-    bool isDiskFull = false; ///< Whether the disk of the member was full at its latest answer to an append.
+    bool lacksDiskSpace = false; ///< Whether the disk of the member was short of space or full at its latest answer to an append.
     std::optional<TimePoint> answeredRoundTime; ///< Sending time of the newest heartbeat round that the member answered; empty if it answered none.
     std::shared_ptr<const std::string> snapshotData; ///< Snapshot that is being sent; null if there is none.
     SnapshotMeta snapshotMeta; ///< Position of the snapshot that is being sent.
@@ -74,6 +74,8 @@
     bool isQuorum(const std::set<MemberId>& ids) const;
     MemberId selfId() const;
     ResultCode checkProposal(TimePoint now) const;
+    /** Returns whether this leader and enough of the other voters have space for commands. A voter that has reported nothing counts as one that has. */
+    bool hasSpaceForCommands() const;
     ResultCode checkFirstMembership(const wire::Membership& membership) const;
     ResultCode checkMembershipChange(const wire::Membership& next, TimePoint now) const;
     LogIndex appendMembership(const wire::Membership& membership, ReplicatedLogOutput& output);
@@ -97,8 +99,8 @@
     // Follower (ReplicatedLogFollower.cpp).
     bool acceptLeader(const MemberId& from, Term leaderTerm, TimePoint now, ReplicatedLogOutput& output);
     void receiveAppend(const MemberId& from, const wire::AppendRequest& request, TimePoint now, ReplicatedLogOutput& output);
-    /** Answers the heartbeat round at once, before the entries are synced. */
-    void sendRoundAnswer(const MemberId& from, const wire::AppendAnswer& answer, ReplicatedLogOutput& output) const;
+    /** Answers a heartbeat round at once, before earlier writes are synced. */
+    void sendRoundAnswer(const MemberId& from, Term leaderTerm, uint64_t round, ReplicatedLogOutput& output) const;
     LogIndex appendMissingEntries(const wire::AppendRequest& request, ReplicatedLogOutput& output);
     LogIndex conflictIndex(LogIndex previousIndex) const;
     void receiveSnapshot(const MemberId& from, const wire::SnapshotRequest& request, TimePoint now, ReplicatedLogOutput& output);
@@ -149,7 +151,7 @@
     LogIndex commitIndex = 0;
     LogIndex syncedIndex = 0; ///< Index of the last entry known to be synced on the disk of this member.
     Term syncedTerm = 0; ///< Newest term known to be synced.
-    bool isDiskFull = false;
+    DiskSpace diskSpace = DiskSpace::Sufficient;
     TimePoint startTime; ///< Start of the process.
     TimePoint lastLeaderContact; ///< Time of the last accepted message of a leader. Set at the start as well, because answers that were sent before a restart may still support the lease of the leader.
     TimePoint electionDeadline;
@@ -163,7 +165,7 @@
     TimePoint leaderSince {};
     TimePoint nextHeartbeatTime {};
     LogIndex termStartIndex = 0; ///< Index of the empty entry with which the term of this leader starts.
-    std::optional<TimePoint> diskFullSince; ///< First tick of this leadership at which the disk was full without a break; empty: it has room.
+    std::optional<TimePoint> spaceLackingSince; ///< First tick of this leadership at which the disk lacked space without a break; empty: it has space.
     bool isTermSynced = false; ///< Whether the term is synced; until then appends wait for the sync as well.
     size_t uncommittedBytes = 0; ///< Payload bytes of the uncommitted entries that this leader appended.
     std::optional<LeadershipTransfer> leadershipTransfer;
--- a/packages/coordination/tests/MembershipRecoveryTest.cpp
+++ b/packages/coordination/tests/MembershipRecoveryTest.cpp
@@ -95,7 +95,7 @@
             ASSERT_TRUE(leading);
             VmId formerLeader = leading->vm;
             section("a VM that loses its disk just after the disk of the leader is full is a voter again in time", [&] {
-                leading->log->setDiskFull(true);
+                leading->log->setDiskSpace(DiskSpace::Full);
                 group.loseDisks({ PlannedGroup::nextTwo(formerLeader).front() });
                 group.network.runFor(catchUpMs);
                 EXPECT_TRUE(group.isWhole());
@@ -118,7 +118,7 @@
     group.network.runFor(2000);
     LogNode* leading = group.network.leader();
     for (VmId vm = 1; vm <= groupSize; vm++)
-        group.network.nodes[vm].log->setDiskFull(true);
+        group.network.nodes[vm].log->setDiskSpace(DiskSpace::Full);
     for (int step = 0; step < 100; step++) {
         group.network.runFor(100);
         ASSERT_EQ(group.network.leaderWithQuorum(), leading);
--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -399,9 +399,9 @@
         EXPECT_EQ(leading.log->bootstrap(membership, network.now, output), ResultCode::AlreadyBootstrapped);
     });
     section("proposals are refused on a full disk and above the size limits", [&] {
-        leading.log->setDiskFull(true);
+        leading.log->setDiskSpace(DiskSpace::Full);
         EXPECT_EQ(network.propose(leading), ResultCode::DiskFull);
-        leading.log->setDiskFull(false);
+        leading.log->setDiskSpace(DiskSpace::Sufficient);
         leading.log->propose({ std::string(network.options.maxCommandBytes + 1, 'x') }, network.now, proposal);
         EXPECT_EQ(proposal.code, ResultCode::CommandTooLarge);
     });
@@ -420,7 +420,7 @@
     });
     section("a follower with a full disk accepts no entries while the others go on, and catches up afterwards", [&] {
         LogNode& follower = network.nodes[leading.vm % 3 + 1];
-        follower.log->setDiskFull(true);
+        follower.log->setDiskSpace(DiskSpace::Full);
         LogIndex lastIndexBefore = follower.log->lastIndex();
         uint64_t messagesBefore = network.sentMessages;
         proposeMany(network, 20);
@@ -428,7 +428,7 @@
         EXPECT_EQ(follower.log->lastIndex(), lastIndexBefore);
         network.runFor(1000);
         EXPECT_LT(network.sentMessages - messagesBefore, 200u) << "the leader keeps resending the refused entries";
-        follower.log->setDiskFull(false);
+        follower.log->setDiskSpace(DiskSpace::Sufficient);
         EXPECT_TRUE(network.runUntil([&] { return network.hasConverged(); }));
     });
     section("members are changed one at a time, and new ones start as learners", [&] {
@@ -450,3 +450,37 @@
     });
     EXPECT_THAT(network.violations, ::testing::IsEmpty());
 }
+
+// Guards against a group that is lost while disks are short of space but still writable: its next leader could not commit the first entry of its term, so that entry VMs lost their leases.
+TEST(ReplicatedLogTest, leadersChangeWhileDisksAreShortOfSpace)
+{
+    LogNetwork network(testSeed(1), {}, 5);
+    ASSERT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }));
+    auto setSpace = [&](DiskSpace space, size_t kept) {
+        VmId leading = network.leader()->vm;
+        for (auto& [vm, node] : network.nodes) {
+            if (node.log && (vm != leading || kept == 0))
+                node.log->setDiskSpace(space);
+        }
+    };
+    section("a leader with space refuses commands at once while the voters with space are no majority", [&] {
+        setSpace(DiskSpace::Short, 1);
+        network.runFor(300);
+        LogIndex lastIndex = network.leader()->log->lastIndex();
+        EXPECT_EQ(network.propose(*network.leader()), ResultCode::DiskFull);
+        EXPECT_EQ(network.leader()->log->lastIndex(), lastIndex);
+    });
+    section("when the leader ends, the next one has a quorum all the same, and refuses commands", [&] {
+        network.crash(network.leader()->vm);
+        ASSERT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }, 5000));
+        EXPECT_EQ(network.propose(*network.leader()), ResultCode::DiskFull);
+        EXPECT_TRUE(network.leader()->log->isMembershipCommitted());
+    });
+    section("commands are accepted once a majority has space", [&] {
+        setSpace(DiskSpace::Sufficient, 0);
+        network.runFor(300);
+        EXPECT_EQ(network.propose(*network.leader()), ResultCode::Ok);
+        EXPECT_TRUE(network.runUntil([&] { return network.acknowledged.size() == 1; }));
+    });
+    EXPECT_THAT(network.violations, ::testing::IsEmpty());
+}
--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -134,7 +134,8 @@
 
 void LogDriver::updateDiskSpace()
 {
-    this->replicatedLog.setDiskFull(this->isSpaceShort || this->isWriterBlocked);
+    DiskSpace space = this->isSpaceShort ? DiskSpace::Short : DiskSpace::Sufficient;
+    this->replicatedLog.setDiskSpace(this->isWriterBlocked ? DiskSpace::Full : space);
 }
 
 /** Processes an output of the log: sends the messages that need no sync, queues the write and applies the committed entries. */
