Fix: [Coordination] A leader keeps its quorum while the disks of followers are full

Operators saw: nothing yet; found by FullDiskTest. While a majority of the disks is full, the leader steps down, no other can be elected, and entry VMs lose their leases, although all control VMs run and reach each other.

Cause: a follower with a full disk that refuses entries answered only after its earlier writes, so not at all. The leader counted it as lost after an election timeout, and did not learn either that its disk was full.

The answer states only that it is in the synced term of the leader, as the early answer to accepted entries does.

--- a/packages/coordination/src/ReplicatedLogFollower.cpp
+++ b/packages/coordination/src/ReplicatedLogFollower.cpp
@@ -39,14 +39,14 @@
     }
     answer.set_term(this->hardState.term);
     answer.set_disk_full(this->diskSpace != DiskSpace::Sufficient);
-    if (answer.accepted())
+    if (answer.accepted() || this->diskSpace == DiskSpace::Full)
         this->sendRoundAnswer(from, request.term(), request.round(), output);
     this->send(from, std::move(message), false, output);
 }
 
 void ReplicatedLog::State::sendRoundAnswer(const MemberId& from, Term leaderTerm, uint64_t round, ReplicatedLogOutput& output) const
 {
-    // Without this answer, a disk that stalls for longer than the election timeout would look like a lost member to the leader.
+    // Without this answer, a disk that stalls or is full for longer than the election timeout would look like a lost member to the leader.
     bool isCurrentTermSynced = this->syncedTerm == this->hardState.term && !output.write.hardState;
     if (leaderTerm != this->hardState.term || !isCurrentTermSynced)
         return;
@@ -120,6 +120,8 @@
         answer.set_next_offset(this->incomingSnapshot ? this->incomingSnapshot->data.size() : 0);
     }
     answer.set_term(this->hardState.term);
+    if (this->diskSpace == DiskSpace::Full)
+        this->sendRoundAnswer(from, request.term(), request.round(), output);
     this->send(from, std::move(message), false, output);
 }
 
--- a/programs/kingcupswitchd/tests/FullDiskTest.cpp
+++ b/programs/kingcupswitchd/tests/FullDiskTest.cpp
@@ -112,3 +112,34 @@
     RecordProperty("longestCommitMs", std::to_string(longestMs));
     std::cout << "longest time to a commit: " << longestMs << " ms\n";
 }
+
+// Guards against the loss of the leader, and with it of the leases of all entry VMs, while a majority of the disks is full.
+TEST(FullDiskTest, leaderStaysWhileAMajorityOfTheDisksIsFull)
+{
+    uint64_t first = testSeed(1);
+    for (uint64_t seed = first; seed < first + 20; seed++) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        FullDiskGroup group(seed);
+        VmId leading = group.leader()->vm;
+        bool isLeaderFull = seed % 2 == 0;
+        for (VmId step = isLeaderFull ? 0 : 1; step < SimulatedGroup::size; step++) {
+            SimulatedVm& vm = *group.vms.at((leading + step - 1) % SimulatedGroup::size + 1);
+            vm.disk.refusals = { true, false, false, false };
+            group.runFor(group.random.fraction() * 50);
+        }
+        section("a leader keeps its quorum", [&] {
+            group.runFor(3000);
+            for (int step = 0; step < 100; step++) {
+                group.runFor(100);
+                ASSERT_TRUE(group.hasLeaderWithQuorum());
+            }
+        });
+        section("changes commit once the disks have room", [&] {
+            for (auto& [id, full] : group.vms)
+                full->disk.refusals = {};
+            EXPECT_TRUE(group.timeToCommit(2 * group.options.electionTimeout.count()));
+        });
+        EXPECT_TRUE(group.runUntil([&] { return group.isWhole(); }, wholeLimitMs));
+        EXPECT_TRUE(group.violations.empty()) << group.violations.front();
+    }
+}
