Fix: [Control] Commands are refused while a leader with a full disk cannot transfer its leadership

Operators saw: nothing yet; found by FullDiskTest. With all disks full, a command stays unanswered until its time limit, with no reason.

Cause: commands wait while the log writer is busy, and it is busy as long as the disk is full, so that the check for a full disk was not reached.

Fix: a leader that lacks space keeps commands waiting only while a voter with space can take over (after 2 s; the sender then repeats them there), for five election timeouts at most. Otherwise they are refused with disk_full.

--- a/packages/coordination/include/kingcup/ReplicatedLog.h
+++ b/packages/coordination/include/kingcup/ReplicatedLog.h
@@ -75,6 +75,9 @@
     /** Starts a leadership transfer to the most up-to-date voter. Does nothing unless this member is the leader. */
     ReplicatedLogOutput transferLeadership(TimePoint now);
 
+    /** Returns whether a voter that answers and has disk space could take over the leadership. Only on the leader. */
+    bool canTransferLeadership(TimePoint now) const;
+
     /**
      * Returns whether this member is the leader, has committed an entry of its term and got answers from a quorum to
      * heartbeat rounds that it sent within the last election timeout. False once a transfer has sent TimeoutNow.
--- a/packages/coordination/src/ReplicatedLog.cpp
+++ b/packages/coordination/src/ReplicatedLog.cpp
@@ -190,6 +190,12 @@
     return output;
 }
 
+bool ReplicatedLog::canTransferLeadership(TimePoint now) const
+{
+    const State& member = *this->state;
+    return std::any_of(member.peers.begin(), member.peers.end(), [&](const auto& row) { return row.second.isVoter && member.canLead(row.second, now); });
+}
+
 bool ReplicatedLog::hasQuorum(TimePoint now) const
 {
     return this->state->hasQuorum(now);
--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr size_t maxProposalsPerBatch = 512;
+constexpr double transferTimeoutRatio = 5; ///< Time in election timeouts after which commands are refused if a leader that lacks disk space could not transfer its leadership.
 
 /** Returns a result that contains only a code. */
 wire::CommandResult resultWithCode(ResultCode code)
@@ -52,11 +53,21 @@
     this->hooks.post([this] { this->flushProposals(); });
 }
 
-/** Proposes the waiting commands as one batch, unless an earlier write is still pending. */
+/** Returns whether the waiting commands wait on: for an earlier write, or for the transfer of the leadership to a voter with space, where their senders repeat them. */
+bool LogDriver::mustProposalsWait() const
+{
+    if (!this->spaceLackingSince)
+        return !this->writer.isIdle();
+    TimePoint now = this->hooks.now();
+    bool isTransferOverdue = now - *this->spaceLackingSince >= this->options.electionTimeout * transferTimeoutRatio;
+    return !isTransferOverdue && this->replicatedLog.canTransferLeadership(now);
+}
+
+/** Proposes the waiting commands as one batch, unless they must wait. */
 void LogDriver::flushProposals()
 {
     this->isFlushPosted = false;
-    if (this->pendingProposals.empty() || !this->writer.isIdle())
+    if (this->pendingProposals.empty() || this->mustProposalsWait())
         return;
     std::vector<std::string> payloads;
     std::vector<Done> done;
@@ -130,10 +141,15 @@
     logLine(LogLevel::Warning, isBlocked ? "disk_full" : "disk_writable");
     this->isWriterBlocked = isBlocked;
     this->updateDiskSpace();
+    this->flushProposals();
 }
 
 void LogDriver::updateDiskSpace()
 {
+    if (!this->isSpaceShort && !this->isWriterBlocked)
+        this->spaceLackingSince.reset();
+    else if (!this->spaceLackingSince)
+        this->spaceLackingSince = this->hooks.now();
     DiskSpace space = this->isSpaceShort ? DiskSpace::Short : DiskSpace::Sufficient;
     this->replicatedLog.setDiskSpace(this->isWriterBlocked ? DiskSpace::Full : space);
 }
--- a/programs/kingcupswitchd/control/LogDriver.h
+++ b/programs/kingcupswitchd/control/LogDriver.h
@@ -95,6 +95,7 @@
     };
     void setWriterBlocked(bool isBlocked);
     void updateDiskSpace();
+    bool mustProposalsWait() const;
     void flushProposals();
     void processOutput(ReplicatedLogOutput output);
     void sendMessages(const std::vector<OutgoingLogMessage>& messages);
@@ -114,6 +115,7 @@
     mutable LogClock clock; ///< Extrapolates the log time between commands.
     bool isSpaceShort = false; ///< Whether the free disk space is below the reserve.
     bool isWriterBlocked = false; ///< Whether the writer waits for disk space.
+    std::optional<TimePoint> spaceLackingSince; ///< Since when one of the two holds; empty: neither does.
     bool isSnapshotRunning = false; ///< Whether a snapshot is being written.
     bool isFlushPosted = false; ///< Whether a flush of the proposals is posted to the hub.
     std::deque<PendingProposal> pendingProposals; ///< Commands that are not yet passed to the log, oldest first.
--- a/programs/kingcupswitchd/tests/FullDiskTest.cpp
+++ b/programs/kingcupswitchd/tests/FullDiskTest.cpp
@@ -127,12 +127,16 @@
             vm.disk.refusals = { true, false, false, false };
             group.runFor(group.random.fraction() * 50);
         }
-        section("a leader keeps its quorum", [&] {
+        section("a leader keeps its quorum, and commands are refused at once", [&] {
             group.runFor(3000);
             for (int step = 0; step < 100; step++) {
                 group.runFor(100);
                 ASSERT_TRUE(group.hasLeaderWithQuorum());
             }
+            std::optional<ResultCode> code;
+            group.propose([&code](ResultCode result) { code = result; });
+            group.runFor(50);
+            EXPECT_EQ(code, ResultCode::DiskFull);
         });
         section("changes commit once the disks have room", [&] {
             for (auto& [id, full] : group.vms)
