Fix: [Control] A VM with a full disk does not keep the messages of the whole time

Operators saw: nothing yet; found by reading. Each heartbeat to a VM whose disk is full queued its answer behind the write that waits for room, about 12 a second, for as long as the disk is full.

Fix: while the disk is full, messages without a write of their own are dropped as if lost. The protocol repeats all of them.

--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -166,9 +166,11 @@
         this->snapshotData = output.receivedSnapshot->data;
     }
     bool hasWrites = output.receivedSnapshot || !output.write.empty();
+    // On a full disk messages without a write are dropped as if lost; otherwise those of each heartbeat would be kept until it has room.
+    bool areMessagesKept = !output.messagesAfterSync.empty() && !this->isWriterBlocked;
     if (!hasWrites && this->writer.isIdle()) {
         this->sendMessages(output.messagesAfterSync);
-    } else if (hasWrites || !output.messagesAfterSync.empty()) {
+    } else if (hasWrites || areMessagesKept) {
         LogIndex lastIndex = output.write.entries.empty() ? 0 : output.write.entries.back().index();
         Term lastTerm = output.write.entries.empty() ? 0 : output.write.entries.back().term();
         Term hardStateTerm = output.write.hardState ? output.write.hardState->term : 0;
--- a/programs/kingcupswitchd/tests/FullDiskTest.cpp
+++ b/programs/kingcupswitchd/tests/FullDiskTest.cpp
@@ -138,10 +138,13 @@
             group.runFor(50);
             EXPECT_EQ(code, ResultCode::DiskFull);
         });
-        section("changes commit once the disks have room", [&] {
+        section("a VM does not keep the messages of the whole time until it has room", [&] {
+            SimulatedVm& vm = *group.vms.at(leading % SimulatedGroup::size + 1);
+            uint64_t before = vm.sentMessages;
             for (auto& [id, full] : group.vms)
                 full->disk.refusals = {};
             EXPECT_TRUE(group.timeToCommit(2 * group.options.electionTimeout.count()));
+            EXPECT_LT(vm.sentMessages - before, 120u);
         });
         EXPECT_TRUE(group.runUntil([&] { return group.isWhole(); }, wholeLimitMs));
         EXPECT_TRUE(group.violations.empty()) << group.violations.front();
