--- a/packages/coordination/src/LogStorage.cpp
+++ b/packages/coordination/src/LogStorage.cpp
@@ -74,11 +74,12 @@
     }
     // After a crash between storing a snapshot and compacting the journal, the journal holds entries that the snapshot covers.
     size_t replayedEntries = opened->entries.size();
+    opened->journalEnd = opened->lastPosition();
     if (!opened->removeCoveredEntries())
         return ResultCode::JournalDamaged;
     if (opened->entries.size() < replayedEntries)
         error = opened->compactJournal();
-    if (error)
+    if (error && error != ResultCode::DiskFull)
         return error;
     state.hardState = opened->hardState;
     state.snapshot = opened->snapshotMeta;
@@ -171,11 +172,10 @@
         records.push_back(entryRecord(entry));
     if (records.empty())
         return {};
-    // New entries must follow the snapshot, so they cannot be appended while the journal holds entries that it covers.
-    std::error_code error = this->isCompactionPending ? this->compactJournal() : std::error_code();
-    if (this->isCompactionPending)
-        return error ? error : ResultCode::DiskFull;
-    error = this->journal->append(records);
+    // New entries must follow the last one in the journal. After a snapshot of the leader they may not, unless the journal is compacted.
+    std::error_code error = this->journalEnd == this->lastPosition() ? std::error_code() : this->compactJournal();
+    if (!error)
+        error = this->journal->append(records);
     if (error)
         return error;
     if (write.hardState)
@@ -183,9 +183,18 @@
     if (write.truncateFrom)
         this->truncateFrom(write.truncateFrom);
     this->entries.insert(this->entries.end(), write.entries.begin(), write.entries.end());
+    this->journalEnd = this->lastPosition();
     return {};
 }
 
+/** Returns the position of the last entry, or of the snapshot if no entry follows it. */
+LogStorage::Position LogStorage::lastPosition() const
+{
+    if (this->entries.empty())
+        return { this->snapshotMeta.lastIndex, this->snapshotMeta.lastTerm };
+    return { this->entries.back().index(), this->entries.back().term() };
+}
+
 std::error_code LogStorage::sync()
 {
     return this->journal->sync();
@@ -205,15 +214,17 @@
         return error;
     this->snapshotMeta = meta;
     this->removeCoveredEntries();
-    return this->compactJournal();
+    error = this->compactJournal();
+    // The stored snapshot is valid without the compaction, which the next snapshot or, if it is necessary, the next write() retries.
+    return error == ResultCode::DiskFull ? std::error_code() : error;
 }
 
 std::error_code LogStorage::compactJournal()
 {
     std::error_code error = this->journal->rewrite(this->currentRecords());
-    this->isCompactionPending = static_cast<bool>(error);
-    // The stored snapshot is valid without the compaction, which the next write() retries.
-    return error == ResultCode::DiskFull ? std::error_code() : error;
+    if (!error)
+        this->journalEnd = this->lastPosition();
+    return error;
 }
 
 std::vector<JournalRecord> LogStorage::currentRecords() const
--- a/packages/coordination/tests/LogStorageTest.cpp
+++ b/packages/coordination/tests/LogStorageTest.cpp
@@ -223,3 +223,48 @@
         EXPECT_EQ(store.state.snapshot.lastIndex, 0u);
     });
 }
+
+// Guards against a member that can neither vote nor acknowledge anything because the disk has no room to compact the journal, although it has room for what the member writes.
+TEST(LogStorageTest, fullDiskAtTheCompactionOfTheJournal)
+{
+    ScratchFolder folder;
+    ReopenableStorage store(folder.path());
+    size_t largestWrite = 1000000;
+    FileHooks hooks = systemFileHooks();
+    hooks.write = [&](int descriptor, std::string_view data) { return data.size() > largestWrite ? ENOSPC : systemFileHooks().write(descriptor, data); };
+    ASSERT_FALSE(store.reopen(hooks));
+    ASSERT_FALSE(store.storage->write({ HardState { 3, 2 }, 0, makeEntries(1, 100, 2) }));
+    section("entries and votes are written after an own snapshot without its compaction, and after a restart", [&] {
+        largestWrite = 500;
+        ASSERT_FALSE(store.storage->storeSnapshot({ 10, 2, {} }, "state at 10"));
+        for (LogIndex index = 101; index <= 104; index++) {
+            ASSERT_FALSE(store.storage->write({ HardState { index, 1 }, 0, makeEntries(index, index, 3) }));
+            ASSERT_FALSE(store.storage->sync());
+            ASSERT_FALSE(store.reopen(hooks));
+        }
+        EXPECT_EQ(store.state.snapshot.lastIndex, 10u);
+        EXPECT_EQ(store.state.hardState, (HardState { 104, 1 }));
+        EXPECT_EQ(store.entryRange(), IndexRange(11, 104));
+    });
+    section("a snapshot of the leader that follows no entry of the journal still needs its compaction", [&] {
+        largestWrite = 50; // The snapshot has 37 bytes, the compacted journal 56.
+        ASSERT_FALSE(store.storage->storeSnapshot({ 200, 5, {} }, "state at 200"));
+        EXPECT_EQ(store.storage->write({ std::nullopt, 0, makeEntries(201, 201, 5) }), ResultCode::DiskFull);
+        largestWrite = 1000000;
+        ASSERT_FALSE(store.storage->write({ std::nullopt, 0, makeEntries(201, 201, 5) }));
+        ASSERT_FALSE(store.reopen(hooks));
+        EXPECT_EQ(store.entryRange(), IndexRange(201, 201));
+    });
+    section("the next snapshot compacts the journal once there is room", [&] {
+        ASSERT_FALSE(store.storage->write({ std::nullopt, 0, makeEntries(202, 400, 5) }));
+        uint64_t before = store.storage->journalBytes();
+        largestWrite = 500;
+        ASSERT_FALSE(store.storage->storeSnapshot({ 300, 5, {} }, "state at 300"));
+        EXPECT_EQ(store.storage->journalBytes(), before);
+        largestWrite = 1000000;
+        ASSERT_FALSE(store.storage->storeSnapshot({ 390, 5, {} }, "state at 390"));
+        EXPECT_LT(store.storage->journalBytes(), before / 5);
+        ASSERT_FALSE(store.reopen(hooks));
+        EXPECT_EQ(store.entryRange(), IndexRange(391, 400));
+    });
+}
--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -14,6 +14,7 @@
 
 constexpr size_t maxProposalsPerBatch = 512;
 constexpr double transferTimeoutRatio = 5; ///< Time in election timeouts after which commands are refused if a leader that lacks disk space could not transfer its leadership.
+constexpr Milliseconds minSnapshotInterval { 1000 }; ///< Between two snapshots, since the disk may have no room for one, or for the compaction of the journal.
 
 /** Returns a result that contains only a code. */
 wire::CommandResult resultWithCode(ResultCode code)
@@ -254,13 +255,15 @@
         proposal.done(resultWithCode(ResultCode::NotLeader));
 }
 
-/** Takes a snapshot if enough entries were applied since the last one and no other is being written. */
+/** Takes a snapshot if one is due, no other is being written and the disk is not full. */
 void LogDriver::takeSnapshotIfDue()
 {
-    bool isDue = this->lastAppliedIndex >= this->snapshotIndex + this->snapshotEntries;
-    if (!isDue || this->isSnapshotRunning || !this->replicatedLog.isMembershipCommitted())
+    TimePoint now = this->hooks.now();
+    bool canTake = !this->isSnapshotRunning && !this->isWriterBlocked && now >= this->nextSnapshotTime && this->replicatedLog.isMembershipCommitted();
+    if (!canTake || this->lastAppliedIndex < this->snapshotIndex + this->snapshotEntries)
         return;
     this->isSnapshotRunning = true;
+    this->nextSnapshotTime = now + minSnapshotInterval;
     ReceivedSnapshot snapshot;
     snapshot.meta = { this->lastAppliedIndex, this->lastAppliedTerm, this->replicatedLog.membership() };
     snapshot.data = this->hooks.save();
@@ -277,6 +280,9 @@
             this->replicatedLog.compact(snapshot.meta);
         });
     };
+    job.snapshotRefused = [this] {
+        this->hooks.post([this] { this->isSnapshotRunning = false; });
+    };
     job.takenSnapshot = std::move(snapshot);
     this->writer.addJob(std::move(job));
 }
--- a/programs/kingcupswitchd/control/LogDriver.h
+++ b/programs/kingcupswitchd/control/LogDriver.h
@@ -117,6 +117,7 @@
     bool isWriterBlocked = false; ///< Whether the writer waits for disk space.
     std::optional<TimePoint> spaceLackingSince; ///< Since when one of the two holds; empty: neither does.
     bool isSnapshotRunning = false; ///< Whether a snapshot is being written.
+    TimePoint nextSnapshotTime {}; ///< Earliest time of the next snapshot.
     bool isFlushPosted = false; ///< Whether a flush of the proposals is posted to the hub.
     std::deque<PendingProposal> pendingProposals; ///< Commands that are not yet passed to the log, oldest first.
     std::map<LogIndex, UncommittedEntry> uncommittedEntries; ///< Proposed entries that are not yet committed, by index.
--- a/programs/kingcupswitchd/control/LogWriter.cpp
+++ b/programs/kingcupswitchd/control/LogWriter.cpp
@@ -104,16 +104,19 @@
     return true;
 }
 
-/** Stores the own snapshot of a job whose write is synced, and calls its callback. Returns false if the step fails. */
+/** Stores the own snapshot of a job whose write is synced, and calls its callback. Returns false after a permanent error. */
 bool LogWriter::finishJob(LogWriteJob& job)
 {
     std::error_code error;
     if (job.takenSnapshot)
         error = this->storage.storeSnapshot(job.takenSnapshot->meta, job.takenSnapshot->data);
-    if (!this->checkStep(error))
+    // The journal still holds what the snapshot covers, so the jobs behind it need not wait for room.
+    bool isRefused = error == ResultCode::DiskFull;
+    if (!isRefused && !this->checkStep(error))
         return false;
-    if (job.written)
-        job.written();
+    const std::function<void()>& callback = isRefused ? job.snapshotRefused : job.written;
+    if (callback)
+        callback();
     return true;
 }
 
--- a/programs/kingcupswitchd/control/LogWriter.h
+++ b/programs/kingcupswitchd/control/LogWriter.h
@@ -19,6 +19,7 @@
     std::optional<ReceivedSnapshot> receivedSnapshot; ///< Snapshot of the leader, stored before `write`.
     std::optional<ReceivedSnapshot> takenSnapshot; ///< Own snapshot, stored after `write`, so that the journal can drop old entries.
     std::function<void()> written; ///< Called on the writer's thread after all of this is synced; not called after an error.
+    std::function<void()> snapshotRefused; ///< Called in place of `written` if the disk has no room for `takenSnapshot`.
 };
 
 /** Writes jobs in order; all waiting jobs share one sync. addJob(), isIdle(), journalBytes() and syncs() are thread-safe. */
--- a/programs/kingcupswitchd/tests/FullDiskTest.cpp
+++ b/programs/kingcupswitchd/tests/FullDiskTest.cpp
@@ -150,3 +150,33 @@
         EXPECT_TRUE(group.violations.empty()) << group.violations.front();
     }
 }
+
+// Guards against a group that stops because its disks have room for what it commits, but not for a snapshot.
+TEST(FullDiskTest, commandsAreCommittedWithoutRoomForSnapshots)
+{
+    SimulatedGroup group(testSeed(1));
+    auto commit = [&](size_t bytes) {
+        bool isCommitted = false;
+        group.propose([&](ResultCode code) { isCommitted = code == ResultCode::Ok; }, std::string(bytes, '.'));
+        return group.runUntil([&] { return isCommitted; }, 2 * group.options.electionTimeout.count());
+    };
+    section("while no snapshot can be stored", [&] {
+        for (int command = 0; command < 20; command++)
+            ASSERT_TRUE(commit(1000));
+        for (auto& [id, vm] : group.vms)
+            vm->disk.freeBytes = 4000;
+        for (int command = 0; command < 300; command++)
+            ASSERT_TRUE(commit(1000)) << command;
+    });
+    section("the journal shrinks once there is room", [&] {
+        uint64_t before = group.leader()->storage->journalBytes();
+        for (auto& [id, vm] : group.vms)
+            vm->disk.freeBytes = UINT64_MAX;
+        group.runFor(1500);
+        ASSERT_TRUE(commit(1000));
+        group.runFor(100);
+        EXPECT_LT(group.leader()->storage->journalBytes(), before / 10);
+    });
+    EXPECT_TRUE(group.isWhole());
+    EXPECT_TRUE(group.violations.empty()) << group.violations.front();
+}
