--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr size_t maxProposalsPerBatch = 512;
+constexpr uint64_t maxJournalBytes = 16u << 20; ///< Size of the journal above which a snapshot is taken before its number of entries is reached, unless the snapshot is as large.
 constexpr double transferTimeoutRatio = 5; ///< Time in election timeouts after which commands are refused if a leader that lacks disk space could not transfer its leadership.
 constexpr Milliseconds minSnapshotInterval { 1000 }; ///< Between two snapshots, since the disk may have no room for one, or for the compaction of the journal.
 
@@ -255,12 +256,19 @@
         proposal.done(resultWithCode(ResultCode::NotLeader));
 }
 
+/** Returns whether enough entries were applied since the last snapshot, or the journal is so large that a snapshot saves space. */
+bool LogDriver::isSnapshotDue() const
+{
+    bool isJournalLarge = this->writer.journalBytes() > std::max<uint64_t>(maxJournalBytes, this->snapshotData.size());
+    return this->lastAppliedIndex >= this->snapshotIndex + this->snapshotEntries || (isJournalLarge && this->lastAppliedIndex > this->snapshotIndex);
+}
+
 /** Takes a snapshot if one is due, no other is being written and the disk is not full. */
 void LogDriver::takeSnapshotIfDue()
 {
     TimePoint now = this->hooks.now();
     bool canTake = !this->isSnapshotRunning && !this->isWriterBlocked && now >= this->nextSnapshotTime && this->replicatedLog.isMembershipCommitted();
-    if (!canTake || this->lastAppliedIndex < this->snapshotIndex + this->snapshotEntries)
+    if (!canTake || !this->isSnapshotDue())
         return;
     this->isSnapshotRunning = true;
     this->nextSnapshotTime = now + minSnapshotInterval;
--- a/programs/kingcupswitchd/control/LogDriver.h
+++ b/programs/kingcupswitchd/control/LogDriver.h
@@ -39,7 +39,7 @@
     /**
      * The storage must outlive this object.
      * @param durable Log as read from the storage. @param snapshotData Snapshot data of `durable`; empty: none.
-     * @param snapshotEntries Number of applied entries after which a snapshot is taken.
+     * @param snapshotEntries Number of applied entries after which a snapshot is taken. A large journal calls for one earlier.
      */
     LogDriver(ReplicatedLogOptions options, const DurableLogState& durable, std::string snapshotData, LogStorage& storage, uint64_t seed, uint64_t snapshotEntries, LogDriverHooks hooks, LogWriter::Thread writerThread = LogWriter::Thread::Own);
 
@@ -102,6 +102,7 @@
     void applyEntry(const wire::LogEntry& entry);
     void completeProposal(LogIndex index, Term term, const wire::CommandResult& result);
     void failAllProposals(ResultCode code);
+    bool isSnapshotDue() const;
     void takeSnapshotIfDue();
 
     ReplicatedLogOptions options; ///< Identity, timing and size limits of the log.
--- a/programs/kingcupswitchd/tests/FullDiskTest.cpp
+++ b/programs/kingcupswitchd/tests/FullDiskTest.cpp
@@ -180,3 +180,26 @@
     EXPECT_TRUE(group.isWhole());
     EXPECT_TRUE(group.violations.empty()) << group.violations.front();
 }
+
+// Guards against a disk that fills up with a journal of few, large commands, because snapshots were taken by the number of entries only.
+TEST(FullDiskTest, largeCommandsDoNotFillTheDisk)
+{
+    SimulatedGroup group(testSeed(1));
+    constexpr size_t commandBytes = 3u << 20;
+    uint64_t largestJournal = 0;
+    for (int command = 0; command < 16; command++) {
+        // What was applied before is dropped from the state, as a manifest replaces the former one.
+        for (auto& [id, vm] : group.vms)
+            vm->applied.clear();
+        std::string padding(commandBytes, '.');
+        for (char& byte : padding)
+            byte = static_cast<char>('!' + group.random.below(90)); // Commands are compressed.
+        group.propose([](ResultCode) {}, padding);
+        group.runFor(1200);
+        for (auto& [id, vm] : group.vms)
+            largestJournal = std::max(largestJournal, vm->storage->journalBytes());
+    }
+    EXPECT_EQ(group.acknowledged.size(), 16u);
+    EXPECT_LT(largestJournal, (16u << 20) + 2 * commandBytes);
+    EXPECT_TRUE(group.violations.empty()) << group.violations.front();
+}
