Fix: [Control] A VM without disk space does not try to record its membership at each tick

Operators saw: on a disk that refuses renames, a VM that has just joined writes `mark_failed` at each tick, 50 to 100 lines a second, each after a write and a sync on the thread that also answers heartbeats.

Fix: it tries again every 500 ms.

--- a/programs/kingcupswitchd/control/MembershipManager.cpp
+++ b/programs/kingcupswitchd/control/MembershipManager.cpp
@@ -12,6 +12,7 @@
 constexpr Milliseconds bootstrapTimeout { 10000 };
 constexpr Milliseconds bootstrapRetryInterval { 200 };
 constexpr Milliseconds joinRequestInterval { 500 };
+constexpr Milliseconds markRetryInterval { 500 }; ///< Between two attempts to record on a full disk that this VM belongs to a group.
 constexpr Milliseconds rejoinTimeout { 2000 }; ///< A member without a known leader for this time may have been removed and asks to join again.
 constexpr Milliseconds firstJoinRequestDelay { 50 }; ///< Delay after the start of the process, since the other VMs may not listen yet.
 
@@ -163,8 +164,10 @@
 {
     bool isListed = findMember(this->driver.log().membership(), this->options.self, this->options.incarnation);
     // The mark must not be written before the membership entry, or a crash in between would look like a lost journal.
-    if (this->bootstrapped || !isListed || !this->driver.isIdle())
+    TimePoint now = MillisecondClock::now();
+    if (this->bootstrapped || !isListed || !this->driver.isIdle() || now < this->nextMarkTime)
         return;
+    this->nextMarkTime = now + markRetryInterval;
     std::error_code error = this->markBootstrapped();
     if (error) {
         logLine(LogLevel::Error, "mark_failed", { { "error", error.message() } });
--- a/programs/kingcupswitchd/control/MembershipManager.h
+++ b/programs/kingcupswitchd/control/MembershipManager.h
@@ -111,6 +111,7 @@
     VmId reportedLeader = 0; ///< Leader that another VM reported in reply to a join request; 0: none.
     TimePoint lastLeaderTime {}; ///< Time at which the log last had a known leader.
     TimePoint nextJoinRequestTime {}; ///< Time of the next join requests.
+    TimePoint nextMarkTime {}; ///< Time of the next attempt to record the membership.
     std::string connectedMembership; ///< Encoded membership to whose members links are open.
     uint64_t lastRequestId = 0; ///< Id of the last request that this VM sent.
 };
