Fix: [Process, Control] A control VM that starts on a full disk waits for room

Fix: the process logs `start_delayed` and tries again every 200 ms; SIGTERM ends it with 0. While a disk is short of space, the free space is checked every 200 ms in place of 1 s, so that commands are accepted again sooner.

Tests with real processes need a disk that can be filled without privileges: KINGCUP_FULL_DISK_SUFFIX names a file beside the data folder that says what the file operations of the daemon refuse. integration_FullDiskTest: a first start on a full disk, a restart on one, disks of the leader that refuse one operation each in turn, and all disks below the reserve while the leader ends.

--- a/packages/state/src/DataFolder.cpp
+++ b/packages/state/src/DataFolder.cpp
@@ -2,6 +2,7 @@
 #include "kingcup/DataFolder.h"
 
 #include "FileIo.h"
+#include "SimulatedFullDisk.h"
 
 #include <cerrno>
 #include <cstring>
@@ -87,6 +88,7 @@
 
 std::error_code DataFolder::open(const std::string& path, const std::string& deployment, uint32_t vmId, uint64_t newIncarnation, std::unique_ptr<DataFolder>& folder)
 {
+    setSimulatedDisk(path);
     std::error_code error;
     std::filesystem::create_directories(path, error);
     if (error)
--- a/packages/state/src/Journal.cpp
+++ b/packages/state/src/Journal.cpp
@@ -2,6 +2,7 @@
 #include "kingcup/Journal.h"
 
 #include "FileIo.h"
+#include "SimulatedFullDisk.h"
 
 #include <algorithm>
 #include <bit>
@@ -123,19 +124,29 @@
 
 int truncateFile(int descriptor, uint64_t sizeBytes)
 {
+    if (int error = simulatedRefusal(DiskOperation::Truncate))
+        return error;
     return ::ftruncate(descriptor, static_cast<off_t>(sizeBytes)) ? errno : 0;
 }
 
 int renameFile(const std::string& from, const std::string& to)
 {
+    if (int error = simulatedRefusal(DiskOperation::Rename))
+        return error;
     return std::rename(from.c_str(), to.c_str()) ? errno : 0;
 }
 
 FileHooks systemFileHooks()
 {
     FileHooks hooks;
-    hooks.sync = [](int descriptor) { return ::fdatasync(descriptor) ? errno : 0; };
-    hooks.write = writeAll;
+    hooks.sync = [](int descriptor) {
+        int error = simulatedRefusal(DiskOperation::Sync);
+        return error || !::fdatasync(descriptor) ? error : errno;
+    };
+    hooks.write = [](int descriptor, std::string_view data) {
+        int error = simulatedRefusal(DiskOperation::Write);
+        return error ? error : writeAll(descriptor, data);
+    };
     return hooks;
 }
 
--- a/programs/kingcupswitchd/control/ControlNode.cpp
+++ b/programs/kingcupswitchd/control/ControlNode.cpp
@@ -2,11 +2,11 @@
 #include "ControlNode.h"
 
 #include "kingcup/FailPoint.h"
+#include "kingcup/FreeSpace.h"
 #include "kingcup/JsonLog.h"
 #include "kingcup/TargetStates.h"
 
 #include <cstdlib>
-#include <sys/statvfs.h>
 
 namespace kingcup {
 
@@ -14,6 +14,7 @@
 
 constexpr GroupId controlGroup = 0; ///< Group id of the only replicated log of a deployment.
 constexpr Milliseconds diskCheckInterval { 1000 };
+constexpr Milliseconds shortDiskCheckInterval { 200 }; ///< While commands are refused.
 constexpr uint64_t diskReserveBytes = 32u << 20; ///< New commands are refused while less is free, so that accepted ones can still be written.
 constexpr int stateFailureExitCode = 70;
 
@@ -240,10 +241,10 @@
 {
     if (now < this->nextDiskCheck)
         return;
-    this->nextDiskCheck = now + diskCheckInterval;
-    struct statvfs fileSystem { };
-    if (statvfs(this->folder->path().c_str(), &fileSystem) == 0)
-        this->driver->setSpaceShort(static_cast<uint64_t>(fileSystem.f_bavail) * fileSystem.f_frsize < diskReserveBytes);
+    std::optional<uint64_t> free = freeBytes(this->folder->path());
+    bool isShort = free && *free < diskReserveBytes;
+    this->nextDiskCheck = now + (isShort ? shortDiskCheckInterval : diskCheckInterval);
+    this->driver->setSpaceShort(isShort);
 }
 
 nlohmann::json ControlNode::status() const
--- a/programs/kingcupswitchd/process/DaemonMain.cpp
+++ b/programs/kingcupswitchd/process/DaemonMain.cpp
@@ -27,6 +27,7 @@
 constexpr int exitUsage = 2;
 constexpr int exitStartFailed = 3;
 constexpr int exitCallsAborted = 4;
+constexpr timespec diskFullRetryInterval { 0, 200000000 }; ///< Between two attempts to start on a full disk.
 constexpr timespec settingsCheckInterval { 1, 0 }; ///< The settings file is also reread when it changes without a SIGHUP.
 
 /** Blocks SIGTERM, SIGINT and SIGHUP in this thread and all threads it creates, so that sigwait can receive them. Ignores SIGPIPE. */
@@ -66,6 +67,21 @@
     }
 }
 
+/** Starts a process. While the disk has no room for its data folder, tries again until a stop signal arrives, which sets isStopped. */
+std::error_code startOnceDiskHasRoom(Process& process, const sigset_t& signals, bool& isStopped)
+{
+    std::error_code error = process.start();
+    if (error == ResultCode::DiskFull)
+        logLine(LogLevel::Warning, "start_delayed", { { "error", error.message() } });
+    while (error == ResultCode::DiskFull && !isStopped) {
+        int received = sigtimedwait(&signals, nullptr, &diskFullRetryInterval);
+        isStopped = received == SIGTERM || received == SIGINT;
+        if (!isStopped)
+            error = process.start();
+    }
+    return error;
+}
+
 /** Waits for a stop signal, then stops gracefully; a second stop signal aborts the wait for calls in flight. Returns the exit code. */
 int runUntilStopped(SettingsFile& file, Process& process, const sigset_t& signals)
 {
@@ -104,13 +120,18 @@
     int exitCode = exitStartFailed;
     {
         Process process(settings, std::move(edge));
-        if (std::error_code error = process.start()) {
+        bool isStopped = false;
+        std::error_code error = startOnceDiskHasRoom(process, signals, isStopped);
+        if (isStopped) {
+            exitCode = exitOk;
+        } else if (error) {
             logLine(LogLevel::Error, "start_failed", { { "code", error.value() }, { "error", error.message() } });
             std::cerr << "kingcupswitchd: " << error.value() << " " << error.message() << "\n";
             closeLog();
             std::_Exit(exitStartFailed);
+        } else {
+            exitCode = runUntilStopped(file, process, signals);
         }
-        exitCode = runUntilStopped(file, process, signals);
     }
     closeLog();
     return exitCode;
--- a/programs/kingcupswitchd/process/Process.h
+++ b/programs/kingcupswitchd/process/Process.h
@@ -21,7 +21,7 @@
     Process(Settings settings, Edge edge);
     ~Process();
 
-    /** Opens the stored state, the links and the listeners. Returns the first error. */
+    /** Opens the stored state, the links and the listeners. Returns the first error. After DiskFull it can be called again. */
     std::error_code start();
 
     /** Applies the settings that may change at run time, which are the seeds and the durations of a stop. */
