Add: [Soak] Full disks of control VMs

One full disk for each four other faults, half of them of the leader, with all or some operations refused, beside other faults of the same VM, so that processes also start on full disks and VMs lose their data while others are full. The series of a seed stays as it was.

--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <iterator>
 #include <memory>
 #include <sstream>
 
@@ -18,6 +19,16 @@
 constexpr int statusTerminated = 128 + SIGTERM;
 constexpr int statusCutOff = 4; ///< Of a daemon that could not wait for its last calls.
 
+/** What a full disk refuses. */
+constexpr const char* refusedOperations[] = {
+    "write sync rename truncate reserve",
+    "write reserve",
+    "write truncate reserve",
+    "sync",
+    "rename",
+    "reserve",
+};
+
 /** Returns how a fault of a link towards a server holds its bytes back. @param towards Whether the subject is the server. */
 ProxyMode modeOf(FaultKind kind, bool towards)
 {
@@ -46,6 +57,8 @@
     Vm* vm = this->chooseVm(fault);
     if (vm && fault.kind == FaultKind::Divert)
         return this->divert(*vm, fault.choice);
+    if (vm && fault.kind == FaultKind::FullDisk)
+        return this->fillDisk(*vm, fault.choice);
     bool losesData = fault.kind == FaultKind::Wipe;
     if (!vm || (losesData && this->wiped) || !this->hold(vm->name))
         return nullptr;
@@ -71,6 +84,16 @@
     return this->released(name, [partition]() mutable { partition.reset(); });
 }
 
+/** Fills the disk of a control VM, whatever other fault holds it, so that processes also start on full disks. */
+std::function<void()> FaultInjector::fillDisk(const Vm& vm, uint64_t choice)
+{
+    std::string name = vm.name + " disk";
+    if (!this->hold(name))
+        return nullptr;
+    FullDisks::fill(vm, refusedOperations[choice / this->deployment.controlVms().size() % std::size(refusedOperations)]);
+    return this->released(name, [&vm] { FullDisks::empty(vm); });
+}
+
 /** Returns the control VM that leads by its own word. Only VMs without a fault are asked, since others may not answer. */
 Vm* FaultInjector::freeLeader()
 {
--- a/soak/FaultInjector.h
+++ b/soak/FaultInjector.h
@@ -4,6 +4,7 @@
 #include "FaultSeries.h"
 
 #include "testing/Deployment.h"
+#include "testing/FullDisk.h"
 #include "testing/TargetPartition.h"
 
 #include <functional>
@@ -37,6 +38,7 @@
     std::function<void()> strikeTarget(size_t target, const Fault& fault);
     std::function<void()> strikeEverything();
     std::function<void()> divert(Vm& vm, uint64_t choice);
+    std::function<void()> fillDisk(const Vm& vm, uint64_t choice);
     std::function<void()> cut(Vm& vm, FaultKind kind);
     std::function<void()> stop(Vm& vm, const std::function<void()>& restart);
     void stopped(Vm& vm, bool starts);
--- a/soak/FaultSeries.cpp
+++ b/soak/FaultSeries.cpp
@@ -69,6 +69,24 @@
     return faultRows[0];
 }
 
+/** Draws faults of one kind, with the subjects in turn. */
+std::vector<Fault> drawFaultsOfKind(FaultKind kind, const std::vector<FaultSubject>& subjects, uint64_t seed, Milliseconds duration, double perSecond)
+{
+    RandomSource random(seed);
+    std::vector<Fault> faults(static_cast<size_t>(duration.count() / 1000 * perSecond));
+    for (size_t position = 0; position < faults.size(); position++) {
+        Fault& fault = faults[position];
+        fault.subject = subjects[position % subjects.size()];
+        fault.kind = kind;
+        fault.choice = random.next();
+        fault.start = duration * random.fraction();
+        Milliseconds drawn(shortestMs + (longMs - shortestMs) * random.fraction());
+        fault.length = std::min(drawn, duration - fault.start);
+    }
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault& a, const Fault& b) { return a.start < b.start; });
+    return faults;
+}
+
 } // namespace
 
 std::vector<Fault> drawFaults(uint64_t seed, Milliseconds duration, double perSecond)
@@ -91,18 +109,13 @@
 std::vector<Fault> drawPartitions(uint64_t seed, Milliseconds duration, double perSecond)
 {
     constexpr uint64_t streamOfPartitions = 0x7061727469746e;
-    RandomSource random(seed ^ streamOfPartitions);
-    std::vector<Fault> faults(static_cast<size_t>(duration.count() / 1000 * perSecond));
-    for (Fault& fault : faults) {
-        fault.subject = FaultSubject::Entry;
-        fault.kind = FaultKind::Divert;
-        fault.choice = random.next();
-        fault.start = duration * random.fraction();
-        Milliseconds drawn(shortestMs + (longMs - shortestMs) * random.fraction());
-        fault.length = std::min(drawn, duration - fault.start);
-    }
-    std::stable_sort(faults.begin(), faults.end(), [](const Fault& a, const Fault& b) { return a.start < b.start; });
-    return faults;
+    return drawFaultsOfKind(FaultKind::Divert, { FaultSubject::Entry }, seed ^ streamOfPartitions, duration, perSecond);
+}
+
+std::vector<Fault> drawFullDisks(uint64_t seed, Milliseconds duration, double perSecond)
+{
+    constexpr uint64_t streamOfFullDisks = 0x66756c6c6469736b;
+    return drawFaultsOfKind(FaultKind::FullDisk, { FaultSubject::Control, FaultSubject::Leader }, seed ^ streamOfFullDisks, duration, perSecond);
 }
 
 std::string describeFault(const Fault& fault)
--- a/soak/FaultSeries.h
+++ b/soak/FaultSeries.h
@@ -23,6 +23,7 @@
     Reset, ///< All connections are reset, once.
     Divert, ///< New connections from an entry VM to targets are refused, or hang.
     Truncate, ///< A connection is reset in the middle of an answer, once.
+    FullDisk, ///< The disk of a control VM refuses some or all operations.
 };
 
 constexpr EnumName<FaultKind> faultKindNames[] = {
@@ -37,6 +38,7 @@
     { FaultKind::Reset, "reset" },
     { FaultKind::Divert, "divert" },
     { FaultKind::Truncate, "truncate" },
+    { FaultKind::FullDisk, "full_disk" },
 };
 
 /** What a fault strikes. */
@@ -78,6 +80,9 @@
 /** Draws partitions between entry VMs and targets, which come on top of a series of the same seed and leave it as it is. */
 std::vector<Fault> drawPartitions(uint64_t seed, Milliseconds duration, double perSecond);
 
+/** Draws full disks of control VMs, half of them of the leader, which come on top of a series of the same seed and leave it as it is. */
+std::vector<Fault> drawFullDisks(uint64_t seed, Milliseconds duration, double perSecond);
+
 /** Returns a fault as one line. */
 std::string describeFault(const Fault& fault);
 
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <iterator>
 #include <map>
 
 namespace kingcup::testing {
@@ -92,12 +91,14 @@
 std::vector<Fault> seriesOf(const SoakPlan& plan)
 {
     constexpr double partitionShare = 0.25; ///< Partitions from targets for each other fault.
+    constexpr double fullDiskShare = 0.25; ///< Full disks for each other fault.
     std::vector<Fault> series = drawFaults(plan.seed, plan.duration, plan.faultsPerSecond);
     std::vector<Fault> partitions = drawPartitions(plan.seed, plan.duration, plan.faultsPerSecond * partitionShare);
-    std::vector<Fault> merged;
-    auto startsBefore = [](const Fault& a, const Fault& b) { return a.start < b.start; };
-    std::merge(series.begin(), series.end(), partitions.begin(), partitions.end(), std::back_inserter(merged), startsBefore);
-    return merged;
+    std::vector<Fault> fullDisks = drawFullDisks(plan.seed, plan.duration, plan.faultsPerSecond * fullDiskShare);
+    series.insert(series.end(), partitions.begin(), partitions.end());
+    series.insert(series.end(), fullDisks.begin(), fullDisks.end());
+    std::stable_sort(series.begin(), series.end(), [](const Fault& a, const Fault& b) { return a.start < b.start; });
+    return series;
 }
 
 /** Returns whether a short load is answered without exception. */
@@ -140,6 +141,7 @@
     ScratchFolder partitions;
     std::string partitionPrefix = partitions.path() + "/partition";
     ScopedEnvironment environment("KINGCUP_PARTITION_FILE", partitionPrefix);
+    FullDisks fullDisks;
     Deployment deployment(deploymentOptions(plan));
     result.broken = startAll(deployment);
     if (!result.broken.empty())
--- a/soak/tests/FaultSeriesTest.cpp
+++ b/soak/tests/FaultSeriesTest.cpp
@@ -3,6 +3,7 @@
 
 #include "testing/Story.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -24,6 +25,13 @@
             EXPECT_TRUE(i == 0 || series[i - 1].start <= series[i].start);
         }
     });
+    section("full disks follow the same seed, and half of them are of the leader", [&] {
+        std::vector<Fault> disks = drawFullDisks(7, duration, 0.6);
+        EXPECT_EQ(disks, drawFullDisks(7, duration, 0.6));
+        EXPECT_NE(disks, drawFullDisks(8, duration, 0.6));
+        EXPECT_EQ(disks.size(), 6u);
+        EXPECT_EQ(std::count_if(disks.begin(), disks.end(), [](const Fault& fault) { return fault.subject == FaultSubject::Leader; }), 3);
+    });
     section("partitions follow the same seed and leave the series as it is", [&] {
         EXPECT_EQ(drawPartitions(7, duration, 0.5), drawPartitions(7, duration, 0.5));
         EXPECT_EQ(drawPartitions(7, duration, 0.5).size(), 5u);
@@ -45,6 +53,8 @@
             }
             for (const Fault& fault : drawPartitions(seed, duration, 0.5))
                 kinds.insert(fault.kind);
+            for (const Fault& fault : drawFullDisks(seed, duration, 0.5))
+                kinds.insert(fault.kind);
         }
         EXPECT_EQ(kinds.size(), std::size(faultKindNames));
         EXPECT_EQ(subjects.size(), std::size(faultSubjectNames));
