Fix: [Transport] The end of a relayed connection that a relay closes does not look like the end of the answer

Cause: RelayedConnection::checkTimeout() closed a connection on which nothing seemed to be awaited in an orderly way. The first bytes of an answer end the wait, so a pause within it looks like an idle connection, and its orderly end like the end of the answer.

Fix: the requesting VM sees a reset. The target sees an orderly close, as before. A kept connection on which nothing is awaited is found closed either way before it is used again.

Left: such a pause still ends an answer at a planned stop; its caller is told so.

--- a/packages/transport/src/RelayedConnection.cpp
+++ b/packages/transport/src/RelayedConnection.cpp
@@ -289,8 +289,11 @@
             this->refuse(targetTimeout, now);
         return;
     case Phase::Open:
-        if (age >= options.idleTimeout && !this->isBusy(now) && this->client.outgoing.empty())
-            this->close(true, now);
+        // An answer without length may only pause. So the requesting VM sees a reset, while the target sees the same as at the end of a kept connection.
+        if (age >= options.idleTimeout && !this->isBusy(now) && this->client.outgoing.empty()) {
+            this->closeTarget();
+            this->close(false, now);
+        }
         return;
     case Phase::Closing:
         if (age >= closingTimeout)
--- a/packages/transport/tests/RelayListenerTest.cpp
+++ b/packages/transport/tests/RelayListenerTest.cpp
@@ -168,6 +168,28 @@
         Report report = startThrough(client, relay->hop(), target.address(), acceptUnframed)->wait();
         EXPECT_NE(report.result.outcome, UpstreamOutcome::Complete);
     });
+    // The end of the connection of a relay is not that of the answer.
+    auto expectTruncatedPause = [&](Relay& closing, const std::function<void()>& close) {
+        std::atomic<bool> isReleased = false;
+        RawServer target([&](RawSocket& socket, int) {
+            socket.receiveMessage();
+            socket.send(unframed);
+            waitFor([&] { return isReleased.load(); });
+        });
+        std::unique_ptr<Attempt> attempt = startThrough(client, closing.hop(), target.address(), acceptUnframed);
+        EXPECT_TRUE(attempt->report.wait([](const Report& seen) { return seen.data == "begin"; }));
+        close();
+        EXPECT_EQ(attempt->wait().result.outcome, UpstreamOutcome::Truncated);
+        isReleased = true;
+    };
+    section("or a relay that stops takes a pause for the end", [&] {
+        Relay stopping;
+        expectTruncatedPause(stopping, [&] { stopping.listener.stopAccepting(); });
+    });
+    section("or a relay closes the connection after a pause that is longer than its idle time", [&] {
+        Relay impatient(512, Milliseconds(200));
+        expectTruncatedPause(impatient, [] {});
+    });
     section("or the relay ends", [&] {
         std::atomic<bool> isReleased = false;
         RawServer target([&](RawSocket& socket, int) {
