Fix: [Entry] A keyed call whose key is no valid text is malformed

Callers saw: a call with bytes in its Idempotency-Key that are not UTF-8 gets 503 `claim_unavailable` with Retry-After, each time that it is sent again.

Cause: messages between VMs hold valid UTF-8 only. A Content-Type of a target with such bytes would keep the outcome of a claim from being recorded in the same way; from reading.

Fix: such a key gets 400 `bad_request`, and such a Content-Type is not recorded. Ids of targets and zones in request lines are checked by their listener (400 for bytes outside ASCII), names in JSON by its parser.

Tests: AtMostOnce.keysThatMessagesCannotHoldAreMalformed (503 before) and CallHeadersTest.textThatMessagesCannotHold.

--- a/packages/state/src/JsonFields.cpp
+++ b/packages/state/src/JsonFields.cpp
@@ -15,4 +15,13 @@
     return field != object.end() && field->is_number_unsigned() ? field->get<uint64_t>() : 0;
 }
 
+bool isUtf8(const std::string& text)
+{
+    try {
+        return !nlohmann::json(text).dump().empty();
+    } catch (const nlohmann::json::type_error&) {
+        return false;
+    }
+}
+
 } // namespace kingcup
--- a/programs/kingcupswitchd/entry/CallAnswer.cpp
+++ b/programs/kingcupswitchd/entry/CallAnswer.cpp
@@ -194,7 +194,7 @@
     if (code == ResultCode::Ok && this->selectedAttempt) {
         wire::RecordedAnswer answer;
         answer.set_status(static_cast<uint32_t>(this->selectedAttempt->head.status));
-        answer.set_content_type(std::string(this->selectedAttempt->head.headers.find("Content-Type").value_or("")));
+        answer.set_content_type(recordedContentType(this->selectedAttempt->head.headers));
         bool isRecordable = !this->deliveredBytes && this->selectedAttempt->bufferedBody.size() <= this->match.service->limits.maxRecordedAnswerBytes;
         answer.set_complete(isRecordable);
         if (isRecordable)
--- a/programs/kingcupswitchd/entry/CallHeaders.cpp
+++ b/programs/kingcupswitchd/entry/CallHeaders.cpp
@@ -2,6 +2,7 @@
 #include "CallHeaders.h"
 
 #include "kingcup/HttpRules.h"
+#include "kingcup/JsonFields.h"
 #include "kingcup/Refusal.h"
 
 #include <algorithm>
@@ -83,14 +84,20 @@
             parameters.code = ResultCode::DepthExceeded;
     }
     if (std::optional<std::string_view> value = headers.find(headerIdempotencyKey)) {
-        if (value->empty() || value->size() > maxIdempotencyKeyBytes)
-            parameters.code = ResultCode::BadRequest;
         parameters.idempotencyKey = std::string(*value);
+        if (value->empty() || value->size() > maxIdempotencyKeyBytes || !isUtf8(parameters.idempotencyKey))
+            parameters.code = ResultCode::BadRequest;
     }
     parameters.requestId = findIfNamed(headers, names.requestId).value_or("");
     return parameters;
 }
 
+std::string recordedContentType(const HttpHeaders& headers)
+{
+    std::string type(headers.find("Content-Type").value_or(""));
+    return isUtf8(type) ? type : std::string();
+}
+
 std::optional<ApiKeyHash> parseApiKey(const HttpHeaders& headers)
 {
     auto isAuthorization = [](const HttpHeader& field) { return equalsIgnoreCase(field.name, authorizationField); };
--- a/programs/kingcupswitchd/entry/CallHeaders.h
+++ b/programs/kingcupswitchd/entry/CallHeaders.h
@@ -33,6 +33,9 @@
     std::string organisation; ///< Organisation that holds the key; empty: none.
 };
 
+/** Returns the Content-Type of an answer that is recorded with a claim; empty if it is no valid text, which the log cannot hold. */
+std::string recordedContentType(const HttpHeaders& headers);
+
 /** Returns the hash of the API key in `Authorization: Bearer KEY`; empty if there is none, or more than one such field. */
 std::optional<ApiKeyHash> parseApiKey(const HttpHeaders& headers);
 
--- a/programs/kingcupswitchd/tests/CallHeadersTest.cpp
+++ b/programs/kingcupswitchd/tests/CallHeadersTest.cpp
@@ -99,3 +99,14 @@
     EXPECT_EQ(keyOf({ { "Authorization", "Bearer k-1" }, { "authorization", "Bearer k-1" } }), std::nullopt);
     EXPECT_EQ(keyOf({}), std::nullopt);
 }
+
+// Guards against requests whose claim, or whose outcome, control cannot read, so that they time out or stay in doubt: messages between VMs hold valid UTF-8 only.
+TEST(CallHeadersTest, textThatMessagesCannotHold)
+{
+    auto codeOfKey = [](const std::string& key) { return parseCallParameters(headWith({ { "Idempotency-Key", key } }).headers, HeaderNames()).code; };
+    EXPECT_EQ(codeOfKey("k-1"), ResultCode::Ok);
+    EXPECT_EQ(codeOfKey("\xc3\xa4 \"quoted\""), ResultCode::Ok);
+    EXPECT_EQ(codeOfKey("k\xff"), ResultCode::BadRequest);
+    EXPECT_EQ(recordedContentType(headWith({ { "Content-Type", "text/plain" } }).headers), "text/plain");
+    EXPECT_EQ(recordedContentType(headWith({ { "Content-Type", "text/\xff" } }).headers), "");
+}
--- a/tests/AtMostOnceTest.cpp
+++ b/tests/AtMostOnceTest.cpp
@@ -90,3 +90,16 @@
     EXPECT_EQ(violationsAfter(deployment, load), "");
     EXPECT_GT(load.ended(), 300u) << describeResults(load);
 }
+
+// Guards against a keyed call that times out as if control were away, because control cannot read the message with its claim.
+TEST(AtMostOnce, keysThatMessagesCannotHoldAreMalformed)
+{
+    Deployment deployment(testOptions(23, 1, { { "ledger", 1, 6 } }));
+    ASSERT_EQ(startAll(deployment), "");
+    HttpMessage request = makeRequest("POST", "/ledger/post", "{}");
+    request.add("Idempotency-Key", "k\xff");
+    std::optional<HttpMessage> answer = exchangeOnce(deployment.callerAddresses()[0], request, Milliseconds(9000));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status(), 400) << answer->startLine << "\n"
+                                     << answer->body;
+}
