--- a/packages/protocol/tests/SettingsTest.cpp
+++ b/packages/protocol/tests/SettingsTest.cpp
@@ -3,7 +3,9 @@
 
 #include "testing/Story.h"
 
+#include <functional>
 #include <gtest/gtest.h>
+#include <map>
 #include <nlohmann/json.hpp>
 
 using namespace kingcup;
@@ -105,3 +107,65 @@
         EXPECT_EQ(errorOf(document).code, ResultCode::Ok);
     });
 }
+
+// Guards against a number at the edge of its type or range that takes effect as another one.
+TEST(SettingsTest, numbersAreRefusedOrTakeEffectAsTheyAre)
+{
+    using Getter = std::function<double(const Settings&)>;
+    const std::map<std::string, Getter> numbers = {
+        { "/seed", [](const Settings& settings) { return static_cast<double>(settings.seed); } },
+        { "/callerThreads", [](const Settings& settings) { return settings.callerThreads; } },
+        { "/upstreamThreads", [](const Settings& settings) { return settings.upstreamThreads; } },
+        { "/maxCallerConnections", [](const Settings& settings) { return settings.maxCallerConnections; } },
+        { "/maxRelayedConnections", [](const Settings& settings) { return settings.maxRelayedConnections; } },
+        { "/maxHeaderBytes", [](const Settings& settings) { return static_cast<double>(settings.maxHeaderBytes); } },
+        { "/linkPort", [](const Settings& settings) { return settings.linkPort; } },
+        { "/toleratedLosses", [](const Settings& settings) { return settings.toleratedLosses; } },
+        { "/snapshotEntries", [](const Settings& settings) { return static_cast<double>(settings.snapshotEntries); } },
+        { "/slowSenderTimeoutMs", [](const Settings& settings) { return settings.slowSenderTimeout.count(); } },
+        { "/stopNoticeMs", [](const Settings& settings) { return settings.stopNotice.count(); } },
+        { "/stopLimitMs", [](const Settings& settings) { return settings.stopLimit.count(); } },
+        { "/stopGracePeriodSeconds", [](const Settings& settings) { return settings.stopGracePeriod->count() / 1000; } },
+        { "/electionTimeoutMs", [](const Settings& settings) { return settings.electionTimeout.count(); } },
+        { "/heartbeatIntervalMs", [](const Settings& settings) { return settings.heartbeatInterval.count(); } },
+        { "/leaseTermMs", [](const Settings& settings) { return settings.leaseTerm.count(); } },
+        { "/sessionIntervalMs", [](const Settings& settings) { return settings.sessionInterval.count(); } },
+        { "/keyRevocationMs", [](const Settings& settings) { return settings.keyRevocation.count(); } },
+        { "/targetLeaseMs", [](const Settings& settings) { return settings.targetLease.count(); } },
+        { "/maxConnectionIdleMs", [](const Settings& settings) { return settings.maxConnectionIdle.count(); } },
+        { "/suspicionWaitMs", [](const Settings& settings) { return settings.suspicionWait.count(); } },
+        { "/tickMs", [](const Settings& settings) { return settings.tickInterval.count(); } },
+        { "/retryBudget/share", [](const Settings& settings) { return settings.retryBudget->share; } },
+        { "/retryBudget/slack", [](const Settings& settings) { return settings.retryBudget->slack; } },
+        { "/retryBudget/windowSeconds", [](const Settings& settings) { return settings.retryBudget->window.count() / 1000; } },
+        { "/usageCap/windowSeconds", [](const Settings& settings) { return settings.usageCap.window.count() / 1000; } },
+        { "/usageCap/overage", [](const Settings& settings) { return settings.usageCap.overage; } },
+        { "/usageCap/slack", [](const Settings& settings) { return settings.usageCap.slack; } },
+        { "/zoneTransfer/roundTripMs", [](const Settings& settings) { return settings.zoneTransfer->roundTripMs; } },
+        { "/zoneTransfer/costPerGigabyte", [](const Settings& settings) { return settings.zoneTransfer->costPerGigabyte; } },
+        { "/zoneTransfer/valuePerSecond", [](const Settings& settings) { return settings.zoneTransfer->valuePerSecond; } },
+        { "/routeMeasuringBudget/probesPerSecondPerTarget", [](const Settings& settings) { return settings.routeMeasuringBudget.probesPerSecondPerTarget; } },
+        { "/routeMeasuringBudget/bytesPerSecondPerVm", [](const Settings& settings) { return settings.routeMeasuringBudget.bytesPerSecondPerVm; } },
+        { "/routeMeasuringBudget/burstSeconds", [](const Settings& settings) { return settings.routeMeasuringBudget.burstSeconds; } },
+    };
+    const json edges = json::parse(R"([-9223372036854775808, -4294967295, -1, 0, 0.1, 0.5, 1, 4, 5, 10, 11, 60, 61, 256, 257, 1000, 1001, 1024, 3600, 3601, 60000, 60001, 65535, 65536, 100000, 1000000, 1048576, 16777216,
+        16777217, 86400, 3600000, 3600001, 86400000, 86400001, 1000000000, 2147483647, 2147483648, 4294967295, 4294967296, 9223372036854775807, 9223372036854775808, 18446744073709551615])");
+    size_t accepted = 0;
+    for (const auto& [place, get] : numbers) {
+        for (const json& edge : edges) {
+            json document = plainSettings();
+            document["retryBudget"] = { { "share", 0.2 }, { "slack", 10 }, { "windowSeconds", 10 } };
+            document["zoneTransfer"] = { { "roundTripMs", 1 }, { "costPerGigabyte", 1 }, { "valuePerSecond", 1 } };
+            document["controlSeeds"] = { "127.0.0.1:1" };
+            document["linkPort"] = 7000;
+            document[json::json_pointer(place)] = edge;
+            auto result = parseSettings(document.dump());
+            const Settings* settings = std::get_if<Settings>(&result);
+            if (!settings)
+                continue;
+            accepted++;
+            EXPECT_DOUBLE_EQ(get(*settings), edge.get<double>()) << place << " " << edge;
+        }
+    }
+    EXPECT_GT(accepted, 3 * numbers.size()) << "most draws are refused, so little is checked";
+}
