Fix: [Control] The log writer ends after a permanent error

Cause: since a writer whose sync has failed would try its batch again and again until the process has ended itself, and would never join if it did not. Found by reading before any release; callers saw nothing.

Fix: the thread ends with the first permanent error.

--- a/programs/kingcupswitchd/control/LogWriter.cpp
+++ b/programs/kingcupswitchd/control/LogWriter.cpp
@@ -49,6 +49,8 @@
     for (;;) {
         bool hasWritten = this->writeJobs();
         std::unique_lock<std::mutex> lock(this->mutex);
+        if (this->hasFailed)
+            return;
         if (!hasWritten)
             this->queueChanged.wait_for(lock, diskFullRetryInterval, [this] { return this->isStopping; });
         else
@@ -62,7 +64,7 @@
 {
     while (this->takeJobs()) {
         if (!this->writeBatch())
-            return this->hasFailed;
+            return false;
         this->journalSize = this->storage.journalBytes();
     }
     return true;
--- a/programs/kingcupswitchd/control/LogWriter.h
+++ b/programs/kingcupswitchd/control/LogWriter.h
@@ -44,7 +44,7 @@
     void addJob(LogWriteJob job);
 
     /**
-     * Writes the waiting jobs. Returns false if the disk is full: the first step that it refused is repeated by the next call, and
+     * Writes the waiting jobs. Returns false after an error. On a full disk the next call repeats the first step that was refused, and
      * the jobs behind it wait. Only for Thread::Caller.
      */
     bool writeJobs();
