--- a/packages/coordination/include/kingcup/ReplicatedLog.h
+++ b/packages/coordination/include/kingcup/ReplicatedLog.h
@@ -68,7 +68,8 @@
     /**
      * Sets the free space on the disk of this member. Commands fail with DiskFull while the disk of the leader, or those of so many
      * voters that the others are no majority, lack space. A follower refuses entries only on a full disk: if all that lack space
-     * refused them, a new leader could not commit the first entry of its term, and entry VMs would lose their leases.
+     * refused them, a new leader could not commit the first entry of its term, and entry VMs would lose their leases. It accepts a
+     * snapshot only with sufficient space: while it waited for room to store one, it could neither vote nor acknowledge anything.
      */
     void setDiskSpace(DiskSpace space);
 
--- a/packages/coordination/include/kingcup/ReplicatedLogTypes.h
+++ b/packages/coordination/include/kingcup/ReplicatedLogTypes.h
@@ -36,7 +36,7 @@
 /** Free space on the disk of a member. */
 enum class DiskSpace {
     Sufficient,
-    Short, ///< Below the reserve. What a leader has accepted is still written; a leader accepts no new commands.
+    Short, ///< Below the reserve. Entries that a leader has accepted are still written, snapshots are not; a leader accepts no new commands.
     Full, ///< The latest write was refused. Nothing more is accepted.
 };
 
--- a/packages/coordination/src/ReplicatedLogFollower.cpp
+++ b/packages/coordination/src/ReplicatedLogFollower.cpp
@@ -113,7 +113,7 @@
         if (isHeld) {
             this->commitTo(request.last_index(), output);
             answer.set_installed(true);
-        } else if (this->diskSpace != DiskSpace::Full && this->storeChunk(request)) {
+        } else if (this->diskSpace == DiskSpace::Sufficient && this->storeChunk(request)) {
             this->installSnapshot(output);
             answer.set_installed(true);
         }
--- a/packages/coordination/tests/ReplicatedLogTest.cpp
+++ b/packages/coordination/tests/ReplicatedLogTest.cpp
@@ -484,3 +484,30 @@
     });
     EXPECT_THAT(network.violations, ::testing::IsEmpty());
 }
+
+// Guards against a member that stops to vote because it has accepted a snapshot for which its disk has no room.
+TEST(ReplicatedLogTest, membersShortOfSpaceAcceptNoSnapshot)
+{
+    LogNetwork network(testSeed(1), {});
+    network.options.maxBytesPerMessage = 10; // Leaders keep hardly any entries that their snapshots cover.
+    ASSERT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }));
+    for (VmId vm = 1; vm <= 3; vm++)
+        network.crash(vm);
+    for (VmId vm = 1; vm <= 3; vm++)
+        network.start(vm);
+    ASSERT_TRUE(network.runUntil([&] { return network.leaderWithQuorum() != nullptr; }));
+    VmId lagging = network.leader()->vm % 3 + 1;
+    network.crash(lagging);
+    proposeMany(network, 100);
+    ASSERT_TRUE(network.runUntil([&] { return network.acknowledged.size() == 100; }));
+    network.start(lagging);
+    LogNode& node = network.nodes[lagging];
+    LogIndex before = node.log->commitIndex();
+    node.log->setDiskSpace(DiskSpace::Short);
+    network.runFor(2000);
+    EXPECT_EQ(node.log->commitIndex(), before);
+    EXPECT_EQ(node.log->leader(), network.leader()->vm);
+    node.log->setDiskSpace(DiskSpace::Sufficient);
+    EXPECT_TRUE(network.runUntil([&] { return network.hasConverged(); }));
+    EXPECT_THAT(network.violations, ::testing::IsEmpty());
+}
