--- a/programs/kingcupswitchd/control/LogDriver.cpp
+++ b/programs/kingcupswitchd/control/LogDriver.cpp
@@ -15,7 +15,8 @@
 constexpr size_t maxProposalsPerBatch = 512;
 constexpr uint64_t maxJournalBytes = 16u << 20; ///< Size of the journal above which a snapshot is taken before its number of entries is reached, unless the snapshot is as large.
 constexpr double transferTimeoutRatio = 5; ///< Time in election timeouts after which commands are refused if a leader that lacks disk space could not transfer its leadership.
-constexpr Milliseconds minSnapshotInterval { 1000 }; ///< Between two snapshots, since the disk may have no room for one, or for the compaction of the journal.
+constexpr Milliseconds minSnapshotInterval { 1000 };
+constexpr Milliseconds refusedSnapshotInterval { 10000 }; ///< After a snapshot for which the disk had no room, since each attempt writes until the disk is full.
 
 /** Returns a result that contains only a code. */
 wire::CommandResult resultWithCode(ResultCode code)
@@ -289,7 +290,10 @@
         });
     };
     job.snapshotRefused = [this] {
-        this->hooks.post([this] { this->isSnapshotRunning = false; });
+        this->hooks.post([this] {
+            this->isSnapshotRunning = false;
+            this->nextSnapshotTime = this->hooks.now() + refusedSnapshotInterval;
+        });
     };
     job.takenSnapshot = std::move(snapshot);
     this->writer.addJob(std::move(job));
