--- a/review/stand-in-2/body_limit.cpp
+++ b/review/stand-in-2/body_limit.cpp
@@ -1,4 +1,4 @@
-/** @file body_limit.cpp Case 8: a new desired state raises the largest body that clients may send. */
+/** @file body_limit.cpp A new desired state raises the largest body that clients may send. */
 #include "CaseKit.h"
 
 using namespace review;
--- a/review/stand-in-2/invalid_state.cpp
+++ b/review/stand-in-2/invalid_state.cpp
@@ -1,4 +1,4 @@
-/** @file invalid_state.cpp Case 6: an invalid desired state is sent until it gets a clear answer. */
+/** @file invalid_state.cpp An invalid desired state is sent until it gets a clear answer. */
 #include "CaseKit.h"
 
 using namespace review;
--- a/review/stand-in-2/restarted_server.cpp
+++ b/review/stand-in-2/restarted_server.cpp
@@ -1,4 +1,4 @@
-/** @file restarted_server.cpp Case 9: a server crashes, starts again under its id at another address, and leaves later. */
+/** @file restarted_server.cpp A server crashes, starts again under its id at another address, and leaves later. */
 #include "CaseKit.h"
 
 using namespace review;
--- a/review/stand-in-2/unreadable_ping.cpp
+++ b/review/stand-in-2/unreadable_ping.cpp
@@ -1,4 +1,4 @@
-/** @file unreadable_ping.cpp Case 7: another writer sends pings that cannot be read. */
+/** @file unreadable_ping.cpp Another writer sends pings that cannot be read. */
 #include "CaseKit.h"
 
 using namespace review;
